Serve a request from caller to engine through one host

This adds the design, the build and lint setup, the typed error and event catalogues, checked settings, the configuration fold and a thin path: the host follows the configuration stream of the log, admits a completion request and relays the engine's answer.

The dispatcher knows only its own host; shared limits follow.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,62 @@
+import {createRequire} from 'node:module';
+import jsdoc from 'eslint-plugin-jsdoc';
+
+const gts = createRequire(import.meta.url)('gts');
+
+export default [
+  {ignores: ['dist/**', 'node_modules/**']},
+  ...gts,
+  {
+    files: ['src/**/*.ts'],
+    plugins: {jsdoc},
+    rules: {
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          require: {
+            ClassDeclaration: true,
+            FunctionDeclaration: true,
+            MethodDefinition: false,
+          },
+          contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration'],
+        },
+      ],
+      'max-lines': ['error', {max: 400}],
+    },
+  },
+  {
+    files: ['**/*.ts'],
+    rules: {
+      // TypeScript resolves imports; the plugin looks for files that exist only after the build.
+      'n/no-missing-import': 'off',
+      'n/no-unpublished-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'n/no-process-exit': 'off',
+      'require-yield': 'off',
+      // node:test reports a failed test itself; the returned promise need not be awaited.
+      '@typescript-eslint/no-floating-promises': [
+        'error',
+        {
+          allowForKnownSafeCalls: [
+            {
+              from: 'package',
+              package: 'node:test',
+              name: ['test', 'describe', 'it'],
+            },
+          ],
+        },
+      ],
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
+    },
+  },
+  {
+    files: ['eslint.config.js', 'scripts/*.js'],
+    languageOptions: {
+      sourceType: 'module',
+      globals: {process: 'readonly', console: 'readonly'},
+    },
+    rules: {'n/no-unpublished-import': 'off', 'n/no-extraneous-import': 'off'},
+  },
+];
--- /dev/null
+++ b/src/connection/caller/health-handler.ts
@@ -0,0 +1,38 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Metrics} from '../../process/metrics.js';
+import {RouteHandler} from './caller-server.js';
+
+/** Answers `/healthz`, `/readyz` and `/metrics`. */
+export class HealthHandler extends RouteHandler {
+  private readonly paths = new Set(['/healthz', '/readyz', '/metrics']);
+
+  /**
+   * @param metrics - Metrics to render.
+   * @param ready - Tells whether the host takes new requests.
+   */
+  constructor(
+    private readonly metrics: Metrics,
+    private readonly ready: () => boolean,
+  ) {
+    super();
+  }
+
+  override matches(path: string): boolean {
+    return this.paths.has(path);
+  }
+
+  override async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.url === '/metrics') {
+      res.setHeader('content-type', this.metrics.registry.contentType);
+      res.end(await this.metrics.render());
+      return;
+    }
+    const ok = req.url === '/healthz' || this.ready();
+    res.statusCode = ok ? 200 : 503;
+    res.setHeader('content-type', 'text/plain');
+    res.end(ok ? 'ok\n' : 'not ready\n');
+  }
+}
--- /dev/null
+++ b/src/connection/caller/unknown-path-handler.ts
@@ -0,0 +1,26 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Metrics} from '../../process/metrics.js';
+import {RouteHandler} from './caller-server.js';
+import {sendProblem} from './problem.js';
+
+/** Answers paths that no other handler knows. */
+export class UnknownPathHandler extends RouteHandler {
+  /**
+   * @param metrics - Counts the refusals.
+   */
+  constructor(private readonly metrics: Metrics) {
+    super();
+  }
+
+  override matches(): boolean {
+    return true;
+  }
+
+  override async handle(
+    _req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    this.metrics.refusal('unknown-route');
+    sendProblem(res, 'unknown-route');
+  }
+}
--- /dev/null
+++ b/src/process/errors/catalogue.ts
@@ -0,0 +1,67 @@
+import {peerFailures, type PeerFailure} from './peer-failures.js';
+import {platformFailures, type PlatformFailure} from './platform-failures.js';
+import {requestFailures, type RequestFailure} from './request-failures.js';
+import {resourceFailures, type ResourceFailure} from './resource-failures.js';
+import {settingsFailures, type SettingsFailure} from './settings-failures.js';
+
+/** Every failure that the system reports, told apart by `kind`. */
+export type Failure =
+  | SettingsFailure
+  | RequestFailure
+  | PlatformFailure
+  | PeerFailure
+  | ResourceFailure;
+
+/** Texts for one kind of failure. */
+export interface FailureText<F> {
+  /** Short name of the failure. */
+  readonly title: string;
+  /** Describes what happened, with the values of this case. */
+  readonly message: (failure: F) => string;
+  /** Says what the reader can do about it. */
+  readonly hint: string;
+}
+
+/** Texts for each kind of a union of failures. */
+export type FailureTexts<F extends {kind: string}> = {
+  readonly [K in F['kind']]: FailureText<Extract<F, {kind: K}>>;
+};
+
+/** Texts of all failures. */
+export const failureCatalogue: FailureTexts<Failure> = {
+  ...settingsFailures,
+  ...requestFailures,
+  ...platformFailures,
+  ...peerFailures,
+  ...resourceFailures,
+};
+
+/** Carries a typed failure through `throw` and promise rejections. */
+export class FailureError extends Error {
+  /**
+   * @param failure - What went wrong.
+   * @param options - Standard error options, for example the cause.
+   */
+  constructor(
+    readonly failure: Failure,
+    options?: ErrorOptions,
+  ) {
+    super(describeFailure(failure).message, options);
+    this.name = 'FailureError';
+  }
+}
+
+/**
+ * Looks up the texts of a failure.
+ *
+ * @param failure - Failure to describe.
+ * @returns Title, message and hint.
+ */
+export function describeFailure(failure: Failure): {
+  title: string;
+  message: string;
+  hint: string;
+} {
+  const text = failureCatalogue[failure.kind] as FailureText<Failure>;
+  return {title: text.title, message: text.message(failure), hint: text.hint};
+}
--- /dev/null
+++ b/src/process/events/catalogue.ts
@@ -0,0 +1,26 @@
+import {peerEvents} from './peer-events.js';
+import {platformEvents} from './platform-events.js';
+import {processEvents} from './process-events.js';
+import {requestEvents} from './request-events.js';
+import {versionEvents} from './version-events.js';
+
+/** A numbered log event. */
+export interface LogEvent {
+  /** Stable number; never reused. */
+  readonly id: number;
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  /** Fixed text; values go into fields. */
+  readonly message: string;
+}
+
+/** All log events, by name. Numbers: process 1000, request 2000, peer 3000, platform 4000, version 5000. */
+export const events = {
+  ...processEvents,
+  ...requestEvents,
+  ...peerEvents,
+  ...platformEvents,
+  ...versionEvents,
+} as const satisfies Record<string, LogEvent>;
+
+/** Name of a log event. */
+export type EventName = keyof typeof events;
--- /dev/null
+++ b/src/process/member-view.ts
@@ -0,0 +1,33 @@
+import type {Stream} from 'most';
+
+/** What a host knows of another host, or of itself. */
+export interface Member {
+  /** Name of the host, unique in the fleet. */
+  readonly id: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Address of the peer server, `IP:PORT`. */
+  readonly peerAddress: string;
+  /** Raised by the member itself to refute a suspicion and on each start. */
+  readonly incarnation: number;
+  readonly state: 'alive' | 'suspect' | 'dead' | 'left';
+  /** Offset of the configuration that is in effect at the member. */
+  readonly configOffset: number;
+}
+
+/** Read side of the membership, for the parts that depend on who is alive. */
+export abstract class MemberView {
+  /** This host. */
+  abstract readonly self: Member;
+
+  /** Each member after it changed. */
+  abstract readonly changes: Stream<Member>;
+
+  /**
+   * Lists members that are not confirmed dead and have not left, this host included.
+   *
+   * @param zone - Zone to list; all known members if absent.
+   * @returns Members ordered by id.
+   */
+  abstract live(zone?: string): readonly Member[];
+}
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,155 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+import {Counter, Gauge, Registry} from 'prom-client';
+import type {RefusalReason, RetryReason} from '../request/refusals.js';
+import {tierCount, type Tier} from '../version/resources/kinds.js';
+
+const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
+/** Upper bound of a recorded latency, in microseconds: one hour. */
+const maxLatencyUs = 3_600_000_000;
+
+/** Latencies of one tier. */
+interface TierHistograms {
+  readonly firstByte: Histogram;
+  readonly total: Histogram;
+}
+
+/** Counters, gauges and latency histograms of one host. */
+export class Metrics {
+  /** Registry in which other parts declare their own metrics. */
+  readonly registry = new Registry();
+
+  private readonly refusals = this.counter(
+    'guavaseam_refusals_total',
+    'Requests refused, by reason and tier',
+    ['reason', 'tier'],
+  );
+  private readonly retries = this.counter(
+    'guavaseam_retries_total',
+    'Attempts repeated, by reason',
+    ['reason'],
+  );
+  private readonly requests = this.counter(
+    'guavaseam_requests_total',
+    'Requests answered whole, by tier',
+    ['tier'],
+  );
+  private readonly invariants = this.counter(
+    'guavaseam_invariant_violations_total',
+    'Violations of an invariant, by name',
+    ['invariant'],
+  );
+  private readonly latency = new Gauge({
+    name: 'guavaseam_latency_seconds',
+    help: 'Latency quantiles since start, by tier and phase',
+    labelNames: ['tier', 'phase', 'quantile'],
+    registers: [this.registry],
+  });
+  private readonly tiers: readonly TierHistograms[] = Array.from(
+    {length: tierCount},
+    () => ({firstByte: createHistogram(), total: createHistogram()}),
+  );
+
+  /**
+   * Declares a counter in this host's registry.
+   *
+   * @param name - Metric name, with unit.
+   * @param help - One line for operators.
+   * @param labelNames - Labels.
+   * @returns The counter.
+   */
+  counter<L extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly L[],
+  ): Counter<L> {
+    return new Counter({name, help, labelNames, registers: [this.registry]});
+  }
+
+  /**
+   * Declares a gauge that is read when metrics are rendered.
+   *
+   * @param name - Metric name, with unit.
+   * @param help - One line for operators.
+   * @param read - Returns the current value.
+   */
+  gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /**
+   * Counts a refusal.
+   *
+   * @param reason - Why the request was refused.
+   * @param tier - Tier of the request, if known.
+   */
+  refusal(reason: RefusalReason, tier?: Tier): void {
+    this.refusals.inc({reason, tier: tier ?? 'none'});
+  }
+
+  /**
+   * Counts a repeated attempt.
+   *
+   * @param reason - Why it was repeated.
+   */
+  retry(reason: RetryReason): void {
+    this.retries.inc({reason});
+  }
+
+  /**
+   * Counts a violated invariant.
+   *
+   * @param invariant - Name of the invariant.
+   */
+  invariantViolation(invariant: string): void {
+    this.invariants.inc({invariant});
+  }
+
+  /**
+   * Records a request that was answered whole.
+   *
+   * @param tier - Tier of the request.
+   * @param firstByteMs - Time until the first byte of the answer, in milliseconds.
+   * @param totalMs - Time until the end of the answer, in milliseconds.
+   */
+  answered(tier: Tier, firstByteMs: number, totalMs: number): void {
+    this.requests.inc({tier});
+    this.tiers[tier].firstByte.recordValue(toMicroseconds(firstByteMs));
+    this.tiers[tier].total.recordValue(toMicroseconds(totalMs));
+  }
+
+  /** @returns All metrics in the Prometheus text format. */
+  async render(): Promise<string> {
+    this.tiers.forEach((histograms, tier) => {
+      for (const phase of ['firstByte', 'total'] as const) {
+        for (const quantile of quantiles) {
+          const us = histograms[phase].getValueAtPercentile(quantile * 100);
+          this.latency.set(
+            {tier, phase, quantile: String(quantile)},
+            us / 1_000_000,
+          );
+        }
+      }
+    });
+    return this.registry.metrics();
+  }
+}
+
+function createHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: maxLatencyUs,
+    numberOfSignificantValueDigits: 2,
+    bitBucketSize: 32,
+  });
+}
+
+function toMicroseconds(ms: number): number {
+  return Math.min(maxLatencyUs, Math.max(1, Math.round(ms * 1000)));
+}
--- /dev/null
+++ b/src/process/task.ts
@@ -0,0 +1,43 @@
+/**
+ * A task owns its state and handles one message at a time, in the order of arrival.
+ *
+ * A message that is posted while another is being handled waits in the inbox, so `run` never
+ * observes a half-updated state. Handling is synchronous; results of asynchronous work come back
+ * as messages.
+ */
+export abstract class Task<Message> {
+  private readonly inbox: Message[] = [];
+  private coroutine: Generator<undefined, void, Message> | undefined;
+  private handling = false;
+  private ended = false;
+
+  /**
+   * Delivers a message. Messages to a task that has ended are dropped.
+   *
+   * @param message - Message to handle.
+   */
+  post(message: Message): void {
+    if (this.ended) return;
+    this.inbox.push(message);
+    if (!this.handling) this.drainInbox();
+  }
+
+  /** Receives each message as the value of `yield`; returning ends the task. */
+  protected abstract run(): Generator<undefined, void, Message>;
+
+  private drainInbox(): void {
+    this.handling = true;
+    try {
+      if (!this.coroutine) {
+        this.coroutine = this.run();
+        this.coroutine.next();
+      }
+      while (this.inbox.length > 0 && !this.ended) {
+        const message = this.inbox.shift() as Message;
+        this.ended = this.coroutine.next(message).done === true;
+      }
+    } finally {
+      this.handling = false;
+    }
+  }
+}
--- /dev/null
+++ b/src/request/refusals.ts
@@ -0,0 +1,201 @@
+/** What is known about the execution of a refused request. */
+export const execution = {
+  /** The request was certainly not run. */
+  notRun: 'not-run',
+  /** The request may have been run. */
+  unknown: 'unknown',
+} as const;
+
+/** Value of {@link execution}. */
+export type Execution = (typeof execution)[keyof typeof execution];
+
+/** Fixed properties of a refusal reason. */
+export interface RefusalText {
+  /** HTTP status code. */
+  readonly status: number;
+  /** Short name for people. */
+  readonly title: string;
+  /** Whether the same request may succeed later. */
+  readonly retryable: boolean;
+  /** What is known about the execution. */
+  readonly execution: Execution;
+}
+
+const notRun = execution.notRun;
+const unknown = execution.unknown;
+
+/** All refusal reasons; the keys are stable and part of the callers' interface. */
+export const refusals = {
+  'malformed-request': {
+    status: 400,
+    title: 'Malformed request',
+    retryable: false,
+    execution: notRun,
+  },
+  unauthenticated: {
+    status: 401,
+    title: 'Unknown or missing key',
+    retryable: false,
+    execution: notRun,
+  },
+  'unknown-route': {
+    status: 404,
+    title: 'Unknown path',
+    retryable: false,
+    execution: notRun,
+  },
+  'unknown-service': {
+    status: 404,
+    title: 'Unknown service or model',
+    retryable: false,
+    execution: notRun,
+  },
+  'method-not-allowed': {
+    status: 405,
+    title: 'Method not allowed',
+    retryable: false,
+    execution: notRun,
+  },
+  'request-timeout': {
+    status: 408,
+    title: 'Request arrived too slowly',
+    retryable: true,
+    execution: notRun,
+  },
+  'key-reused': {
+    status: 422,
+    title: 'Idempotency key used for another request',
+    retryable: false,
+    execution: notRun,
+  },
+  'key-in-progress': {
+    status: 409,
+    title: 'Request with this idempotency key is running',
+    retryable: true,
+    execution: unknown,
+  },
+  'body-too-large': {
+    status: 413,
+    title: 'Body too large',
+    retryable: false,
+    execution: notRun,
+  },
+  'headers-too-large': {
+    status: 431,
+    title: 'Headers too large',
+    retryable: false,
+    execution: notRun,
+  },
+  'rate-limited': {
+    status: 429,
+    title: 'Rate limit of the organisation reached',
+    retryable: true,
+    execution: notRun,
+  },
+  'concurrency-limited': {
+    status: 429,
+    title: 'Concurrency limit of the organisation reached',
+    retryable: true,
+    execution: notRun,
+  },
+  'crashes-targets': {
+    status: 422,
+    title: 'Request crashed targets before',
+    retryable: false,
+    execution: notRun,
+  },
+  'queue-full': {
+    status: 503,
+    title: 'Queue full',
+    retryable: true,
+    execution: notRun,
+  },
+  shed: {
+    status: 503,
+    title: 'Shed for higher tiers',
+    retryable: true,
+    execution: notRun,
+  },
+  'no-target': {
+    status: 503,
+    title: 'No usable target',
+    retryable: true,
+    execution: notRun,
+  },
+  'deadline-unreachable': {
+    status: 503,
+    title: 'Deadline cannot be met',
+    retryable: true,
+    execution: notRun,
+  },
+  'deadline-exceeded-waiting': {
+    status: 504,
+    title: 'Deadline passed before dispatch',
+    retryable: true,
+    execution: notRun,
+  },
+  'deadline-exceeded-running': {
+    status: 504,
+    title: 'Deadline passed after dispatch',
+    retryable: false,
+    execution: unknown,
+  },
+  'claim-unavailable': {
+    status: 503,
+    title: 'At-most-once claim cannot be recorded',
+    retryable: true,
+    execution: notRun,
+  },
+  'key-expired': {
+    status: 409,
+    title: 'Idempotency key too old to decide',
+    retryable: false,
+    execution: unknown,
+  },
+  'outcome-unknown': {
+    status: 502,
+    title: 'Outcome unknown',
+    retryable: false,
+    execution: unknown,
+  },
+  'target-failed': {
+    status: 502,
+    title: 'Target failed before it started the request',
+    retryable: true,
+    execution: notRun,
+  },
+  'retries-exhausted': {
+    status: 502,
+    title: 'Targets failed and no retry is left',
+    retryable: true,
+    execution: unknown,
+  },
+  draining: {
+    status: 503,
+    title: 'Host is shutting down',
+    retryable: true,
+    execution: notRun,
+  },
+  overloaded: {
+    status: 503,
+    title: 'Host is overloaded',
+    retryable: true,
+    execution: notRun,
+  },
+} as const satisfies Record<string, RefusalText>;
+
+/** Name of a refusal reason. */
+export type RefusalReason = keyof typeof refusals;
+
+/** Reasons for which an attempt is repeated. */
+export const retryReasons = [
+  'connect-failed',
+  'target-busy',
+  'target-error',
+  'answer-broken',
+  'preempted',
+  'resumed',
+] as const;
+
+/** Name of a retry reason. */
+export type RetryReason = (typeof retryReasons)[number];
--- /dev/null
+++ b/test/request/whole-path.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
+import {test} from 'node:test';
+import {request} from 'undici';
+import {createHost} from '../../src/index.js';
+import {HttpLogClient} from '../../src/connection/platform/http-log-client.js';
+import {checkSettings} from '../../src/process/settings.js';
+import {EngineServer, LogServer} from '../../stand-ins/index.js';
+
+const token = 'test-key';
+
+function put(kind: string, name: string, spec: unknown) {
+  return {
+    writeId: `${kind}-${name}`,
+    actor: 'test',
+    time: '2026-01-01T00:00:00Z',
+    op: 'put',
+    kind,
+    name,
+    baseGeneration: 0,
+    spec,
+  };
+}
+
+test('a streamed completion passes from an engine to the caller byte for byte', async t => {
+  const log = new LogServer();
+  const engine = new EngineServer();
+  await Promise.all([log.listen(), engine.listen()]);
+  const client = new HttpLogClient(log.address);
+  const sha256 = createHash('sha256').update(token).digest('hex');
+  const records = [
+    put('zone', 'a', {region: 'r', state: 'in'}),
+    put('organisation', 'o', {keys: [{id: 'k', sha256, tier: 0}], weight: 1}),
+    put('service', 'chat', {
+      type: 'model',
+      version: 'v1',
+      defaultTimeoutMs: 5000,
+      firstTokenTargetMs: 500,
+      tokenTargetMs: 50,
+    }),
+    put('target', 't1', {
+      service: 'chat',
+      zone: 'a',
+      address: engine.address,
+      version: 'v1',
+      maxConcurrency: 4,
+    }),
+  ];
+  for (const record of records) await client.append('config', record);
+  const host = createHost(
+    checkSettings({
+      host: 'h1',
+      fleet: 'test',
+      zone: 'a',
+      region: 'r',
+      callers: {address: '127.0.0.1', port: 0},
+      peers: {address: '127.0.0.1', port: 0, tls: {mode: 'plain'}},
+      platform: {logUrl: log.address},
+      logLevel: 'silent',
+    }),
+  );
+  const {callersPort} = await host.start();
+  t.after(async () => {
+    await host.stop();
+    await client.close();
+    await Promise.all([log.close(), engine.close()]);
+  });
+  const origin = `http://127.0.0.1:${callersPort}`;
+  let ready = 503;
+  while (ready !== 200) {
+    const probe = await request(`${origin}/readyz`);
+    await probe.body.dump();
+    ready = probe.statusCode;
+  }
+
+  const res = await request(`${origin}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${token}`},
+    body: JSON.stringify({model: 'chat', stream: true, max_tokens: 3}),
+  });
+  const text = await res.body.text();
+
+  assert.equal(res.statusCode, 200);
+  assert.equal(text.match(/word\d/g)?.join(' '), 'word0 word1 word2');
+  assert.ok(text.endsWith('data: [DONE]\n\n'));
+  assert.equal(engine.executions.length, 1);
+});
