--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,13 @@
+/** Loads one bench by name, so that a run pays only for what it measures. */
+const benches: Record<string, () => Promise<{run(): Promise<void>}>> = {
+  // One line for each bench: 'name': () => import('./name.js'),
+};
+
+const [name] = process.argv.slice(2);
+const load = name === undefined ? undefined : benches[name];
+if (!load) {
+  process.stderr.write(`usage: bench ${Object.keys(benches).join('|')}\n`);
+  process.exitCode = 2;
+} else {
+  await (await load()).run();
+}
