Add HTTP stand-ins over the engine model, and platform adapters

The engine stand-in had fixed timing and no faults, and the log stand-in could not fail. LogFollower backs off with jitter and stops at once.

--- /dev/null
+++ b/src/connection/platform/engine-order-client.ts
@@ -0,0 +1,222 @@
+import {FailureError} from '../../process/errors/catalogue.js';
+import {isCount, PlatformHttp, type PlatformAnswer} from './platform-http.js';
+
+/** Time after which a call to an engine is given up, in milliseconds. */
+const callTimeoutMs = 3000;
+
+/** Orders that engines take. */
+export const engineOrderKinds = {
+  loadModel: 'load-model',
+  loadAdapter: 'load-adapter',
+  loadVersion: 'load-version',
+  setRole: 'set-role',
+} as const;
+
+/** An order to an engine. */
+export interface EngineOrder {
+  readonly order: (typeof engineOrderKinds)[keyof typeof engineOrderKinds];
+  /** Name of the model, adapter, version or role. */
+  readonly value: string;
+}
+
+/** State of an engine as its orders left it. */
+export interface EngineState {
+  /** Greatest fencing number that the engine has seen. */
+  readonly fencing: number;
+  readonly model: string;
+  readonly version: string;
+  readonly adapters: readonly string[];
+  readonly role: string;
+  /** Order that the engine is carrying out. */
+  readonly loading?: EngineOrder;
+}
+
+/** Where an order goes to. */
+export interface OrderTarget {
+  readonly name: string;
+  /** Base URL. */
+  readonly address: string;
+}
+
+/** What became of an order. */
+export type OrderResult =
+  /** The engine carries it out. */
+  | {kind: 'accepted'; state: EngineState}
+  /** Its effect was already there or on the way; nothing was sent. */
+  | {kind: 'in-effect'; state: EngineState}
+  /** The engine is busy with another order. */
+  | {kind: 'busy'; retryAfterMs: number};
+
+/** Gives orders to engines. */
+export abstract class EngineOrderClient {
+  /**
+   * Reads the state of an engine.
+   *
+   * @param target - Engine to ask.
+   * @param signal - Ends the call.
+   * @returns Its state.
+   * @throws {@link FailureError} of kind `order-failed`.
+   */
+  abstract state(
+    target: OrderTarget,
+    signal?: AbortSignal,
+  ): Promise<EngineState>;
+
+  /**
+   * Sends one order, once. A rejection of kind `order-failed` does not tell whether the engine
+   * took it.
+   *
+   * @param target - Engine to order.
+   * @param fencing - Number of the lease under which the order is given.
+   * @param order - What to do.
+   * @param signal - Ends the call.
+   * @returns Whether the engine carries the order out.
+   * @throws {@link FailureError} of kind `order-failed` or `order-rejected`.
+   */
+  abstract send(
+    target: OrderTarget,
+    fencing: number,
+    order: EngineOrder,
+    signal?: AbortSignal,
+  ): Promise<OrderResult>;
+
+  /**
+   * Gives an order that may have been given before: the state is read first, and the order is sent
+   * only if its effect is neither there nor on the way.
+   *
+   * The check and the order are two calls, so only the fencing number keeps out a second holder
+   * of the lease; for engines that ignore it the caller has to wait for the old lease to expire.
+   *
+   * @param target - Engine to order.
+   * @param fencing - Number of the lease under which the order is given.
+   * @param order - What to do.
+   * @param signal - Ends the calls.
+   * @returns What became of the order.
+   * @throws {@link FailureError} of kind `order-failed` or `order-rejected`.
+   */
+  async ensure(
+    target: OrderTarget,
+    fencing: number,
+    order: EngineOrder,
+    signal?: AbortSignal,
+  ): Promise<OrderResult> {
+    const state = await this.state(target, signal);
+    if (state.fencing > fencing) {
+      throw rejected(target, fencing, state.fencing);
+    }
+    const {loading} = state;
+    if (loading?.order === order.order && loading.value === order.value) {
+      return {kind: 'in-effect', state};
+    }
+    if (!loading && isInEffect(state, order)) {
+      return {kind: 'in-effect', state};
+    }
+    return this.send(target, fencing, order, signal);
+  }
+}
+
+/** Orders over HTTP with JSON bodies. */
+export class HttpEngineOrderClient extends EngineOrderClient {
+  private readonly connections = new Map<string, PlatformHttp>();
+
+  override async state(
+    target: OrderTarget,
+    signal?: AbortSignal,
+  ): Promise<EngineState> {
+    const {status, body} = await this.call(target, 'GET', undefined, signal);
+    if (status !== 200) throw failed(target, `HTTP status ${status}`);
+    return checkState(target, body);
+  }
+
+  override async send(
+    target: OrderTarget,
+    fencing: number,
+    order: EngineOrder,
+    signal?: AbortSignal,
+  ): Promise<OrderResult> {
+    const sent = {fencing, order: order.order, value: order.value};
+    const {status, body} = await this.call(target, 'POST', sent, signal);
+    if (status === 409 && isCount(body['newest'])) {
+      throw rejected(target, fencing, body['newest']);
+    }
+    if (status === 503 && isCount(body['retryAfterMs'])) {
+      return {kind: 'busy', retryAfterMs: body['retryAfterMs']};
+    }
+    if (status !== 202 && status !== 200) {
+      throw failed(target, `HTTP status ${status}`);
+    }
+    return {kind: 'accepted', state: checkState(target, body)};
+  }
+
+  /** Closes the connections to all engines. */
+  async close(): Promise<void> {
+    const open = [...this.connections.values()];
+    this.connections.clear();
+    await Promise.all(open.map(http => http.close()));
+  }
+
+  private async call(
+    target: OrderTarget,
+    method: 'GET' | 'POST',
+    body: unknown,
+    signal?: AbortSignal,
+  ): Promise<PlatformAnswer> {
+    let http = this.connections.get(target.address);
+    if (!http) {
+      http = new PlatformHttp(target.address);
+      this.connections.set(target.address, http);
+    }
+    const path = '/orders';
+    try {
+      const timeoutMs = callTimeoutMs;
+      return await http.call({method, path, body, timeoutMs, signal});
+    } catch (err) {
+      throw failed(target, (err as Error).message, err);
+    }
+  }
+}
+
+function isInEffect(state: EngineState, {order, value}: EngineOrder): boolean {
+  if (order === 'load-model') return state.model === value;
+  if (order === 'load-version') return state.version === value;
+  if (order === 'set-role') return state.role === value;
+  return state.adapters.includes(value);
+}
+
+function checkState(target: OrderTarget, body: object): EngineState {
+  const state = body as Partial<EngineState>;
+  if (
+    isCount(state.fencing) &&
+    typeof state.model === 'string' &&
+    typeof state.version === 'string' &&
+    Array.isArray(state.adapters) &&
+    typeof state.role === 'string'
+  ) {
+    return state as EngineState;
+  }
+  throw failed(target, 'answer is malformed');
+}
+
+function failed(
+  target: OrderTarget,
+  reason: string,
+  cause?: unknown,
+): FailureError {
+  return new FailureError(
+    {kind: 'order-failed', target: target.name, reason},
+    {cause},
+  );
+}
+
+function rejected(
+  target: OrderTarget,
+  fencing: number,
+  newest: number,
+): FailureError {
+  return new FailureError({
+    kind: 'order-rejected',
+    target: target.name,
+    fencing,
+    newest,
+  });
+}
--- a/src/connection/platform/http-log-client.ts
+++ b/src/connection/platform/http-log-client.ts
@@ -1,36 +1,53 @@
-import {Pool} from 'undici';
 import {FailureError} from '../../process/errors/catalogue.js';
-import {LogClient, type LogPage} from './log-client.js';
+import {LogClient, type LogPage, type LogRecord} from './log-client.js';
+import {
+  isCount,
+  PlatformHttp,
+  type PlatformAnswer,
+  type PlatformCall,
+} from './platform-http.js';
 
 /** Time after which a call to the log is given up, in milliseconds. */
 const callTimeoutMs = 3000;
+/** Wait after a refused append if the log does not state one, in milliseconds. */
+const defaultRetryAfterMs = 100;
 
 /** Log service over HTTP with JSON bodies. */
 export class HttpLogClient extends LogClient {
-  private readonly pool: Pool;
+  private readonly appends: PlatformHttp;
+  /** A waiting read occupies its connection, so reads must not queue and must not delay appends. */
+  private readonly reads: PlatformHttp;
 
   /**
    * @param baseUrl - Base URL of the log service.
+   * @param timeoutMs - Time after which a call is given up, in milliseconds; a read gets the time
+   *   it may wait in addition.
    */
-  constructor(baseUrl: string) {
+  constructor(
+    baseUrl: string,
+    private readonly timeoutMs = callTimeoutMs,
+  ) {
     super();
-    this.pool = new Pool(new URL(baseUrl).origin, {connections: 8});
+    this.appends = new PlatformHttp(baseUrl);
+    this.reads = new PlatformHttp(baseUrl, null);
   }
 
   override async append(stream: string, data: unknown): Promise<number> {
     const {status, body} = await this.call(stream, {
       method: 'POST',
       path: `/streams/${encodeURIComponent(stream)}/records`,
-      body: JSON.stringify(data),
-      headers: {'content-type': 'application/json'},
-      timeoutMs: callTimeoutMs,
+      body: data,
+      timeoutMs: this.timeoutMs,
     });
     if (status === 429) {
-      const retryAfterMs = Number(body['retryAfterMs'] ?? 100);
+      const stated = body['retryAfterMs'];
+      const retryAfterMs = isCount(stated) ? stated : defaultRetryAfterMs;
       throw new FailureError({kind: 'log-rate-limited', stream, retryAfterMs});
     }
     if (status !== 200) throw unavailable(stream, `HTTP status ${status}`);
-    return body['offset'] as number;
+    const offset = body['offset'];
+    if (!isCount(offset)) throw unavailable(stream, 'answer has no offset');
+    return offset;
   }
 
   override async read(
@@ -42,48 +59,49 @@
     const {status, body} = await this.call(stream, {
       method: 'GET',
       path: `/streams/${encodeURIComponent(stream)}/records?from=${from}&limit=${limit}&waitMs=${waitMs}`,
-      timeoutMs: callTimeoutMs + waitMs,
+      timeoutMs: this.timeoutMs + waitMs,
       signal,
     });
-    if (status === 410) {
-      const first = body['first'] as number;
+    if (status === 410 && isCount(body['first'])) {
+      const first = body['first'];
       throw new FailureError({kind: 'log-truncated', stream, from, first});
     }
     if (status !== 200) throw unavailable(stream, `HTTP status ${status}`);
-    return body as unknown as LogPage;
+    if (!isPage(body, from)) throw unavailable(stream, 'answer is malformed');
+    return body;
   }
 
   /** Closes the connections to the log. */
   async close(): Promise<void> {
-    await this.pool.destroy();
+    await Promise.all([this.appends.close(), this.reads.close()]);
   }
 
   private async call(
     stream: string,
-    req: {
-      method: 'GET' | 'POST';
-      path: string;
-      body?: string;
-      headers?: Record<string, string>;
-      timeoutMs: number;
-      signal?: AbortSignal;
-    },
-  ): Promise<{status: number; body: Record<string, unknown>}> {
-    const {timeoutMs, signal, ...options} = req;
-    const timeout = AbortSignal.timeout(timeoutMs);
+    call: PlatformCall,
+  ): Promise<PlatformAnswer> {
     try {
-      const res = await this.pool.request({
-        ...options,
-        signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
-      });
-      const body = (await res.body.json()) as Record<string, unknown>;
-      return {status: res.statusCode, body};
+      const http = call.method === 'POST' ? this.appends : this.reads;
+      return await http.call(call);
     } catch (err) {
       throw unavailable(stream, (err as Error).message, err);
     }
   }
 }
 
+/** Offsets must follow each other from `from` on; a gap would hide records from the reader. */
+function isPage(body: unknown, from: number): body is LogPage {
+  const {records, first, next} = body as Partial<LogPage>;
+  return (
+    Array.isArray(records) &&
+    isCount(first) &&
+    isCount(next) &&
+    (records as Partial<LogRecord>[]).every(
+      (record, i) => record?.offset === from + i && 'data' in record,
+    )
+  );
+}
+
 function unavailable(
   stream: string,
   reason: string,
--- a/src/connection/platform/log-follower.ts
+++ b/src/connection/platform/log-follower.ts
@@ -1,12 +1,14 @@
-import type {Clock} from '../../process/clock.js';
+import type {Cancel, Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
 import {Subject} from '../../process/subject.js';
 import type {LogClient, LogRecord} from './log-client.js';
 
 /** How long the log may wait for a new record, in milliseconds. */
 const pollWaitMs = 1000;
-/** Delay before the log is asked again after a failure, in milliseconds. */
-const retryDelayMs = 250;
+/** Upper bound of the delay after the first failure in a row, in milliseconds; doubles with each. */
+const firstDelayMs = 100;
+/** Greatest delay after a failure; the bound on configuration delay is 4 s, in milliseconds. */
+const maxDelayMs = 2000;
 
 /** What a follower publishes. */
 export type FollowerEvent =
@@ -14,7 +16,11 @@
   | {kind: 'truncated'; first: number}
   | {kind: 'unavailable'; failure: FailureError};
 
-/** Reads one stream of the log from an offset onwards and publishes what it finds. */
+/**
+ * Reads one stream of the log from an offset onwards and publishes what it finds. The log holds
+ * each read back until there is a record; after a failure the next read follows with exponential
+ * backoff and full jitter, so that the hosts do not return to a recovering log all at once.
+ */
 export class LogFollower {
   private readonly subject = new Subject<FollowerEvent>();
   private readonly stopped = new AbortController();
@@ -26,11 +32,13 @@
    * @param log - Client of the log service.
    * @param stream - Stream to follow.
    * @param clock - Clock for the delay after a failure.
+   * @param random - Source of jitter, from 0 to 1.
    */
   constructor(
     private readonly log: LogClient,
     private readonly stream: string,
     private readonly clock: Clock,
+    private readonly random: () => number = Math.random,
   ) {}
 
   /**
@@ -43,15 +51,17 @@
     void this.follow(position);
   }
 
-  /** Stops to follow. */
+  /** Stops to follow; a read or delay in progress ends at once. */
   stop(): void {
     this.stopped.abort();
   }
 
   private async follow(position: () => number): Promise<void> {
     const {signal} = this.stopped;
+    let failures = 0;
     while (!signal.aborted) {
       try {
+        const startMs = this.clock.nowMs();
         const page = await this.log.read(this.stream, position(), {
           waitMs: pollWaitMs,
           signal,
@@ -62,17 +72,37 @@
           records: page.records,
           next: page.next,
         });
+        // A log that answers an empty read early would otherwise be asked in a tight loop.
+        const early =
+          page.records.length === 0 &&
+          this.clock.nowMs() - startMs < pollWaitMs / 2;
+        failures = early ? failures + 1 : 0;
       } catch (err) {
         if (signal.aborted) return;
         if (!(err instanceof FailureError)) throw err;
+        failures++;
         this.publishFailure(err);
-        await new Promise<void>(resolve =>
-          this.clock.after(retryDelayMs, resolve),
-        );
       }
+      if (failures > 0) await this.delay(failures);
     }
   }
 
+  private delay(failures: number): Promise<void> {
+    const {signal} = this.stopped;
+    if (signal.aborted) return Promise.resolve();
+    const limitMs = Math.min(maxDelayMs, firstDelayMs * 2 ** (failures - 1));
+    return new Promise(resolve => {
+      let cancel: Cancel = () => {};
+      const end = () => {
+        cancel();
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      cancel = this.clock.after(this.random() * limitMs, end);
+      signal.addEventListener('abort', end);
+    });
+  }
+
   private publishFailure(err: FailureError): void {
     if (err.failure.kind === 'log-truncated') {
       this.subject.next({kind: 'truncated', first: err.failure.first});
--- a/stand-ins/engine-model-types.ts
+++ b/stand-ins/engine-model-types.ts
@@ -14,6 +14,8 @@
   readonly memoryTokens: number;
   /** Tokens in one prefix block. */
   readonly blockTokens: number;
+  /** Whether the engine is cold at time 0; it always is after a restart. */
+  readonly startsCold?: boolean;
   /** Time after a start in which the engine is cold. */
   readonly coldMs: number;
   /** Generated tokens after which the engine is warm even before that time. */
--- a/stand-ins/engine-model.ts
+++ b/stand-ins/engine-model.ts
@@ -6,6 +6,7 @@
   EngineModelCfg,
   EngineRequest,
 } from './engine-model-types.js';
+import {LoadHistory} from './load-history.js';
 import {PrefixCache} from './prefix-cache.js';
 import type {Random} from './seeded-random.js';
 
@@ -27,11 +28,6 @@
   active: boolean;
 }
 
-interface LoadSample {
-  readonly atMs: number;
-  readonly report: Omit<LoadReport, 'ageMs'>;
-}
-
 /**
  * Model of an engine with continuous batching, in virtual time and without timers: it admits every
  * request in order of arrival, knows no priorities, and does what its configuration and the
@@ -42,7 +38,7 @@
   private readonly waiting: EngineRequest[] = [];
   private readonly running = new Map<string, Running>();
   private events: EngineEvent[] = [];
-  private samples: LoadSample[] = [];
+  private readonly history: LoadHistory;
   private stepEndMs: number | undefined;
   private startAtMs: number | undefined;
   private up = true;
@@ -55,7 +51,7 @@
   private nowMs = 0;
 
   /**
-   * Starts a cold engine at time 0.
+   * Starts an engine at time 0.
    *
    * @param cfg - Properties of the engine.
    * @param random - Source of random numbers.
@@ -69,7 +65,8 @@
       cfg.cacheEventGapShare,
       random,
     );
-    this.coldUntilMs = cfg.coldMs;
+    this.history = new LoadHistory(cfg.loadLagMs);
+    this.coldUntilMs = cfg.startsCold === false ? 0 : cfg.coldMs;
     this.coldTokensLeft = cfg.coldTokens;
   }
 
@@ -150,16 +147,7 @@
   /** Load as the engine reports it, `loadLagMs` old. */
   loadReport(nowMs: number): LoadReport {
     this.runTo(nowMs);
-    const ageMs = this.cfg.loadLagMs;
-    this.dropOldSamples();
-    const sample = this.samples[0];
-    const known = sample && sample.atMs <= nowMs - ageMs;
-    return {
-      ...(known
-        ? sample.report
-        : {running: 0, waiting: 0, cacheUse: 0, epoch: this.epoch}),
-      ageMs,
-    };
+    return this.history.report(this.epoch, nowMs);
   }
 
   /** Takes the cache events that can be read by now. */
@@ -396,28 +384,14 @@
   private sample(): void {
     const {memoryTokens, blockTokens} = this.cfg;
     const used = this.reservedTokens + this.cache.size * blockTokens;
-    this.samples.push({
-      atMs: this.nowMs,
-      report: {
+    this.history.add(
+      {
         running: this.running.size,
         waiting: this.waiting.length,
         cacheUse: Math.min(1, used / memoryTokens),
         epoch: this.epoch,
       },
-    });
-    if (this.samples.length > 64) this.dropOldSamples();
-  }
-
-  /** Keeps the newest sample that is old enough to be reported, and all later ones. */
-  private dropOldSamples(): void {
-    const limit = this.nowMs - this.cfg.loadLagMs;
-    let first = 0;
-    while (
-      first + 1 < this.samples.length &&
-      this.samples[first + 1].atMs <= limit
-    ) {
-      first++;
-    }
-    this.samples.splice(0, first);
+      this.nowMs,
+    );
   }
 }
--- a/stand-ins/engine-server.ts
+++ b/stand-ins/engine-server.ts
@@ -1,66 +1,298 @@
+import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {HttpStandIn, readJson, sendJson} from './http-stand-in.js';
+import {EngineAnswer} from './engine-answer.js';
+import {EngineDriver} from './engine-driver.js';
+import {EngineExecution} from './engine-execution.js';
+import {
+  defaultEngineModelCfg,
+  EngineModel,
+  type EngineEvent,
+  type EngineFault,
+  type EngineModelCfg,
+} from './engine-model.js';
+import {EngineOrders, type EngineOrderBody} from './engine-orders.js';
+import {
+  HttpStandIn,
+  readBody,
+  readJson,
+  sendJson,
+  type ControlCommand,
+} from './http-stand-in.js';
+import {seededRandom} from './seeded-random.js';
 
-/** Time of one decoding step, in milliseconds. */
-const stepMs = 5;
-/** Tokens generated when the request states no limit. */
-const defaultTokens = 16;
+/** Number of ended executions whose answers can still be replayed. */
+const keptAnswers = 1000;
 
-interface CompletionBody {
-  readonly model?: string;
-  readonly stream?: boolean;
-  readonly max_tokens?: number;
+/** Properties of an engine stand-in. */
+export interface EngineServerOptions {
+  /** Deviations from an engine of today's size that is already warm. */
+  readonly model?: Partial<EngineModelCfg>;
+  /** Model time per time of the machine. */
+  readonly speedFactor?: number;
+  readonly seed?: number;
+  /** Time for which an execution goes on without a connection, in milliseconds of the model. */
+  readonly keepMs?: number;
+  /** Whether orders with an old fencing number are refused. */
+  readonly checksFencing?: boolean;
+  /** Duration of a load, in milliseconds of the model. */
+  readonly loadMs?: number;
+  readonly modelName?: string;
+  readonly version?: string;
+  /** Faults of versions, by version; they take effect when the version is loaded. */
+  readonly versionFaults?: Readonly<Record<string, EngineFault>>;
 }
 
-/** Model engine in the OpenAI form. */
+/** Model engine in the OpenAI form, driven by {@link EngineModel}. */
 export class EngineServer extends HttpStandIn {
-  /** Ids of the requests that were run, in order. */
-  readonly executions: string[] = [];
+  /** Every execution, in order. */
+  readonly executions: EngineExecution[] = [];
+  readonly model: EngineModel;
+  readonly orders: EngineOrders;
+  private readonly cfg: EngineModelCfg;
+  private readonly driver: EngineDriver;
+  private readonly byId = new Map<string, EngineExecution>();
+  private readonly active = new Set<EngineExecution>();
+  private readonly cacheReaders = new Set<ServerResponse>();
+  private listening = false;
+  private closed = false;
+
+  /**
+   * @param options - Properties of the engine.
+   */
+  constructor(private readonly options: EngineServerOptions = {}) {
+    super();
+    this.cfg = {
+      ...defaultEngineModelCfg,
+      startsCold: false,
+      ...options.model,
+    };
+    this.model = new EngineModel(this.cfg, seededRandom(options.seed ?? 1));
+    this.orders = new EngineOrders({
+      checksFencing: options.checksFencing ?? true,
+      loadMs: options.loadMs ?? 2000,
+      model: options.modelName ?? 'model',
+      version: options.version ?? 'v1',
+    });
+    this.driver = new EngineDriver(
+      this.model,
+      options.speedFactor ?? 1,
+      nowMs => this.advance(nowMs),
+    );
+  }
+
+  override async listen(port = 0): Promise<void> {
+    await super.listen(port);
+    this.listening = true;
+  }
+
+  override async close(): Promise<void> {
+    this.closed = true;
+    this.driver.stop();
+    if (this.listening) await super.close();
+    this.listening = false;
+  }
+
+  /** Crashes the engine; it listens again when the model restarts. */
+  crash(): void {
+    this.model.crashNow(this.driver.nowMs);
+    this.changed();
+  }
+
+  /** Makes the engine cold. */
+  goCold(): void {
+    this.model.goCold(this.driver.nowMs);
+    this.changed();
+  }
+
+  /** Breaks the connection of every running execution. */
+  breakStreams(): void {
+    for (const execution of this.active) execution.breakConnections();
+  }
+
+  protected override control(command: ControlCommand): unknown {
+    const {do: name, ...rest} = command;
+    if (name === 'executions') {
+      return this.executions.map(
+        ({id, path, state, bodySha256, answerSha256}) => ({
+          id,
+          path,
+          state,
+          bodySha256,
+          answerSha256,
+        }),
+      );
+    }
+    if (name === 'fault') {
+      const fault = Object.keys(rest).length > 0 ? rest : undefined;
+      this.model.setFault(fault as EngineFault | undefined);
+    } else if (name === 'slow') this.model.setSlowdown(Number(rest['factor']));
+    else if (name === 'crash') this.crash();
+    else if (name === 'break-streams') this.breakStreams();
+    else if (name === 'go-cold') this.goCold();
+    else return undefined;
+    return {done: name};
+  }
 
   protected override async answer(
     req: IncomingMessage,
     res: ServerResponse,
     url: URL,
   ): Promise<void> {
-    if (!url.pathname.startsWith('/v1/')) {
-      return sendJson(res, 404, {error: 'unknown path'});
+    const nowMs = this.driver.nowMs;
+    const path = url.pathname;
+    if (path === '/v1/chat/completions' || path === '/v1/completions') {
+      return this.complete(req, res, path);
+    }
+    if (path === '/load') {
+      return sendJson(res, 200, this.model.loadReport(nowMs));
     }
-    const body = (await readJson(req)) as CompletionBody;
-    const id = String(req.headers['x-request-id'] ?? '');
-    this.executions.push(id);
-    const count = body.max_tokens ?? defaultTokens;
-    const words = Array.from({length: count}, (_, i) => `word${i} `);
-    if (!body.stream) {
-      await delay(stepMs * count);
-      const text = words.join('');
-      return sendJson(res, 200, {
-        id,
-        object: 'chat.completion',
-        model: body.model,
-        choices: [
-          {
-            index: 0,
-            message: {role: 'assistant', content: text},
-            finish_reason: 'stop',
-          },
-        ],
-        usage: {completion_tokens: count},
-      });
+    if (path === '/cache-events') return this.followCache(res);
+    if (path === '/orders') return this.order(req, res);
+    const match = /^\/requests\/([^/]+)\/(stream|cancel)$/.exec(path);
+    const execution = match && this.byId.get(decodeURIComponent(match[1]));
+    if (!execution) return sendJson(res, 404, {error: 'unknown path or id'});
+    if (match[2] === 'stream') {
+      const after = Number(url.searchParams.get('after') ?? 0);
+      return this.attach(execution, res, after);
     }
+    if (execution.state === 'running') {
+      this.cancel(execution);
+      this.changed();
+    }
+    return sendJson(res, 200, {state: execution.state});
+  }
+
+  private async complete(
+    req: IncomingMessage,
+    res: ServerResponse,
+    path: string,
+  ): Promise<void> {
+    const body = await readBody(req);
+    let answer: EngineAnswer;
+    try {
+      answer = new EngineAnswer(path, body);
+    } catch {
+      return sendJson(res, 400, {error: {type: 'malformed'}});
+    }
+    const id = String(req.headers['x-request-id'] ?? randomUUID());
+    if (this.byId.get(id)?.state === 'running') {
+      return sendJson(res, 409, {error: {type: 'id-in-use'}});
+    }
+    const execution = new EngineExecution(id, path, answer);
+    const request = answer.toModel(id, path, this.cfg.blockTokens);
+    // A restarting engine does not listen; this connection was accepted just before the crash.
+    if (!this.model.submit(request, this.driver.nowMs)) {
+      res.destroy();
+      return;
+    }
+    this.executions.push(execution);
+    this.byId.delete(id);
+    this.byId.set(id, execution);
+    this.active.add(execution);
+    this.attach(execution, res, 0);
+    this.forgetOld();
+    this.changed();
+  }
+
+  private attach(
+    execution: EngineExecution,
+    res: ServerResponse,
+    after: number,
+  ): void {
+    res.once('close', () => execution.detach(res, this.driver.nowMs));
+    execution.attach(res, after);
+  }
+
+  private followCache(res: ServerResponse): void {
     res.writeHead(200, {'content-type': 'text/event-stream'});
-    for (const content of words) {
-      const chunk = {
-        id,
-        object: 'chat.completion.chunk',
-        choices: [{index: 0, delta: {content}}],
-      };
-      res.write(`data: ${JSON.stringify(chunk)}\n\n`);
-      await delay(stepMs);
+    res.flushHeaders();
+    this.cacheReaders.add(res);
+    res.once('close', () => this.cacheReaders.delete(res));
+  }
+
+  private async order(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.method === 'GET') return sendJson(res, 200, this.orders.state);
+    const body = (await readJson(req)) as EngineOrderBody;
+    const outcome = this.orders.submit(body, this.driver.nowMs);
+    if (outcome.kind === 'accepted') {
+      return sendJson(res, 202, this.orders.state);
     }
-    res.end('data: [DONE]\n\n');
+    const status = {'old-fencing': 409, loading: 503, malformed: 400};
+    const retryAfterMs =
+      outcome.kind === 'loading'
+        ? Math.ceil(outcome.retryAfterMs / (this.options.speedFactor ?? 1))
+        : undefined;
+    return sendJson(res, status[outcome.kind], {...outcome, retryAfterMs});
+  }
+
+  /** Carries out what is due and passes the model's events on. */
+  private advance(nowMs: number): void {
+    const loaded = this.orders.finishLoad(nowMs);
+    if (loaded) {
+      this.model.goCold(nowMs);
+      if (loaded.order === 'load-version') {
+        this.model.setFault(this.options.versionFaults?.[loaded.value]);
+      }
+    }
+    for (const event of this.model.advance(nowMs)) this.apply(event);
+    for (const event of this.model.cacheEvents(nowMs)) {
+      const text = `data: ${JSON.stringify(event)}\n\n`;
+      for (const res of this.cacheReaders) res.write(text);
+    }
+    const keepMs = this.options.keepMs ?? 2000;
+    for (const execution of this.active) {
+      const since = execution.unattachedSinceMs;
+      if (since !== undefined && nowMs - since > keepMs) this.cancel(execution);
+    }
+    if (this.model.isUp && !this.listening && !this.closed) this.comeUp();
+  }
+
+  private apply(event: EngineEvent): void {
+    if (event.kind === 'crashed') return this.goDown();
+    const execution = this.byId.get(event.id);
+    if (!execution) return;
+    if (event.kind === 'firstToken') {
+      execution.cachedTokens = event.cachedTokens;
+    } else if (event.kind === 'token') execution.addTokens(event.count);
+    else if (event.kind === 'finished') execution.finish();
+    else execution.fail('failed', event.reason);
+    if (execution.state !== 'running') this.active.delete(execution);
+  }
+
+  private cancel(execution: EngineExecution): void {
+    this.model.cancel(execution.id, this.driver.nowMs);
+    execution.fail('cancelled', 'cancelled');
+    this.active.delete(execution);
+  }
+
+  private goDown(): void {
+    if (!this.listening) return;
+    this.listening = false;
+    void this.suspend();
   }
-}
 
-function delay(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
+  private comeUp(): void {
+    this.listening = true;
+    this.resume().catch(() => {
+      this.listening = false;
+    });
+  }
+
+  private changed(): void {
+    this.advance(this.driver.nowMs);
+    this.driver.schedule();
+  }
+
+  private forgetOld(): void {
+    if (this.byId.size <= keptAnswers) return;
+    for (const [id, execution] of this.byId) {
+      if (execution.state === 'running') continue;
+      this.byId.delete(id);
+      execution.dropAnswer();
+      return;
+    }
+  }
 }
--- a/stand-ins/http-stand-in.ts
+++ b/stand-ins/http-stand-in.ts
@@ -10,13 +10,13 @@
 export abstract class HttpStandIn {
   private readonly server: Server = createServer((req, res) => {
     const url = new URL(req.url ?? '/', 'http://stand-in');
-    this.answer(req, res, url).catch(() => res.destroy());
+    this.serve(req, res, url).catch(() => res.destroy());
   });
+  private port = 0;
 
   /** Base URL once the server listens. */
   get address(): string {
-    const {port} = this.server.address() as AddressInfo;
-    return `http://127.0.0.1:${port}`;
+    return `http://127.0.0.1:${this.port}`;
   }
 
   /** Answers one request. */
@@ -26,21 +26,63 @@
     url: URL,
   ): Promise<void>;
 
+  /**
+   * Carries out a command of `POST /control`, the way in which tests outside the process reach the
+   * methods of a stand-in.
+   *
+   * @returns The answer, JSON, or `undefined` if the command does not exist.
+   */
+  protected abstract control(command: ControlCommand): unknown;
+
   /** Starts to listen; port 0 takes a free one. */
   listen(port = 0): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, '127.0.0.1', () => resolve());
+      this.server.listen(port, '127.0.0.1', () => {
+        this.server.off('error', reject);
+        this.port = (this.server.address() as AddressInfo).port;
+        resolve();
+      });
     });
   }
 
   /** Breaks all connections and stops. */
   close(): Promise<void> {
+    return this.suspend();
+  }
+
+  /** Breaks all connections and refuses new ones until {@link HttpStandIn.resume}. */
+  protected suspend(): Promise<void> {
     return new Promise(resolve => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
     });
   }
+
+  /** Listens again on the same port. */
+  protected resume(): Promise<void> {
+    return this.listen(this.port);
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    if (url.pathname !== '/control') return this.answer(req, res, url);
+    const command = (await readJson(req)) as ControlCommand;
+    const result = this.control(command);
+    if (result === undefined) {
+      return sendJson(res, 400, {error: `unknown command ${command.do}`});
+    }
+    return sendJson(res, 200, result);
+  }
+}
+
+/** Body of `POST /control`: the command's name in `do`, its arguments beside it. */
+export interface ControlCommand {
+  readonly do: string;
+  readonly [argument: string]: unknown;
 }
 
 /** Reads a whole body. */
--- a/stand-ins/log-server.ts
+++ b/stand-ins/log-server.ts
@@ -1,62 +1,99 @@
-import {HttpStandIn, readJson, sendJson} from './http-stand-in.js';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {
+  HttpStandIn,
+  readJson,
+  sendJson,
+  type ControlCommand,
+} from './http-stand-in.js';
+import {LogStore, type LogFaults} from './log-store.js';
 
 /** Longest time that a read may wait for a record, in milliseconds. */
 const maxWaitMs = 30_000;
 
-interface StoredStream {
-  readonly records: {offset: number; data: unknown}[];
-  readonly waiters: Set<() => void>;
-}
-
-/** Append-only log service in memory. */
+/** Append-only log service over HTTP. */
 export class LogServer extends HttpStandIn {
-  private readonly streams = new Map<string, StoredStream>();
+  readonly store = new LogStore();
+
+  /** Faults; changes take effect at once. */
+  get faults(): LogFaults {
+    return this.store.faults;
+  }
+
+  protected override control(command: ControlCommand): unknown {
+    const {do: name, ...rest} = command;
+    if (name === 'faults') {
+      Object.assign(this.faults, rest);
+      return this.faults;
+    }
+    if (name === 'truncate') {
+      this.store.truncate(String(rest['stream']), Number(rest['first']));
+      return {done: name};
+    }
+    return undefined;
+  }
 
   protected override async answer(
-    req: import('node:http').IncomingMessage,
-    res: import('node:http').ServerResponse,
+    req: IncomingMessage,
+    res: ServerResponse,
     url: URL,
   ): Promise<void> {
     const match = /^\/streams\/([^/]+)\/records$/.exec(url.pathname);
     if (!match) return sendJson(res, 404, {error: 'unknown path'});
-    const stream = this.stream(decodeURIComponent(match[1]));
-    if (req.method === 'POST') {
-      const offset = stream.records.length;
-      stream.records.push({offset, data: await readJson(req)});
-      for (const wake of [...stream.waiters]) wake();
-      return sendJson(res, 200, {offset});
+    const stream = decodeURIComponent(match[1]);
+    const data = req.method === 'POST' ? await readJson(req) : undefined;
+    if (this.faults.slowMs > 0) await wait(this.faults.slowMs, res);
+    if (this.faults.down) return sendJson(res, 503, {error: 'down'});
+    if (req.method === 'POST') return this.append(stream, data, res);
+    return this.read(stream, url.searchParams, res);
+  }
+
+  private append(stream: string, data: unknown, res: ServerResponse): void {
+    const outcome = this.store.append(stream, data, performance.now());
+    if (outcome.kind === 'rate-limited') {
+      const {retryAfterMs} = outcome;
+      return sendJson(res, 429, {retryAfterMs});
     }
-    const from = Number(url.searchParams.get('from') ?? 0);
-    const limit = Number(url.searchParams.get('limit') ?? 500);
-    const waitMs = Number(url.searchParams.get('waitMs') ?? 0);
-    if (from >= stream.records.length && waitMs > 0) {
-      await waitForRecord(stream, Math.min(waitMs, maxWaitMs));
+    if (outcome.answerLost) {
+      res.destroy();
+      return;
     }
-    return sendJson(res, 200, {
-      records: stream.records.slice(from, from + limit),
-      first: 0,
-      next: stream.records.length,
-    });
+    sendJson(res, 200, {offset: outcome.offset});
   }
 
-  private stream(name: string): StoredStream {
-    let stream = this.streams.get(name);
-    if (!stream) {
-      stream = {records: [], waiters: new Set()};
-      this.streams.set(name, stream);
+  private async read(
+    stream: string,
+    query: URLSearchParams,
+    res: ServerResponse,
+  ): Promise<void> {
+    const from = Number(query.get('from') ?? 0);
+    const limit = Number(query.get('limit') ?? 500);
+    const waitMs = Math.min(Number(query.get('waitMs') ?? 0), maxWaitMs);
+    if (waitMs > 0 && this.store.isAtEnd(stream, from)) {
+      await wait(waitMs, res, wake => this.store.onAppend(stream, wake));
+      if (this.faults.down) return sendJson(res, 503, {error: 'down'});
     }
-    return stream;
+    const page = this.store.read(stream, from, limit);
+    if (from < page.first) return sendJson(res, 410, {first: page.first});
+    return sendJson(res, 200, page);
   }
 }
 
-function waitForRecord(stream: StoredStream, waitMs: number): Promise<void> {
+/** Waits for a time, until the connection closes, or until `wake` is called. */
+function wait(
+  ms: number,
+  res: ServerResponse,
+  register: (wake: () => void) => () => void = () => () => {},
+): Promise<void> {
   return new Promise(resolve => {
-    const wake = () => {
+    const end = () => {
       clearTimeout(timer);
-      stream.waiters.delete(wake);
+      unregister();
+      res.off('close', end);
       resolve();
     };
-    const timer = setTimeout(wake, waitMs);
-    stream.waiters.add(wake);
+    const timer = setTimeout(end, ms);
+    const unregister = register(end);
+    res.once('close', end);
   });
 }
