Add the examples and the demo command

guavaseam demo starts an example's stand-ins and three hosts in one process, sends a mixed load and judges each answer by the targets' records.

--- a/src/commands/stand-ins.ts
+++ b/src/commands/stand-ins.ts
@@ -1,5 +1,7 @@
 import {Command, Option} from 'clipanion';
 import {startStandIns} from '../../stand-ins/index.js';
+import {exampleNames, readExample} from '../demo/example.js';
+import {ExampleStandIns} from '../demo/example-stand-ins.js';
 import {exitCodes, waitForSignal} from './shared.js';
 
 /** Runs stand-ins of the platform and of targets on loopback. */
@@ -12,10 +14,23 @@
         'A log and two engines',
         '$0 stand-ins --log 7000 --engine 9001 --engine 9002',
       ],
+      [
+        'Everything around the hosts of an example, its resources in the log',
+        '$0 stand-ins --example himalchuli',
+      ],
     ],
   });
 
+  example = Option.String('--example', {
+    description: `example to stand in for: ${exampleNames.join(' or ')}`,
+  });
   log = Option.String('--log', {description: 'port of the log service'});
+  hostList = Option.String('--host-list', {
+    description: 'port of the host list',
+  });
+  weightStore = Option.String('--weight-store', {
+    description: 'port of the weight store',
+  });
   engines = Option.Array('--engine', [], {
     description: 'port of a model engine',
   });
@@ -24,16 +39,41 @@
   });
 
   async execute(): Promise<number> {
-    const running = await startStandIns({
-      logPort: this.log === undefined ? undefined : Number(this.log),
-      enginePorts: this.engines.map(Number),
-      servicePorts: this.services.map(Number),
-    });
-    this.context.stdout.write(
-      `stand-ins are listening: ${running.addresses.join(' ')}\n`,
-    );
+    const running = this.example
+      ? await this.startExample(this.example)
+      : await this.startPorts();
+    if (!running) {
+      const known = exampleNames.join(', ');
+      this.context.stderr.write(`error: expected one of ${known}\n`);
+      return exitCodes.usage;
+    }
+    this.context.stdout.write(`${running.text}\n`);
     await waitForSignal();
     await running.stop();
     return exitCodes.ok;
   }
+
+  private async startExample(wanted: string) {
+    const name = exampleNames.find(known => known === wanted);
+    if (!name) return undefined;
+    const standIns = new ExampleStandIns(await readExample(name), 'declared');
+    await standIns.start();
+    return {
+      text: `${standIns.size} stand-ins of ${name} are listening`,
+      stop: () => standIns.stop(),
+    };
+  }
+
+  private async startPorts() {
+    const port = (text: string | undefined) =>
+      text === undefined ? undefined : Number(text);
+    const {addresses, stop} = await startStandIns({
+      logPort: port(this.log),
+      hostListPort: port(this.hostList),
+      weightStorePort: port(this.weightStore),
+      enginePorts: this.engines.map(Number),
+      servicePorts: this.services.map(Number),
+    });
+    return {text: `stand-ins are listening: ${addresses.join(' ')}`, stop};
+  }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import {Builtins, Cli} from 'clipanion';
+import {DemoCommand} from './commands/demo.js';
 import {EntryCommand} from './commands/entry.js';
 import {StandInsCommand} from './commands/stand-ins.js';
 
@@ -10,6 +11,7 @@
 });
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
+cli.register(DemoCommand);
 cli.register(EntryCommand);
 cli.register(StandInsCommand);
 void cli.runExit(process.argv.slice(2));
