--- /dev/null
+++ b/src/request/scheduler/group-scheduler.ts
@@ -0,0 +1,450 @@
+import {tierCount} from '../../version/resources/kinds.js';
+import type {RefusalReason} from '../refusals.js';
+import {ThrowingInvariantSink, type InvariantSink} from './invariants.js';
+import {LengthEstimates} from './length-estimates.js';
+import {
+  OrganisationLimits,
+  type OrganisationLimit,
+} from './organisation-limits.js';
+import {OutcomeLearner} from './outcome-learner.js';
+import {PermitTable, type Permit} from './permit.js';
+import {PrefixIndex} from './prefix-index.js';
+import {RequestQueue} from './request-queue.js';
+import {
+  defaultSchedulerConfig,
+  type SchedulerConfig,
+} from './scheduler-config.js';
+import {ServiceRate} from './service-rate.js';
+import {chooseTarget, type Choice} from './target-choice.js';
+import type {TargetState} from './target-state.js';
+import {TargetTable} from './target-table.js';
+import type {
+  AttemptOutcome,
+  CacheEvent,
+  Decision,
+  LoadReport,
+  OutstandingPermit,
+  QueuedRequest,
+  TargetView,
+  VersionCap,
+} from './types.js';
+import {VersionCaps} from './version-caps.js';
+import type {WaitingRequest} from './waiting-request.js';
+
+/** Requests passed over in one decision because no free target may run them. */
+const maxPassedOver = 8;
+/** Advice to callers after a refusal for load, in milliseconds. */
+const retryAfterMs = 1000;
+
+/**
+ * Decides which request of a target group runs where and when. Pure: it has no clock, timers or
+ * random numbers of its own, and every method returns the decisions that follow from its input.
+ */
+export class GroupScheduler {
+  private readonly cfg: SchedulerConfig;
+  private readonly queue: RequestQueue;
+  private readonly permits = new PermitTable();
+  private readonly prefixes = new PrefixIndex();
+  private readonly targets: TargetTable;
+  private readonly caps = new VersionCaps();
+  private readonly organisations = new OrganisationLimits();
+  private readonly lengths = new LengthEstimates();
+  private readonly rate = new ServiceRate();
+  private readonly learner: OutcomeLearner;
+  private sequence = 0;
+  private decisions: Decision[] = [];
+
+  /**
+   * @param cfg - Settings that differ from {@link defaultSchedulerConfig}.
+   * @param invariants - Receives violations of the scheduler's own rules.
+   */
+  constructor(
+    cfg: Partial<SchedulerConfig> = {},
+    private readonly invariants: InvariantSink = new ThrowingInvariantSink(),
+  ) {
+    this.cfg = {...defaultSchedulerConfig, ...cfg};
+    this.queue = new RequestQueue(this.cfg);
+    this.targets = new TargetTable(
+      this.cfg,
+      this.prefixes,
+      this.cfg.recovering,
+    );
+    this.learner = new OutcomeLearner(this.cfg, this.prefixes);
+  }
+
+  /** Number of waiting requests. */
+  get waiting(): number {
+    return this.queue.size;
+  }
+
+  /** Number of permits outstanding. */
+  get outstanding(): number {
+    return this.permits.size;
+  }
+
+  /** Permits that could be granted now. */
+  get freeSlots(): number {
+    let count = 0;
+    for (const state of this.targets.free) {
+      count += this.targets.allowed(state) - state.inFlight;
+    }
+    return count;
+  }
+
+  /**
+   * Lists the current limit of each target.
+   *
+   * @returns Limits over all hosts by target name, in requests.
+   */
+  limits(): ReadonlyMap<string, number> {
+    const limits = new Map<string, number>();
+    for (const state of this.targets.values()) {
+      limits.set(state.view.name, state.limit.current);
+    }
+    return limits;
+  }
+
+  /** Replaces the targets of the group; known ones keep their state. */
+  setTargets(targets: readonly TargetView[], nowMs: number): Decision[] {
+    this.targets.set(targets, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Sets the part of the limits that the followers bring, 0 to 1. */
+  setShare(share: number, nowMs: number): Decision[] {
+    this.targets.setShare(share, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Lifts the cold limits of a new owner: all outstanding permits are known. */
+  recovered(nowMs: number): Decision[] {
+    this.targets.recovered(nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Replaces the caps of versions under rollout. */
+  setVersionCaps(caps: readonly VersionCap[], nowMs: number): Decision[] {
+    this.caps.set(caps);
+    return this.decide(nowMs);
+  }
+
+  /** Replaces the limits of organisations, already reduced to this owner's part. */
+  setOrganisationLimits(limits: ReadonlyMap<string, OrganisationLimit>): void {
+    this.organisations.set(limits);
+  }
+
+  /** Takes a request into the queue, or refuses it. */
+  offer(req: QueuedRequest, nowMs: number): Decision[] {
+    const retry = req.attempt > 0;
+    const limited = this.organisations.admit(req.organisation, retry, nowMs);
+    if (limited) {
+      return [
+        {kind: 'refuse', requestId: req.id, reason: limited, retryAfterMs},
+      ];
+    }
+    const expectedTokens = this.lengths.mean(req);
+    const item: WaitingRequest = {
+      request: req,
+      offeredMs: nowMs,
+      deadlineMs: nowMs + req.timeoutMs,
+      expectedTokens,
+      cost: req.promptTokens + expectedTokens,
+    };
+    if (!this.targets.anyUsable) this.refuse(item, 'no-target');
+    else if (!this.canMeetDeadline(item, nowMs)) {
+      this.refuse(item, 'deadline-unreachable');
+    } else {
+      const {accepted, displaced} = this.queue.offer(item);
+      if (!accepted) this.refuse(item, 'queue-full');
+      if (displaced) {
+        const lower = displaced.request.tier > req.tier;
+        this.refuse(displaced, lower ? 'shed' : 'queue-full');
+      }
+    }
+    return this.decide(nowMs);
+  }
+
+  /** Removes a waiting request whose caller has left; a running one ends by `complete`. */
+  cancel(requestId: string, nowMs: number): Decision[] {
+    const item = this.queue.get(requestId);
+    if (!item) return [];
+    this.queue.remove(item);
+    this.organisations.ended(item.request.organisation);
+    return this.decide(nowMs);
+  }
+
+  /** Takes a report of a running attempt. */
+  progress(
+    permitId: string,
+    tokens: number,
+    firstTokenMs: number | undefined,
+    nowMs: number,
+  ): Decision[] {
+    const permit = this.permits.get(permitId);
+    if (!permit) return [];
+    this.learner.progress(permit, tokens, firstTokenMs, nowMs);
+    this.permits.moved(permit);
+    this.targets.refresh(permit.target, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Takes a permit back; only now is its slot free. */
+  complete(
+    permitId: string,
+    outcome: AttemptOutcome,
+    nowMs: number,
+  ): Decision[] {
+    const permit = this.permits.get(permitId);
+    if (!permit) return [];
+    const {request, target} = permit;
+    this.learner.completed(permit, outcome, nowMs);
+    this.permits.remove(permit);
+    target.inFlight--;
+    if (permit.preempted) target.preempting--;
+    this.caps.released(target.view.version);
+    this.organisations.ended(request.organisation);
+    if (outcome.result === 'ok') {
+      const cost = request.promptTokens + outcome.tokens;
+      this.lengths.learn(request, outcome.tokens);
+      this.rate.completed(cost, outcome.totalMs);
+    }
+    // Work that was not run, or only in part, is charged as far as it went.
+    const ran = permit.firstTokenMs !== undefined || outcome.tokens > 0;
+    const used = ran ? request.promptTokens + outcome.tokens : 0;
+    this.queue.tiers[request.tier].correct(
+      request.organisation,
+      used - permit.cost,
+    );
+    this.targets.refresh(target, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Takes over a permit of an earlier owner. */
+  adopt(permit: OutstandingPermit, nowMs: number): Decision[] {
+    if (this.permits.get(permit.permitId)) return [];
+    const {request} = permit;
+    const target = this.targets.adopt(permit.target, request.service);
+    this.caps.adopted(target.view.version);
+    this.organisations.adopted(request.organisation, nowMs);
+    this.addPermit({
+      id: permit.permitId,
+      request,
+      target,
+      grantedMs: nowMs - permit.ageMs,
+      cost: request.promptTokens + permit.tokens,
+      promptWork: request.promptTokens,
+      uncachedTokens: request.promptTokens,
+      tokens: permit.tokens,
+      firstTokenMs: permit.tokens > 0 ? permit.ageMs : undefined,
+      lastProgressMs: nowMs,
+      reports: 0,
+      preempted: false,
+      suspected: false,
+    });
+    this.targets.refresh(target, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Takes a load report of a target. */
+  loadReport(target: string, report: LoadReport, nowMs: number): Decision[] {
+    const state = this.targets.get(target);
+    if (!state) return [];
+    this.learner.loadReport(state, report, nowMs);
+    this.targets.refresh(state, nowMs);
+    return this.decide(nowMs);
+  }
+
+  /** Takes a change of a target's prefix cache. */
+  cacheEvent(target: string, event: CacheEvent, nowMs: number): Decision[] {
+    if (this.targets.get(target)) this.prefixes.event(target, event);
+    return this.decide(nowMs);
+  }
+
+  /** Does what depends on time alone; to be called at least ten times a second. */
+  tick(nowMs: number): Decision[] {
+    for (const item of this.queue.expired(nowMs)) {
+      this.refuse(item, 'deadline-exceeded-waiting');
+    }
+    for (const permit of this.permits.values()) {
+      const stalled = this.learner.checkStalled(permit, nowMs);
+      if (stalled && permit.request.idempotent && !permit.preempted) {
+        this.preempt(permit, undefined);
+      }
+    }
+    this.targets.refreshAll(nowMs);
+    if (!this.targets.anyUsable) {
+      for (const item of this.queue.drain()) this.refuse(item, 'no-target');
+    }
+    return this.decide(nowMs);
+  }
+
+  private decide(nowMs: number): Decision[] {
+    if (this.queue.size > 0) {
+      for (let tier = 0; tier < tierCount; tier++) this.serve(tier, nowMs);
+    }
+    const {decisions} = this;
+    this.decisions = [];
+    return decisions;
+  }
+
+  /** Grants permits to a tier as long as free targets can run its requests. */
+  private serve(tier: number, nowMs: number): void {
+    const queue = this.queue.tiers[tier];
+    const passedOver: WaitingRequest[] = [];
+    while (this.targets.free.size > 0 && passedOver.length < maxPassedOver) {
+      const item = queue.peek();
+      if (!item) break;
+      const choice = this.choose(item, nowMs);
+      const leftMs = item.deadlineMs - nowMs;
+      if (choice && choice.completionMs <= leftMs) {
+        this.queue.take(item);
+        this.grant(item, choice, nowMs);
+      } else if (choice && this.typicalMs(item) > leftMs) {
+        this.queue.remove(item);
+        this.refuse(item, 'deadline-unreachable');
+      } else {
+        // A target that is busy now may still meet the deadline.
+        queue.remove(item);
+        passedOver.push(item);
+      }
+    }
+    for (const item of passedOver) queue.push(item);
+    if (queue.size > 0) this.preemptFor(tier, nowMs);
+  }
+
+  private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
+    const req = item.request;
+    return chooseTarget(req, {
+      targets: this.targets.free,
+      prefixes: this.prefixes,
+      caps: this.caps,
+      outputTokens: this.lengths.typical(req),
+      othersExist: req.avoid.length > 0 && this.targets.anyUsableBut(req.avoid),
+      nowMs,
+    });
+  }
+
+  private grant(item: WaitingRequest, choice: Choice, nowMs: number): void {
+    const {request} = item;
+    const {target, cachedTokens} = choice;
+    const id = `${this.cfg.owner}-${++this.sequence}`;
+    const allowed = this.targets.allowed(target);
+    if (target.inFlight >= allowed) {
+      this.invariants.violated(
+        'grant-over-limit',
+        `${target.view.name}: ${target.inFlight} of ${allowed}`,
+      );
+    }
+    if (!target.view.usable || !this.caps.allows(target.view.version)) {
+      this.invariants.violated('grant-to-unusable-target', target.view.name);
+    }
+    if (this.permits.get(id)) this.invariants.violated('duplicate-permit', id);
+    const uncachedTokens = request.promptTokens - cachedTokens;
+    target.sent(request.route);
+    this.addPermit({
+      id,
+      request,
+      target,
+      grantedMs: nowMs,
+      cost: item.cost,
+      promptWork: uncachedTokens + target.pendingPrompt,
+      uncachedTokens,
+      tokens: 0,
+      firstTokenMs: undefined,
+      lastProgressMs: nowMs,
+      reports: 0,
+      preempted: false,
+      suspected: false,
+    });
+    this.caps.granted(target.view.version);
+    this.rate.grantedTo(request.tier, item.cost);
+    this.prefixes.sent(target.view.name, request.prefixes);
+    this.targets.refresh(target, nowMs);
+    this.decisions.push({
+      kind: 'grant',
+      requestId: request.id,
+      permitId: id,
+      target: target.view,
+      cachedTokens,
+    });
+  }
+
+  private addPermit(permit: Permit): void {
+    this.permits.add(permit);
+    permit.target.inFlight++;
+    if (permit.firstTokenMs === undefined) {
+      permit.target.pendingPrompt += permit.uncachedTokens;
+    }
+  }
+
+  /** Takes slots back from lower tiers, at most one for each request that waits. */
+  private preemptFor(tier: number, nowMs: number): void {
+    const waiting = this.queue.sizeUpTo(tier);
+    let pending = this.permits.pendingFor(tier);
+    while (pending < waiting) {
+      const victim = this.permits.victim(tier, permit =>
+        this.isUseful(permit.target, nowMs),
+      );
+      if (!victim) return;
+      this.preempt(victim, tier);
+      pending++;
+    }
+  }
+
+  /** Whether the end of one more permit at the target would give a slot to a waiting request. */
+  private isUseful(target: TargetState, nowMs: number): boolean {
+    const left = target.inFlight - target.preempting - 1;
+    return (
+      target.breaker.allows(nowMs) &&
+      left < this.targets.allowed(target) &&
+      this.caps.allows(target.view.version)
+    );
+  }
+
+  private preempt(permit: Permit, forTier: number | undefined): void {
+    if (!permit.request.idempotent) {
+      this.invariants.violated('preempt-non-idempotent', permit.id);
+    }
+    this.permits.preempt(permit, forTier);
+    this.decisions.push({
+      kind: 'preempt',
+      permitId: permit.id,
+      requestId: permit.request.id,
+    });
+  }
+
+  /** Estimates whether a request can be answered in time behind the requests that wait. */
+  private canMeetDeadline(item: WaitingRequest, nowMs: number): boolean {
+    const {tier, organisation, weight} = item.request;
+    const rate = this.rate.forTier(tier, this.targets.slots);
+    let waitMs = 0;
+    if (rate !== undefined && rate > 0) {
+      let ahead = this.queue.tiers[tier].costAhead(
+        organisation,
+        weight,
+        item.deadlineMs,
+      );
+      for (let i = 0; i < tier; i++) ahead += this.queue.tiers[i].cost;
+      waitMs = ahead / rate;
+    }
+    return nowMs + waitMs + this.typicalMs(item) <= item.deadlineMs;
+  }
+
+  /** Typical time from grant to complete answer, in milliseconds. */
+  private typicalMs(item: WaitingRequest): number {
+    const rates = this.targets.groupRates;
+    const outputTokens = this.lengths.typical(item.request);
+    return rates.firstTokenMs(0) + (outputTokens - 1) * rates.tokenMs(1);
+  }
+
+  private refuse(item: WaitingRequest, reason: RefusalReason): void {
+    const {request} = item;
+    this.organisations.ended(request.organisation);
+    this.decisions.push({
+      kind: 'refuse',
+      requestId: request.id,
+      reason,
+      retryAfterMs,
+    });
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/organisation-limits.ts
@@ -0,0 +1,85 @@
+import type {RefusalReason} from '../refusals.js';
+
+/** Part of an organisation's limits that applies at this owner. */
+export interface OrganisationLimit {
+  /** Requests per second. */
+  readonly requestsPerSecond?: number;
+  /** Requests waiting or in flight. */
+  readonly concurrency?: number;
+}
+
+interface Usage {
+  active: number;
+  tokens: number;
+  filledMs: number;
+}
+
+/** Enforces rate and concurrency limits of organisations. */
+export class OrganisationLimits {
+  private limits: ReadonlyMap<string, OrganisationLimit> = new Map();
+  private readonly usage = new Map<string, Usage>();
+
+  /** Replaces all limits; organisations without one are not limited. */
+  set(limits: ReadonlyMap<string, OrganisationLimit>): void {
+    this.limits = limits;
+    for (const [name, {active}] of this.usage) {
+      if (active === 0 && !limits.has(name)) this.usage.delete(name);
+    }
+  }
+
+  /**
+   * Counts a request that arrives.
+   *
+   * @param organisation - Organisation that sent it.
+   * @param retry - Retries were counted against the rate when they first arrived.
+   * @param nowMs - Time of arrival.
+   * @returns The reason to refuse it, or undefined if it was counted.
+   */
+  admit(
+    organisation: string,
+    retry: boolean,
+    nowMs: number,
+  ): RefusalReason | undefined {
+    const limit = this.limits.get(organisation);
+    const usage = this.use(organisation, nowMs);
+    if (limit?.concurrency !== undefined && usage.active >= limit.concurrency) {
+      return 'concurrency-limited';
+    }
+    if (limit?.requestsPerSecond !== undefined && !retry) {
+      const rate = limit.requestsPerSecond;
+      // A second's worth of requests may arrive at once.
+      const burst = Math.max(1, rate);
+      const earned = ((nowMs - usage.filledMs) * rate) / 1000;
+      usage.tokens = Math.min(burst, usage.tokens + earned);
+      usage.filledMs = nowMs;
+      if (usage.tokens < 1) return 'rate-limited';
+      usage.tokens -= 1;
+    }
+    usage.active++;
+    return undefined;
+  }
+
+  /** Counts a running request that was admitted by an earlier owner. */
+  adopted(organisation: string, nowMs: number): void {
+    this.use(organisation, nowMs).active++;
+  }
+
+  /** Counts the end of a request, whether it ran or was refused after it had been admitted. */
+  ended(organisation: string): void {
+    const usage = this.usage.get(organisation);
+    if (!usage) return;
+    usage.active--;
+    if (usage.active <= 0 && !this.limits.has(organisation)) {
+      this.usage.delete(organisation);
+    }
+  }
+
+  private use(organisation: string, nowMs: number): Usage {
+    let usage = this.usage.get(organisation);
+    if (!usage) {
+      usage = {active: 0, tokens: Number.MAX_VALUE, filledMs: nowMs};
+      this.usage.set(organisation, usage);
+    }
+    return usage;
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/permit.ts
@@ -0,0 +1,135 @@
+import {IndexedHeap} from './indexed-heap.js';
+import type {TargetState} from './target-state.js';
+import type {QueuedRequest} from './types.js';
+import {tierCount} from '../../version/resources/kinds.js';
+
+/** A permit that is outstanding. */
+export interface Permit {
+  readonly id: string;
+  readonly request: QueuedRequest;
+  readonly target: TargetState;
+  readonly grantedMs: number;
+  /** Cost charged to the organisation, in tokens. */
+  readonly cost: number;
+  /** Prompt tokens that the target was expected to process, its earlier work included. */
+  readonly promptWork: number;
+  /** Prompt tokens not expected in the target's cache. */
+  readonly uncachedTokens: number;
+  /** Generated tokens. */
+  tokens: number;
+  firstTokenMs: number | undefined;
+  lastProgressMs: number;
+  /** Number of progress reports after the first token. */
+  reports: number;
+  preempted: boolean;
+  suspected: boolean;
+}
+
+/** Victims inspected for one preemption; bounds the time of a decision. */
+const maxInspected = 32;
+
+/** Outstanding permits, ordered by what their preemption would waste. */
+export class PermitTable {
+  private readonly permits = new Map<string, Permit>();
+  private readonly victims = Array.from(
+    {length: tierCount},
+    () => new IndexedHeap<Permit>(wastesLess),
+  );
+  /** Preempted permits that have not ended, by the tier for which they were preempted. */
+  private readonly pending = new Map<string, number>();
+
+  /** Number of permits. */
+  get size(): number {
+    return this.permits.size;
+  }
+
+  /** Number of preemptions that have not ended and were made for this or a higher tier. */
+  pendingFor(tier: number): number {
+    let count = 0;
+    for (const forTier of this.pending.values()) if (forTier <= tier) count++;
+    return count;
+  }
+
+  /** All permits. */
+  values(): Iterable<Permit> {
+    return this.permits.values();
+  }
+
+  /** Finds a permit. */
+  get(id: string): Permit | undefined {
+    return this.permits.get(id);
+  }
+
+  /** Adds a permit. */
+  add(permit: Permit): void {
+    this.permits.set(permit.id, permit);
+    if (permit.request.idempotent) {
+      this.victims[permit.request.tier].put(permit);
+    }
+  }
+
+  /** Notes that a permit's progress changed. */
+  moved(permit: Permit): void {
+    const heap = this.victims[permit.request.tier];
+    if (heap.has(permit)) heap.put(permit);
+  }
+
+  /** Removes a permit. */
+  remove(permit: Permit): void {
+    this.permits.delete(permit.id);
+    this.victims[permit.request.tier].remove(permit);
+    this.pending.delete(permit.id);
+  }
+
+  /** Marks a permit as preempted; `forTier` is undefined if no request waits for its slot. */
+  preempt(permit: Permit, forTier: number | undefined): void {
+    permit.preempted = true;
+    permit.target.preempting++;
+    this.victims[permit.request.tier].remove(permit);
+    if (forTier !== undefined) this.pending.set(permit.id, forTier);
+  }
+
+  /**
+   * Finds the running work whose preemption wastes least: the lowest tier, then the least progress.
+   *
+   * @param tier - Only lower tiers than this are considered.
+   * @param useful - Whether a slot at the permit's target would help.
+   */
+  victim(
+    tier: number,
+    useful: (permit: Permit) => boolean,
+  ): Permit | undefined {
+    for (let lower = tierCount - 1; lower > tier; lower--) {
+      const heap = this.victims[lower];
+      const passed: Permit[] = [];
+      let found: Permit | undefined;
+      while (!found && passed.length < maxInspected) {
+        const permit = heap.peek();
+        if (!permit) break;
+        if (useful(permit)) found = permit;
+        else {
+          heap.remove(permit);
+          passed.push(permit);
+        }
+      }
+      for (const permit of passed) heap.put(permit);
+      if (found) return found;
+    }
+    return undefined;
+  }
+}
+
+/** Prompt tokens processed and tokens generated that would be lost. */
+function waste(permit: Permit): number {
+  return (
+    (permit.firstTokenMs === undefined ? 0 : permit.uncachedTokens) +
+    permit.tokens
+  );
+}
+
+function wastesLess(a: Permit, b: Permit): boolean {
+  const difference = waste(a) - waste(b);
+  if (difference !== 0) return difference < 0;
+  if (a.grantedMs !== b.grantedMs) return a.grantedMs > b.grantedMs;
+  return a.id < b.id;
+}
--- /dev/null
+++ b/src/request/scheduler/request-queue.ts
@@ -0,0 +1,124 @@
+import {FairQueue} from './fair-queue.js';
+import {IndexedHeap} from './indexed-heap.js';
+import type {SchedulerConfig} from './scheduler-config.js';
+import {tierCount} from '../../version/resources/kinds.js';
+import type {WaitingRequest} from './waiting-request.js';
+
+/** What became of a request that was offered to the queue. */
+export interface QueueResult {
+  /** Whether the new request is in the queue. */
+  readonly accepted: boolean;
+  /** Waiting request that made room for it. */
+  readonly displaced?: WaitingRequest;
+}
+
+/** All waiting requests of a group: one fair queue for each tier, with bounds. */
+export class RequestQueue {
+  /** Fair queues by tier. */
+  readonly tiers = Array.from({length: tierCount}, () => new FairQueue());
+  private readonly byId = new Map<string, WaitingRequest>();
+  private readonly byDeadline = new IndexedHeap<WaitingRequest>(
+    (a, b) => a.deadlineMs < b.deadlineMs,
+  );
+
+  /**
+   * @param cfg - Bounds of the queue.
+   */
+  constructor(private readonly cfg: SchedulerConfig) {}
+
+  /** Number of waiting requests. */
+  get size(): number {
+    return this.byId.size;
+  }
+
+  /** Finds a waiting request. */
+  get(id: string): WaitingRequest | undefined {
+    return this.byId.get(id);
+  }
+
+  /** Number of waiting requests of this and all higher tiers. */
+  sizeUpTo(tier: number): number {
+    let count = 0;
+    for (let i = 0; i <= tier; i++) count += this.tiers[i].size;
+    return count;
+  }
+
+  /** Adds a request if the bounds allow it or another one can make room for it. */
+  offer(item: WaitingRequest): QueueResult {
+    const {tier} = item.request;
+    const full = this.size >= this.cfg.queueTotal;
+    const tierFull =
+      this.tiers[tier].size >= (this.cfg.queueLimits[tier] ?? Infinity);
+    if (!full && !tierFull) {
+      this.push(item);
+      return {accepted: true};
+    }
+    // The top tier is bounded only while no lower tier waits.
+    const lowest = full || tier === 0 ? this.lowestBelow(tier) : undefined;
+    const displaced = lowest ?? this.worseThan(item);
+    if (displaced) this.remove(displaced);
+    else if (full || tierFull) return {accepted: false};
+    this.push(item);
+    return {accepted: true, displaced};
+  }
+
+  /** Removes a request that leaves without a permit. */
+  remove(item: WaitingRequest): void {
+    this.tiers[item.request.tier].remove(item);
+    this.forget(item);
+  }
+
+  /** Removes a request that gets a permit. */
+  take(item: WaitingRequest): void {
+    this.tiers[item.request.tier].take(item);
+    this.forget(item);
+  }
+
+  /** Takes the requests whose deadline has passed. */
+  expired(nowMs: number): WaitingRequest[] {
+    const found: WaitingRequest[] = [];
+    for (;;) {
+      const item = this.byDeadline.peek();
+      if (!item || item.deadlineMs > nowMs) return found;
+      this.remove(item);
+      found.push(item);
+    }
+  }
+
+  /** Takes all requests. */
+  drain(): WaitingRequest[] {
+    const items = [...this.byId.values()];
+    for (const item of items) this.remove(item);
+    return items;
+  }
+
+  private push(item: WaitingRequest): void {
+    this.tiers[item.request.tier].push(item);
+    this.byId.set(item.request.id, item);
+    this.byDeadline.put(item);
+  }
+
+  private forget(item: WaitingRequest): void {
+    this.byId.delete(item.request.id);
+    this.byDeadline.remove(item);
+  }
+
+  private lowestBelow(tier: number): WaitingRequest | undefined {
+    for (let lower = tierCount - 1; lower > tier; lower--) {
+      const worst = this.tiers[lower].worst();
+      if (worst) return worst;
+    }
+    return undefined;
+  }
+
+  /** A bursting organisation must not fill the queue of its tier for the others. */
+  private worseThan(item: WaitingRequest): WaitingRequest | undefined {
+    const {tier, organisation, weight} = item.request;
+    const queue = this.tiers[tier];
+    const worst = queue.worst();
+    if (!worst || worst.request.organisation === organisation) return undefined;
+    const own = queue.backlogOf(organisation) + item.cost / weight;
+    const other = queue.backlogOf(worst.request.organisation);
+    return other > own ? worst : undefined;
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/service-rate.ts
@@ -0,0 +1,44 @@
+import {tierCount} from '../../version/resources/kinds.js';
+
+/** Weight that older observations keep with each new one. */
+const decay = 0.98;
+/** Share of the rate assumed for a tier however much higher tiers take. */
+const minTierShare = 0.02;
+
+/** Observed rate at which a group serves cost. */
+export class ServiceRate {
+  private cost = 0;
+  private timeMs = 0;
+  private readonly granted = new Array<number>(tierCount).fill(0);
+
+  /** Learns from a complete answer. */
+  completed(cost: number, totalMs: number): void {
+    this.cost = this.cost * decay + cost;
+    this.timeMs = this.timeMs * decay + Math.max(totalMs, 0.01);
+  }
+
+  /** Notes which tier got a permit. */
+  grantedTo(tier: number, cost: number): void {
+    for (let i = 0; i < tierCount; i++) this.granted[i] *= decay;
+    this.granted[tier] += cost;
+  }
+
+  /**
+   * Estimates the rate at which a tier's queue is served.
+   *
+   * @param tier - Tier of the queue.
+   * @param slots - Requests that may run at once.
+   * @returns Tokens per millisecond, or undefined if nothing was observed.
+   */
+  forTier(tier: number, slots: number): number | undefined {
+    if (this.timeMs === 0) return undefined;
+    let higher = 0;
+    let total = 0;
+    for (let i = 0; i < tierCount; i++) {
+      total += this.granted[i];
+      if (i < tier) higher += this.granted[i];
+    }
+    const left = total > 0 ? Math.max(minTierShare, 1 - higher / total) : 1;
+    return ((slots * this.cost) / this.timeMs) * left;
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/target-limit.ts
@@ -0,0 +1,133 @@
+/** Good completions after which a cold limit doubles. */
+const coldWindow = 8;
+/** Good completions that raise a warm limit by one. */
+const warmWindow = 8;
+/** Factor of a multiplicative decrease. */
+const decrease = 0.75;
+/** Decreases are at least this far apart, so that each one can take effect first. */
+const decreasePauseMs = 1000;
+/** Ratio to the best known time per token above which a cold target is not yet warm. */
+const coldTokenRatio = 2;
+
+/** What a completion tells about a target's load. */
+export interface LimitSample {
+  /** Time to first token, in milliseconds. */
+  readonly firstTokenMs: number;
+  /** Wanted time to first token, in milliseconds. */
+  readonly firstTokenTargetMs: number;
+  /** Time per token after the first, in milliseconds, if there was more than one. */
+  readonly tokenMs: number | undefined;
+  /** Wanted time per token, in milliseconds. */
+  readonly tokenTargetMs: number;
+  /** Uncongested time per token of this target or its like, in milliseconds, once known. */
+  readonly baselineTokenMs: number | undefined;
+  /** Uncongested time to first token of this prompt, in milliseconds. */
+  readonly expectedFirstTokenMs: number;
+  /** Requests in flight when the completion arrived, itself included. */
+  readonly inFlight: number;
+}
+
+/** Learns how many requests a target can run at once. */
+export class TargetLimit {
+  private value: number;
+  private coldPhase = true;
+  private good = 0;
+  private previousWindowTokenMs: number | undefined;
+  private windowTokenMs = 0;
+  private lastDecreaseMs = -Infinity;
+
+  /**
+   * @param coldLimit - Limit of a cold target.
+   * @param maxLimit - Upper bound.
+   */
+  constructor(
+    private coldLimit: number,
+    private maxLimit: number,
+  ) {
+    this.value = coldLimit;
+  }
+
+  /** Requests that may run at once. */
+  get current(): number {
+    return Math.floor(this.value);
+  }
+
+  /** Whether the limit has not yet risen to the bound since the target was last cold. */
+  get cold(): boolean {
+    return this.coldPhase;
+  }
+
+  /** Changes the declared bounds. */
+  setBounds(coldLimit: number, maxLimit: number): void {
+    this.coldLimit = Math.min(coldLimit, maxLimit);
+    this.maxLimit = maxLimit;
+    this.value = Math.min(this.value, maxLimit);
+  }
+
+  /** Returns to the cold limit. */
+  goCold(): void {
+    this.value = Math.min(this.coldLimit, this.maxLimit);
+    this.coldPhase = true;
+    this.good = 0;
+    this.previousWindowTokenMs = undefined;
+    this.windowTokenMs = 0;
+  }
+
+  /** Lowers the limit after a sign of congestion. */
+  congested(nowMs: number): void {
+    if (nowMs - this.lastDecreaseMs < decreasePauseMs) return;
+    this.lastDecreaseMs = nowMs;
+    this.good = 0;
+    this.value = Math.max(this.coldLimit, Math.floor(this.value * decrease));
+  }
+
+  /** Takes a complete answer into account. */
+  completed(sample: LimitSample, nowMs: number): void {
+    if (isCongested(sample)) {
+      if (this.coldPhase) this.good = 0;
+      else this.congested(nowMs);
+      return;
+    }
+    if (this.coldPhase) this.coldCompleted(sample);
+    else if (sample.inFlight >= 0.7 * this.value) this.warmCompleted();
+  }
+
+  private coldCompleted(sample: LimitSample): void {
+    if (sample.firstTokenMs > 2 * sample.firstTokenTargetMs) {
+      this.good = 0;
+      return;
+    }
+    this.good++;
+    this.windowTokenMs += sample.tokenMs ?? 0;
+    if (this.good < coldWindow) return;
+    const tokenMs = this.windowTokenMs / coldWindow;
+    const previous = this.previousWindowTokenMs;
+    this.good = 0;
+    this.windowTokenMs = 0;
+    this.previousWindowTokenMs = tokenMs;
+    const {baselineTokenMs} = sample;
+    if (baselineTokenMs && tokenMs > coldTokenRatio * baselineTokenMs) return;
+    // A target that still becomes faster from window to window is still warming up.
+    if (previous !== undefined && previous > 1.5 * tokenMs) return;
+    this.value = Math.min(this.maxLimit, Math.max(1, 2 * this.value));
+    if (this.value >= this.maxLimit) this.coldPhase = false;
+  }
+
+  private warmCompleted(): void {
+    if (++this.good < warmWindow) return;
+    this.good = 0;
+    this.value = Math.min(this.maxLimit, this.value + 1);
+  }
+}
+
+function isCongested(sample: LimitSample): boolean {
+  const {tokenMs, baselineTokenMs = 0} = sample;
+  const slowTokens =
+    tokenMs !== undefined &&
+    tokenMs > sample.tokenTargetMs &&
+    tokenMs > 2 * baselineTokenMs;
+  const slowStart =
+    sample.firstTokenMs > 2 * sample.firstTokenTargetMs &&
+    sample.firstTokenMs > 4 * sample.expectedFirstTokenMs;
+  return slowTokens || slowStart;
+}
--- /dev/null
+++ b/src/request/scheduler/target-rates.ts
@@ -0,0 +1,91 @@
+/** Cost of a prompt's first step, in prompt tokens; small prompts are not free. */
+const promptOverheadTokens = 300;
+/** Requests in a batch that cost as much time as an empty step does. */
+const batchOverhead = 30;
+/** Ratio to the expected latency that counts as a jump. */
+const jumpRatio = 2.5;
+const gain = 0.1;
+/** Growth of the uncongested baseline with each sample, so that it can rise as well as fall. */
+const baselineDrift = 1.002;
+
+/** Learnt speed of a target, or of targets of the same hardware. */
+export class TargetRates {
+  private promptMs: number | undefined;
+  private batchMs: number | undefined;
+  private baseTokenMs: number | undefined;
+
+  /**
+   * @param parent - Rates used before anything was observed, and taught everything observed.
+   * @param defaultPromptMs - Time for each prompt token before anything was observed at all.
+   * @param defaultBatchMs - Time for each token and request of a batch, likewise.
+   */
+  constructor(
+    private readonly parent: TargetRates | undefined,
+    private readonly defaultPromptMs: number,
+    private readonly defaultBatchMs: number,
+  ) {}
+
+  /** Time for each prompt token, in milliseconds. */
+  get perPromptToken(): number {
+    return this.promptMs ?? this.parent?.perPromptToken ?? this.defaultPromptMs;
+  }
+
+  /** Time that one request adds to a step, in milliseconds. */
+  get perBatchSlot(): number {
+    return this.batchMs ?? this.parent?.perBatchSlot ?? this.defaultBatchMs;
+  }
+
+  /** Time for each token without congestion, in milliseconds, once known. */
+  get uncongestedTokenMs(): number | undefined {
+    return this.baseTokenMs ?? this.parent?.uncongestedTokenMs;
+  }
+
+  /** Expected time to first token, in milliseconds. */
+  firstTokenMs(promptTokens: number): number {
+    return this.perPromptToken * (promptTokens + promptOverheadTokens);
+  }
+
+  /** Expected time for each token in a batch of this size, in milliseconds. */
+  tokenMs(inFlight: number): number {
+    return this.perBatchSlot * (batchOverhead + inFlight);
+  }
+
+  /** Whether a time to first token is far above the expected one. */
+  isFirstTokenJump(ms: number, promptTokens: number): boolean {
+    if (this.promptMs === undefined) return false;
+    return ms > jumpRatio * this.firstTokenMs(promptTokens);
+  }
+
+  /** Whether a time for each token is far above the expected one. */
+  isTokenJump(ms: number, inFlight: number): boolean {
+    if (this.batchMs === undefined) return false;
+    return ms > jumpRatio * this.tokenMs(inFlight);
+  }
+
+  /** Learns from a time to first token. */
+  learnFirstToken(ms: number, promptTokens: number): void {
+    const sample = ms / (promptTokens + promptOverheadTokens);
+    this.promptMs = smooth(this.promptMs, sample);
+    this.parent?.learnFirstToken(ms, promptTokens);
+  }
+
+  /** Learns from a time for each token. */
+  learnToken(ms: number, inFlight: number): void {
+    this.batchMs = smooth(this.batchMs, ms / (batchOverhead + inFlight));
+    this.baseTokenMs =
+      this.baseTokenMs === undefined
+        ? ms
+        : Math.min(ms, this.baseTokenMs * baselineDrift);
+    this.parent?.learnToken(ms, inFlight);
+  }
+
+  /** Makes the rates worse or better at once, after a target's state changed. */
+  scale(factor: number): void {
+    if (this.promptMs !== undefined) this.promptMs *= factor;
+    if (this.batchMs !== undefined) this.batchMs *= factor;
+  }
+}
+
+function smooth(value: number | undefined, sample: number): number {
+  return value === undefined ? sample : value + gain * (sample - value);
+}
--- /dev/null
+++ b/src/request/scheduler/target-table.ts
@@ -0,0 +1,159 @@
+import type {PrefixIndex} from './prefix-index.js';
+import type {SchedulerConfig} from './scheduler-config.js';
+import {TargetRates} from './target-rates.js';
+import {TargetState} from './target-state.js';
+import type {TargetView} from './types.js';
+
+/** Targets of a group, the free ones among them, and the total of their limits. */
+export class TargetTable {
+  /** Targets that may get one more request now. */
+  readonly free = new Set<TargetState>();
+  /** Rates over all targets. */
+  readonly groupRates: TargetRates;
+  private readonly states = new Map<string, TargetState>();
+  private readonly hardwareRates = new Map<string, TargetRates>();
+  private allowedTotal = 0;
+  private share = 1;
+
+  /**
+   * @param cfg - Settings of the group.
+   * @param prefixes - Index from which targets that leave are removed.
+   * @param recovering - Whether outstanding permits may be unknown.
+   */
+  constructor(
+    cfg: SchedulerConfig,
+    private readonly prefixes: PrefixIndex,
+    private recovering: boolean,
+  ) {
+    // Optimistic, so that an untried target is tried.
+    this.groupRates = new TargetRates(
+      undefined,
+      cfg.firstTokenTargetMs / 10_000,
+      cfg.tokenTargetMs / 150,
+    );
+  }
+
+  /** Permits that this owner may have outstanding at usable targets. */
+  get slots(): number {
+    return this.allowedTotal;
+  }
+
+  /** Whether any target is usable. */
+  get anyUsable(): boolean {
+    for (const state of this.states.values()) {
+      if (state.view.usable) return true;
+    }
+    return false;
+  }
+
+  /** Whether a usable target exists besides the named ones. */
+  anyUsableBut(names: readonly string[]): boolean {
+    for (const {view} of this.states.values()) {
+      if (view.usable && !names.includes(view.name)) return true;
+    }
+    return false;
+  }
+
+  /** Finds a target. */
+  get(name: string): TargetState | undefined {
+    return this.states.get(name);
+  }
+
+  /** All targets. */
+  values(): Iterable<TargetState> {
+    return this.states.values();
+  }
+
+  /** Replaces the targets; known ones keep what was learnt. */
+  set(views: readonly TargetView[], nowMs: number): void {
+    const names = new Set(views.map(view => view.name));
+    for (const [name, state] of this.states) {
+      if (names.has(name)) continue;
+      state.view = {...state.view, usable: false};
+      this.refresh(state, nowMs);
+      // A target with outstanding permits is kept, so that it cannot come back with none.
+      if (state.inFlight > 0) continue;
+      this.states.delete(name);
+      this.prefixes.removed(name);
+    }
+    for (const view of views) this.put(view, nowMs);
+  }
+
+  /** Finds a target, or adds one that is not usable for a permit of an earlier owner. */
+  adopt(name: string, service: string): TargetState {
+    const known = this.states.get(name);
+    if (known) return known;
+    const state = this.create({
+      name,
+      service,
+      zone: '',
+      address: '',
+      version: '',
+      hardware: '',
+      maxConcurrency: 0,
+      coldConcurrency: 0,
+      usable: false,
+    });
+    this.states.set(name, state);
+    return state;
+  }
+
+  /** Changes the part of the limits that applies to this owner. */
+  setShare(share: number, nowMs: number): void {
+    this.share = share;
+    this.refreshAll(nowMs);
+  }
+
+  /** Lifts the bound of a new owner. */
+  recovered(nowMs: number): void {
+    this.recovering = false;
+    this.refreshAll(nowMs);
+  }
+
+  /** Updates what depends on time and on other targets. */
+  refreshAll(nowMs: number): void {
+    for (const state of this.states.values()) this.refresh(state, nowMs);
+  }
+
+  /** Updates the free set and the total after a target changed. */
+  refresh(state: TargetState, nowMs: number): void {
+    const healthy = state.breaker.allows(nowMs);
+    const allowed = this.allowed(state);
+    this.allowedTotal -= state.counted;
+    state.counted = healthy || state.inFlight > 0 ? allowed : 0;
+    this.allowedTotal += state.counted;
+    if (healthy && state.inFlight < allowed) this.free.add(state);
+    else this.free.delete(state);
+  }
+
+  /** Permits that this owner may have outstanding at a target. */
+  allowed(state: TargetState): number {
+    return state.allowed(this.share, this.recovering);
+  }
+
+  private put(view: TargetView, nowMs: number): void {
+    const known = this.states.get(view.name);
+    const state = known ?? this.create(view);
+    if (known) {
+      // A new version or a return to service means a fresh start of the process.
+      const fresh =
+        known.view.version !== view.version ||
+        known.view.address !== view.address ||
+        (!known.view.usable && view.usable);
+      known.view = view;
+      known.limit.setBounds(view.coldConcurrency, view.maxConcurrency);
+      if (fresh) known.limit.goCold();
+    }
+    this.states.set(view.name, state);
+    this.refresh(state, nowMs);
+  }
+
+  private create(view: TargetView): TargetState {
+    let rates = this.hardwareRates.get(view.hardware);
+    if (!rates) {
+      rates = new TargetRates(this.groupRates, 0, 0);
+      this.hardwareRates.set(view.hardware, rates);
+    }
+    return new TargetState(view, new TargetRates(rates, 0, 0));
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/version-caps.ts
@@ -0,0 +1,71 @@
+import type {VersionCap} from './types.js';
+
+/** Credit that a capped version can save up, in grants. */
+const maxCredit = 1; // More would allow a burst of canary requests after an idle period.
+
+interface CapState {
+  cap: VersionCap;
+  credit: number;
+}
+
+/** Keeps each capped version within its share of new grants and its requests in flight. */
+export class VersionCaps {
+  private readonly states = new Map<string, CapState>();
+  private readonly inFlight = new Map<string, number>();
+
+  /** Replaces all caps; versions without one are not limited. */
+  set(caps: readonly VersionCap[]): void {
+    const kept = new Set(caps.map(cap => cap.version));
+    for (const version of this.states.keys()) {
+      if (!kept.has(version)) this.states.delete(version);
+    }
+    for (const cap of caps) {
+      const state = this.states.get(cap.version);
+      if (state) state.cap = cap;
+      else this.states.set(cap.version, {cap, credit: 0});
+    }
+  }
+
+  /** Whether one more permit for the version stays within its cap. */
+  allows(version: string): boolean {
+    const state = this.states.get(version);
+    if (!state) return true;
+    const {share, inFlight} = state.cap;
+    if (share <= 0 || (this.inFlight.get(version) ?? 0) >= inFlight) {
+      return false;
+    }
+    return share >= 1 || state.credit >= 1 - 1e-9;
+  }
+
+  /** Versions that may get no permit now; undefined if there is none. */
+  exhausted(): Set<string> | undefined {
+    let found: Set<string> | undefined;
+    for (const version of this.states.keys()) {
+      if (this.allows(version)) continue;
+      found ??= new Set();
+      found.add(version);
+    }
+    return found;
+  }
+
+  /** Counts a new grant. */
+  granted(version: string): void {
+    for (const state of this.states.values()) {
+      if (state.cap.version === version) state.credit -= 1;
+      state.credit = Math.min(maxCredit, state.credit + state.cap.share);
+    }
+    this.adopted(version);
+  }
+
+  /** Counts a permit that an earlier owner granted. */
+  adopted(version: string): void {
+    this.inFlight.set(version, (this.inFlight.get(version) ?? 0) + 1);
+  }
+
+  /** Counts the end of a permit. */
+  released(version: string): void {
+    const left = (this.inFlight.get(version) ?? 0) - 1;
+    if (left > 0) this.inFlight.set(version, left);
+    else this.inFlight.delete(version);
+  }
+}
--- /dev/null
+++ b/src/request/scheduler/waiting-request.ts
@@ -0,0 +1,14 @@
+import type {QueuedRequest} from './types.js';
+
+/** A queued request with the figures that the scheduler computed on arrival. */
+export interface WaitingRequest {
+  readonly request: QueuedRequest;
+  /** Time of arrival at the owner, in milliseconds. */
+  readonly offeredMs: number;
+  /** Time of the deadline, in milliseconds. */
+  readonly deadlineMs: number;
+  /** Output length expected for fair queueing, in tokens. */
+  readonly expectedTokens: number;
+  /** Prompt and expected output, in tokens. */
+  readonly cost: number;
+}
