--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -1,13 +1,19 @@
 import {tierCount} from '../../version/resources/kinds.js';
 import type {RefusalReason} from '../refusals.js';
-import {ThrowingInvariantSink, type InvariantSink} from './invariants.js';
+import {DeadlineEstimate} from './deadline-estimate.js';
+import {
+  checkGrant,
+  ThrowingInvariantSink,
+  type InvariantSink,
+} from './invariants.js';
 import {LengthEstimates} from './length-estimates.js';
 import {
   OrganisationLimits,
   type OrganisationLimit,
 } from './organisation-limits.js';
 import {OutcomeLearner} from './outcome-learner.js';
-import {PermitTable, type Permit} from './permit.js';
+import {newPermitState, PermitTable, type Permit} from './permit.js';
+import {preemptFor} from './preemption.js';
 import {PrefixIndex} from './prefix-index.js';
 import {RequestQueue} from './request-queue.js';
 import {
@@ -51,6 +57,7 @@
   private readonly lengths = new LengthEstimates();
   private readonly rate = new ServiceRate();
   private readonly learner: OutcomeLearner;
+  private readonly deadlines: DeadlineEstimate;
   private sequence = 0;
   private decisions: Decision[] = [];
 
@@ -69,6 +76,12 @@
       this.prefixes,
       this.cfg.recovering,
     );
+    this.deadlines = new DeadlineEstimate(
+      this.queue,
+      this.targets,
+      this.rate,
+      this.lengths,
+    );
     this.learner = new OutcomeLearner(this.cfg, this.prefixes);
   }
 
@@ -84,11 +97,7 @@
 
   /** Permits that could be granted now. */
   get freeSlots(): number {
-    let count = 0;
-    for (const state of this.targets.free) {
-      count += this.targets.allowed(state) - state.inFlight;
-    }
-    return count;
+    return this.targets.freeSlots;
   }
 
   /**
@@ -97,11 +106,7 @@
    * @returns Limits over all hosts by target name, in requests.
    */
   limits(): ReadonlyMap<string, number> {
-    const limits = new Map<string, number>();
-    for (const state of this.targets.values()) {
-      limits.set(state.view.name, state.limit.current);
-    }
-    return limits;
+    return this.targets.limits();
   }
 
   /** Replaces the targets of the group; known ones keep their state. */
@@ -151,7 +156,7 @@
       cost: req.promptTokens + expectedTokens,
     };
     if (!this.targets.anyUsable) this.refuse(item, 'no-target');
-    else if (!this.canMeetDeadline(item, nowMs)) {
+    else if (!this.deadlines.canMeet(item, nowMs)) {
       this.refuse(item, 'deadline-unreachable');
     } else {
       const {accepted, displaced} = this.queue.offer(item);
@@ -234,12 +239,9 @@
       cost: request.promptTokens + permit.tokens,
       promptWork: request.promptTokens,
       uncachedTokens: request.promptTokens,
+      ...newPermitState(nowMs),
       tokens: permit.tokens,
       firstTokenMs: permit.tokens > 0 ? permit.ageMs : undefined,
-      lastProgressMs: nowMs,
-      reports: 0,
-      preempted: false,
-      suspected: false,
     });
     this.targets.refresh(target, nowMs);
     return this.decide(nowMs);
@@ -268,7 +270,8 @@
     for (const permit of this.permits.values()) {
       const stalled = this.learner.checkStalled(permit, nowMs);
       if (stalled && permit.request.idempotent && !permit.preempted) {
-        this.preempt(permit, undefined);
+        this.permits.preempt(permit, undefined);
+        this.notifyPreempted(permit);
       }
     }
     this.targets.refreshAll(nowMs);
@@ -299,7 +302,7 @@
       if (choice && choice.completionMs <= leftMs) {
         this.queue.take(item);
         this.grant(item, choice, nowMs);
-      } else if (choice && this.typicalMs(item) > leftMs) {
+      } else if (choice && this.deadlines.typicalMs(item) > leftMs) {
         this.queue.remove(item);
         this.refuse(item, 'deadline-unreachable');
       } else {
@@ -309,7 +312,13 @@
       }
     }
     for (const item of passedOver) queue.push(item);
-    if (queue.size > 0) this.preemptFor(tier, nowMs);
+    if (queue.size === 0) return;
+    const victims = preemptFor(this.permits, {
+      tier,
+      waiting: this.queue.sizeUpTo(tier),
+      useful: permit => this.isUseful(permit.target, nowMs),
+    });
+    for (const victim of victims) this.notifyPreempted(victim);
   }
 
   private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
@@ -328,17 +337,14 @@
     const {request} = item;
     const {target, cachedTokens} = choice;
     const id = `${this.cfg.owner}-${++this.sequence}`;
-    const allowed = this.targets.allowed(target);
-    if (target.inFlight >= allowed) {
-      this.invariants.violated(
-        'grant-over-limit',
-        `${target.view.name}: ${target.inFlight} of ${allowed}`,
-      );
-    }
-    if (!target.view.usable || !this.caps.allows(target.view.version)) {
-      this.invariants.violated('grant-to-unusable-target', target.view.name);
-    }
-    if (this.permits.get(id)) this.invariants.violated('duplicate-permit', id);
+    checkGrant(this.invariants, {
+      permitId: id,
+      target: target.view.name,
+      inFlight: target.inFlight,
+      allowed: this.targets.allowed(target),
+      usable: target.view.usable && this.caps.allows(target.view.version),
+      duplicate: this.permits.get(id) !== undefined,
+    });
     const uncachedTokens = request.promptTokens - cachedTokens;
     target.sent(request.route);
     this.addPermit({
@@ -349,12 +355,7 @@
       cost: item.cost,
       promptWork: uncachedTokens + target.pendingPrompt,
       uncachedTokens,
-      tokens: 0,
-      firstTokenMs: undefined,
-      lastProgressMs: nowMs,
-      reports: 0,
-      preempted: false,
-      suspected: false,
+      ...newPermitState(nowMs),
     });
     this.caps.granted(target.view.version);
     this.rate.grantedTo(request.tier, item.cost);
@@ -377,20 +378,6 @@
     }
   }
 
-  /** Takes slots back from lower tiers, at most one for each request that waits. */
-  private preemptFor(tier: number, nowMs: number): void {
-    const waiting = this.queue.sizeUpTo(tier);
-    let pending = this.permits.pendingFor(tier);
-    while (pending < waiting) {
-      const victim = this.permits.victim(tier, permit =>
-        this.isUseful(permit.target, nowMs),
-      );
-      if (!victim) return;
-      this.preempt(victim, tier);
-      pending++;
-    }
-  }
-
   /** Whether the end of one more permit at the target would give a slot to a waiting request. */
   private isUseful(target: TargetState, nowMs: number): boolean {
     const left = target.inFlight - target.preempting - 1;
@@ -401,11 +388,10 @@
     );
   }
 
-  private preempt(permit: Permit, forTier: number | undefined): void {
+  private notifyPreempted(permit: Permit): void {
     if (!permit.request.idempotent) {
       this.invariants.violated('preempt-non-idempotent', permit.id);
     }
-    this.permits.preempt(permit, forTier);
     this.decisions.push({
       kind: 'preempt',
       permitId: permit.id,
@@ -413,30 +399,6 @@
     });
   }
 
-  /** Estimates whether a request can be answered in time behind the requests that wait. */
-  private canMeetDeadline(item: WaitingRequest, nowMs: number): boolean {
-    const {tier, organisation, weight} = item.request;
-    const rate = this.rate.forTier(tier, this.targets.slots);
-    let waitMs = 0;
-    if (rate !== undefined && rate > 0) {
-      let ahead = this.queue.tiers[tier].costAhead(
-        organisation,
-        weight,
-        item.deadlineMs,
-      );
-      for (let i = 0; i < tier; i++) ahead += this.queue.tiers[i].cost;
-      waitMs = ahead / rate;
-    }
-    return nowMs + waitMs + this.typicalMs(item) <= item.deadlineMs;
-  }
-
-  /** Typical time from grant to complete answer, in milliseconds. */
-  private typicalMs(item: WaitingRequest): number {
-    const rates = this.targets.groupRates;
-    const outputTokens = this.lengths.typical(item.request);
-    return rates.firstTokenMs(0) + (outputTokens - 1) * rates.tokenMs(1);
-  }
-
   private refuse(item: WaitingRequest, reason: RefusalReason): void {
     const {request} = item;
     this.organisations.ended(request.organisation);
--- a/src/request/scheduler/permit.ts
+++ b/src/request/scheduler/permit.ts
@@ -25,6 +25,23 @@
   suspected: boolean;
 }
 
+/**
+ * Creates the part of a permit that changes while it is outstanding.
+ *
+ * @param nowMs - Time at which the permit became known.
+ * @returns Values of a permit without progress.
+ */
+export function newPermitState(nowMs: number) {
+  return {
+    tokens: 0,
+    firstTokenMs: undefined,
+    lastProgressMs: nowMs,
+    reports: 0,
+    preempted: false,
+    suspected: false,
+  };
+}
+
 /** Victims inspected for one preemption; bounds the time of a decision. */
 const maxInspected = 32;
 
--- a/src/request/scheduler/target-table.ts
+++ b/src/request/scheduler/target-table.ts
@@ -38,6 +38,24 @@
     return this.allowedTotal;
   }
 
+  /** Permits that could be granted now. */
+  get freeSlots(): number {
+    let count = 0;
+    for (const state of this.free) {
+      count += this.allowed(state) - state.inFlight;
+    }
+    return count;
+  }
+
+  /** Lists the current limit of each target over all hosts, in requests. */
+  limits(): ReadonlyMap<string, number> {
+    const limits = new Map<string, number>();
+    for (const [name, state] of this.states) {
+      limits.set(name, state.limit.current);
+    }
+    return limits;
+  }
+
   /** Whether any target is usable. */
   get anyUsable(): boolean {
     for (const state of this.states.values()) {
