--- /dev/null
+++ b/src/request/scheduler/decision-list.ts
@@ -0,0 +1,40 @@
+import type {RefusalReason} from '../refusals.js';
+import type {Permit} from './permit.js';
+import type {Decision} from './types.js';
+
+/** Advice to callers after a refusal, in milliseconds. */
+const retryAfterMs = 1000;
+
+/** Collects the decisions that follow from one input. */
+export class DecisionList {
+  private items: Decision[] = [];
+
+  /** Adds a grant. */
+  grant(permit: Permit, cachedTokens: number): void {
+    this.items.push({
+      kind: 'grant',
+      requestId: permit.request.id,
+      permitId: permit.id,
+      target: permit.target.view,
+      cachedTokens,
+    });
+  }
+
+  /** Adds a refusal. */
+  refuse(requestId: string, reason: RefusalReason): void {
+    this.items.push({kind: 'refuse', requestId, reason, retryAfterMs});
+  }
+
+  /** Adds a preemption. */
+  preempt(permit: Permit): void {
+    const {id, request} = permit;
+    this.items.push({kind: 'preempt', permitId: id, requestId: request.id});
+  }
+
+  /** Takes all decisions. */
+  take(): Decision[] {
+    const {items} = this;
+    this.items = [];
+    return items;
+  }
+}
--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -1,5 +1,6 @@
 import {tierCount} from '../../version/resources/kinds.js';
 import type {RefusalReason} from '../refusals.js';
+import {DecisionList} from './decision-list.js';
 import {DeadlineEstimate} from './deadline-estimate.js';
 import {
   checkGrant,
@@ -39,8 +40,6 @@
 
 /** Requests passed over in one decision because no free target may run them. */
 const maxPassedOver = 8;
-/** Advice to callers after a refusal for load, in milliseconds. */
-const retryAfterMs = 1000;
 
 /**
  * Decides which request of a target group runs where and when. Pure: it has no clock, timers or
@@ -59,7 +58,7 @@
   private readonly learner: OutcomeLearner;
   private readonly deadlines: DeadlineEstimate;
   private sequence = 0;
-  private decisions: Decision[] = [];
+  private readonly decisions = new DecisionList();
 
   /**
    * @param cfg - Settings that differ from {@link defaultSchedulerConfig}.
@@ -143,9 +142,8 @@
     const retry = req.attempt > 0;
     const limited = this.organisations.admit(req.organisation, retry, nowMs);
     if (limited) {
-      return [
-        {kind: 'refuse', requestId: req.id, reason: limited, retryAfterMs},
-      ];
+      this.decisions.refuse(req.id, limited);
+      return this.decisions.take();
     }
     const expectedTokens = this.lengths.mean(req);
     const item: WaitingRequest = {
@@ -285,9 +283,7 @@
     if (this.queue.size > 0) {
       for (let tier = 0; tier < tierCount; tier++) this.serve(tier, nowMs);
     }
-    const {decisions} = this;
-    this.decisions = [];
-    return decisions;
+    return this.decisions.take();
   }
 
   /** Grants permits to a tier as long as free targets can run its requests. */
@@ -347,7 +343,7 @@
     });
     const uncachedTokens = request.promptTokens - cachedTokens;
     target.sent(request.route);
-    this.addPermit({
+    const permit: Permit = {
       id,
       request,
       target,
@@ -356,18 +352,13 @@
       promptWork: uncachedTokens + target.pendingPrompt,
       uncachedTokens,
       ...newPermitState(nowMs),
-    });
+    };
+    this.addPermit(permit);
     this.caps.granted(target.view.version);
     this.rate.grantedTo(request.tier, item.cost);
     this.prefixes.sent(target.view.name, request.prefixes);
     this.targets.refresh(target, nowMs);
-    this.decisions.push({
-      kind: 'grant',
-      requestId: request.id,
-      permitId: id,
-      target: target.view,
-      cachedTokens,
-    });
+    this.decisions.grant(permit, cachedTokens);
   }
 
   private addPermit(permit: Permit): void {
@@ -392,21 +383,12 @@
     if (!permit.request.idempotent) {
       this.invariants.violated('preempt-non-idempotent', permit.id);
     }
-    this.decisions.push({
-      kind: 'preempt',
-      permitId: permit.id,
-      requestId: permit.request.id,
-    });
+    this.decisions.preempt(permit);
   }
 
   private refuse(item: WaitingRequest, reason: RefusalReason): void {
     const {request} = item;
     this.organisations.ended(request.organisation);
-    this.decisions.push({
-      kind: 'refuse',
-      requestId: request.id,
-      reason,
-      retryAfterMs,
-    });
+    this.decisions.refuse(request.id, reason);
   }
 }
