--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -4,12 +4,20 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {FailureError} from '../../process/errors/catalogue.js';
+import type {AddressInfo, Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+import type {Clock} from '../../process/clock.js';
+import type {Logger} from '../../process/logger.js';
+import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
+import type {RefusalReason} from '../../request/refusals.js';
+import {createProblem, sendProblem} from './problem.js';
 
 /** Answers one path, or a family of paths. */
 export abstract class RouteHandler {
+  /** Whether the handler also answers while the host drains. */
+  readonly servesWhileDraining: boolean = false;
+
   /**
    * Tells whether this handler answers a request.
    *
@@ -27,29 +35,77 @@
   abstract handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
 }
 
+/** Parts of the process that the server uses. */
+export interface CallerServerParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Time for which an idle connection is kept, in milliseconds. */
+const keepAliveMs = 65_000;
+/** Requests of one connection that may be in progress; bounds pipelining. */
+const maxPipelined = 16;
+/** Interval in which slow connections are looked for, in milliseconds. */
+const checkIntervalMs = 500;
+/** Time in which a caller must take a refusal of a broken request, in milliseconds. */
+const refusalFlushMs = 1000;
+
 /** HTTP/1.1 server for callers and operators. */
 export class CallerServer {
   private readonly server: Server;
+  /** Requests in progress, by connection. */
+  private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
+  private draining = false;
+  private onIdle: (() => void) | undefined;
 
   /**
    * @param cfg - Listening address and limits.
+   * @param parts - Parts of the process.
    * @param handlers - Handlers in the order in which they are asked.
    * @param fallback - Handler of all other paths.
    */
   constructor(
     private readonly cfg: Settings['callers'],
+    private readonly parts: CallerServerParts,
     private readonly handlers: readonly RouteHandler[],
     private readonly fallback: RouteHandler,
   ) {
-    this.server = createServer(
-      {
-        maxHeaderSize: cfg.maxHeaderBytes,
-        headersTimeout: cfg.headersTimeoutMs,
-        requestTimeout: cfg.requestTimeoutMs,
-      },
-      (req, res) => void this.route(req, res),
-    );
+    this.server = createServer({
+      maxHeaderSize: cfg.maxHeaderBytes,
+      headersTimeout: Math.min(cfg.headersTimeoutMs, cfg.requestTimeoutMs),
+      requestTimeout: cfg.requestTimeoutMs,
+      keepAliveTimeout: keepAliveMs,
+      connectionsCheckingInterval: checkIntervalMs,
+      noDelay: true,
+    });
     this.server.maxConnections = cfg.maxConnections;
+    this.server.on('request', (req, res) => void this.route(req, res));
+    this.server.on('checkContinue', (req, res) => {
+      // The body of a request that is refused by its length must not be asked for.
+      const length = Number(req.headers['content-length'] ?? 0);
+      if (length <= cfg.maxBodyBytes) res.writeContinue();
+      void this.route(req, res);
+    });
+    this.server.on('clientError', (err, socket) =>
+      this.onProtocolError(err as NodeJS.ErrnoException, socket),
+    );
+  }
+
+  /** Number of open connections. */
+  get connections(): Promise<number> {
+    return new Promise((resolve, reject) =>
+      this.server.getConnections((err, count) =>
+        err ? reject(err) : resolve(count),
+      ),
+    );
+  }
+
+  /** Number of requests in progress. */
+  get requests(): number {
+    let count = 0;
+    for (const responses of this.inProgress.values()) count += responses.size;
+    return count;
   }
 
   /**
@@ -66,11 +122,36 @@
     });
   }
 
-  /** Stops to listen and waits for the open requests to end. */
-  close(): Promise<void> {
+  /**
+   * Refuses new requests, waits for the open ones to end, and closes all connections.
+   *
+   * @param drainMs - Greatest time for the open requests to end, in milliseconds.
+   * @returns Number of requests that were broken off at the bound.
+   */
+  async close(drainMs: number): Promise<number> {
+    this.draining = true;
+    for (const responses of this.inProgress.values()) {
+      for (const res of responses) {
+        if (!res.headersSent) res.setHeader('connection', 'close');
+      }
+    }
+    if (this.inProgress.size > 0) await this.untilIdle(drainMs);
+    const left = this.requests;
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve()),
+    );
+    this.server.closeAllConnections();
+    await closed;
+    return left;
+  }
+
+  private untilIdle(drainMs: number): Promise<void> {
     return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      const cancel = this.parts.clock.after(drainMs, resolve);
+      this.onIdle = () => {
+        cancel();
+        resolve();
+      };
     });
   }
 
@@ -78,14 +159,109 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    const pipelined = this.track(req.socket, res);
+    // A caller that resets its connection is handled by the `close` event.
+    res.on('error', () => {});
     const path = (req.url ?? '/').split('?', 1)[0];
     const handler =
       this.handlers.find(candidate => candidate.matches(path)) ?? this.fallback;
     try {
-      await handler.handle(req, res);
+      if (this.draining && !handler.servesWhileDraining) {
+        this.refuse(res, 'draining');
+      } else if (pipelined > maxPipelined) {
+        this.refuse(res, 'overloaded');
+      } else {
+        await handler.handle(req, res);
+      }
     } catch (err) {
-      if (!(err instanceof FailureError)) throw err;
-      res.destroy();
+      this.parts.logger.event('requestFaulted', {
+        path,
+        error: err instanceof Error ? err.stack : String(err),
+      });
+      if (res.headersSent) res.destroy();
+      else this.refuse(res, 'internal-error');
     }
   }
+
+  private refuse(res: ServerResponse, reason: RefusalReason): void {
+    this.report(reason);
+    res.setHeader('connection', 'close');
+    sendProblem(res, reason);
+  }
+
+  private report(reason: RefusalReason): void {
+    this.parts.metrics.refusal(reason);
+    this.parts.logger.event('requestRefused', {reason});
+  }
+
+  /** Keeps account of a request until its response was sent or its connection closed. */
+  private track(socket: Socket, res: ServerResponse): number {
+    let responses = this.inProgress.get(socket);
+    if (!responses) {
+      responses = new Set();
+      this.inProgress.set(socket, responses);
+    }
+    const own = responses;
+    own.add(res);
+    res.once('close', () => {
+      own.delete(res);
+      if (own.size === 0) this.inProgress.delete(socket);
+      if (this.inProgress.size === 0) this.onIdle?.();
+    });
+    return own.size;
+  }
+
+  private onProtocolError(err: NodeJS.ErrnoException, stream: Duplex): void {
+    const socket = stream as Socket;
+    const responses = [...(this.inProgress.get(socket) ?? [])];
+    this.parts.logger.event('connectionRejected', {code: err.code});
+    if (!socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const whole = responses.filter(res => res.req.complete);
+    if (whole.length > 0) {
+      // Garbage after whole requests: their answers are sent, then the connection is closed.
+      this.closeAfter(socket, whole);
+      return;
+    }
+    if (responses.some(res => res.headersSent)) {
+      socket.destroy();
+      return;
+    }
+    const reason = reasonOf(err);
+    this.report(reason);
+    const {status, headers, body} = createProblem(reason);
+    const lines = Object.entries({...headers, connection: 'close'}).map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    const timer = setTimeout(() => socket.destroy(), refusalFlushMs);
+    socket.once('close', () => clearTimeout(timer));
+    socket.end(
+      `HTTP/1.1 ${status} ${reason}\r\n${lines.join('')}\r\n${body}`,
+      () => socket.destroy(),
+    );
+  }
+
+  private closeAfter(socket: Socket, responses: ServerResponse[]): void {
+    socket.pause();
+    let left = responses.length;
+    for (const res of responses) {
+      if (!res.headersSent) res.setHeader('connection', 'close');
+      res.once('close', () => {
+        if (--left === 0) socket.destroySoon();
+      });
+    }
+  }
+}
+
+function reasonOf(err: NodeJS.ErrnoException): RefusalReason {
+  switch (err.code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return 'headers-too-large';
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return 'request-timeout';
+    default:
+      return 'malformed-request';
+  }
 }
--- /dev/null
+++ b/src/connection/caller/headers.ts
@@ -0,0 +1,92 @@
+import {
+  validateHeaderName,
+  validateHeaderValue,
+  type IncomingHttpHeaders,
+} from 'node:http';
+
+/** Fields that describe one connection (RFC 9110, section 7.6.1) and are not passed on. */
+const hopByHop = [
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+];
+
+/** Fields of a request that the host consumes or sets itself. */
+const requestOnly = [
+  'authorization',
+  'content-length',
+  'expect',
+  'host',
+  'x-request-id',
+];
+
+const requestDrop = new Set([...hopByHop, ...requestOnly]);
+const answerDrop = new Set(hopByHop);
+
+/**
+ * Selects the request headers that go to a target.
+ *
+ * @param headers - Headers as received, one value for each field line.
+ * @returns End-to-end headers.
+ */
+export function requestHeaders(
+  headers: NodeJS.Dict<string[]>,
+): Record<string, string | string[]> {
+  return select(headers, requestDrop, headers['connection']);
+}
+
+/**
+ * Selects the answer headers that go to the caller. Fields that cannot be sent are left out.
+ *
+ * @param headers - Headers of the target's answer.
+ * @returns End-to-end headers.
+ */
+export function answerHeaders(
+  headers: IncomingHttpHeaders,
+): Record<string, string | string[]> {
+  const connection = headers['connection'];
+  const selected = select(
+    headers,
+    answerDrop,
+    connection === undefined ? undefined : [String(connection)],
+  );
+  for (const [name, value] of Object.entries(selected)) {
+    if (!isValid(name, value)) delete selected[name];
+  }
+  return selected;
+}
+
+function select(
+  headers: NodeJS.Dict<string | string[]>,
+  drop: ReadonlySet<string>,
+  connection: readonly string[] | undefined,
+): Record<string, string | string[]> {
+  const named = new Set(
+    (connection ?? []).flatMap(value =>
+      value.split(',').map(name => name.trim().toLowerCase()),
+    ),
+  );
+  const selected: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || drop.has(name) || named.has(name)) continue;
+    selected[name] =
+      Array.isArray(value) && value.length === 1 ? value[0] : value;
+  }
+  return selected;
+}
+
+function isValid(name: string, value: string | string[]): boolean {
+  try {
+    validateHeaderName(name);
+    for (const one of [value].flat()) validateHeaderValue(name, one);
+    return true;
+  } catch {
+    return false;
+  }
+}
--- a/src/connection/caller/health-handler.ts
+++ b/src/connection/caller/health-handler.ts
@@ -4,6 +4,7 @@
 
 /** Answers `/healthz`, `/readyz` and `/metrics`. */
 export class HealthHandler extends RouteHandler {
+  override readonly servesWhileDraining = true;
   private readonly paths = new Set(['/healthz', '/readyz', '/metrics']);
 
   /**
@@ -25,12 +26,13 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    if (req.url === '/metrics') {
+    const path = (req.url ?? '/').split('?', 1)[0];
+    if (path === '/metrics') {
       res.setHeader('content-type', this.metrics.registry.contentType);
       res.end(await this.metrics.render());
       return;
     }
-    const ok = req.url === '/healthz' || this.ready();
+    const ok = path === '/healthz' || this.ready();
     res.statusCode = ok ? 200 : 503;
     res.setHeader('content-type', 'text/plain');
     res.end(ok ? 'ok\n' : 'not ready\n');
--- a/src/connection/caller/problem.ts
+++ b/src/connection/caller/problem.ts
@@ -1,18 +1,36 @@
 import type {ServerResponse} from 'node:http';
-import {refusals, type RefusalReason} from '../../request/refusals.js';
+import {
+  refusals,
+  type Execution,
+  type RefusalReason,
+} from '../../request/refusals.js';
+
+/** Details of one refusal. */
+export interface ProblemOptions {
+  /** What is wrong in this case. */
+  readonly detail?: string;
+  /** Time after which the request may succeed, in milliseconds. */
+  readonly retryAfterMs?: number;
+  /** Overrides what the reason says about the execution. */
+  readonly execution?: Execution;
+}
+
+/** Time for callers to wait if nothing better is known, in milliseconds. */
+const defaultRetryAfterMs = 1000;
+/** Statuses for which Retry-After is given by default. */
+const retryAfterStatuses = new Set<number>([409, 429, 503]);
 
 /**
- * Answers with a problem document (RFC 9457).
+ * Makes a problem document (RFC 9457).
  *
- * @param res - Response whose head was not sent yet.
  * @param reason - Why the request was refused.
- * @param options - `detail` of this case, and `retryAfterMs`, in milliseconds.
+ * @param options - Details of this case.
+ * @returns Status, headers and body of the answer.
  */
-export function sendProblem(
-  res: ServerResponse,
+export function createProblem(
   reason: RefusalReason,
-  options: {detail?: string; retryAfterMs?: number} = {},
-): void {
+  options: ProblemOptions = {},
+): {status: number; headers: Record<string, string>; body: string} {
   const {status, title, retryable, execution} = refusals[reason];
   const body = JSON.stringify({
     type: `urn:guavaseam:refusal:${reason}`,
@@ -21,14 +39,41 @@
     detail: options.detail,
     reason,
     retryable,
-    execution,
+    execution: options.execution ?? execution,
   });
+  const headers: Record<string, string> = {
+    'content-type': 'application/problem+json',
+    'content-length': String(Buffer.byteLength(body)),
+  };
+  const waitMs =
+    options.retryAfterMs ??
+    (retryAfterStatuses.has(status) ? defaultRetryAfterMs : undefined);
+  if (retryable && waitMs !== undefined) {
+    headers['retry-after'] = String(Math.max(1, Math.ceil(waitMs / 1000)));
+  }
+  if (reason === 'unauthenticated') headers['www-authenticate'] = 'Bearer';
+  if (reason === 'method-not-allowed') headers['allow'] = 'POST';
+  return {status, headers, body};
+}
+
+/**
+ * Answers with a problem document.
+ *
+ * @param res - Response whose head was not sent yet.
+ * @param reason - Why the request was refused.
+ * @param options - Details of this case.
+ */
+export function sendProblem(
+  res: ServerResponse,
+  reason: RefusalReason,
+  options: ProblemOptions = {},
+): void {
+  const {status, headers, body} = createProblem(reason, options);
   res.statusCode = status;
-  res.setHeader('content-type', 'application/problem+json');
-  res.setHeader('content-length', Buffer.byteLength(body));
-  if (retryable && options.retryAfterMs !== undefined) {
-    const seconds = Math.max(1, Math.ceil(options.retryAfterMs / 1000));
-    res.setHeader('retry-after', seconds);
+  for (const [name, value] of Object.entries(headers)) {
+    res.setHeader(name, value);
   }
+  // The rest of an unread body could be long; closing the connection is cheaper than reading it.
+  if (!res.req.complete) res.setHeader('connection', 'close');
   res.end(body);
 }
--- /dev/null
+++ b/src/connection/caller/request-body.ts
@@ -0,0 +1,41 @@
+import type {IncomingMessage} from 'node:http';
+import {FailureError} from '../../process/errors/catalogue.js';
+
+/**
+ * Reads the whole body of a request.
+ *
+ * @param req - Request.
+ * @param maxBytes - Greatest body, in bytes.
+ * @returns The body.
+ * @throws {@link FailureError} of kind `refused` with reason `body-too-large`, or of kind
+ *   `caller-left` if the connection closed before the body ended.
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const tooLarge = () =>
+      reject(new FailureError({kind: 'refused', reason: 'body-too-large'}));
+    if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
+      tooLarge();
+      return;
+    }
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) {
+        chunks.length = 0;
+        req.pause();
+        tooLarge();
+        return;
+      }
+      chunks.push(chunk);
+    });
+    req.once('end', () => resolve(Buffer.concat(chunks)));
+    const left = () => reject(new FailureError({kind: 'caller-left'}));
+    req.once('error', left);
+    req.once('close', left);
+  });
+}
--- /dev/null
+++ b/src/connection/target/http-exchange.ts
@@ -0,0 +1,145 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import {FailureError} from '../../process/errors/catalogue.js';
+import type {TargetAnswer} from './target-client.js';
+
+/** Bytes of an answer that are read ahead of a slow caller. */
+const readAheadBytes = 64 * 1024;
+
+/** Body of an answer; a full buffer pauses the target's connection. */
+class AnswerBody extends Readable {
+  constructor(private readonly controller: Dispatcher.DispatchController) {
+    super({highWaterMark: readAheadBytes});
+  }
+
+  override _read(): void {
+    if (this.controller.paused) this.controller.resume();
+  }
+
+  override _destroy(
+    err: Error | null,
+    callback: (err?: Error | null) => void,
+  ): void {
+    if (!this.readableEnded && !this.controller.aborted) {
+      this.controller.abort(err ?? new Error('answer was given up'));
+    }
+    callback(err);
+  }
+}
+
+/**
+ * One request and its answer on a connection of an undici dispatcher. undici calls `onRequestStart`
+ * immediately before it writes the first byte, which tells whether a target may have started.
+ */
+export class HttpExchange implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private body: AnswerBody | undefined;
+  private received = 0;
+  private resolve!: (answer: TargetAnswer) => void;
+  private reject!: (err: Error) => void;
+  private readonly onAbort = () => this.abort();
+
+  /** Head of the answer, or the failure before it. */
+  readonly answer = new Promise<TargetAnswer>((resolve, reject) => {
+    this.resolve = resolve;
+    this.reject = reject;
+  });
+
+  /**
+   * @param target - Name of the target, for errors.
+   * @param signal - Aborted to give the request up.
+   */
+  constructor(
+    private readonly target: string,
+    private readonly signal: AbortSignal,
+  ) {
+    signal.addEventListener('abort', this.onAbort, {once: true});
+  }
+
+  /**
+   * Sends the request.
+   *
+   * @param dispatcher - Connections of the target.
+   * @param options - Request.
+   * @returns The answer.
+   */
+  run(
+    dispatcher: Dispatcher,
+    options: Dispatcher.DispatchOptions,
+  ): Promise<TargetAnswer> {
+    if (this.signal.aborted) {
+      this.fail(new Error('aborted'));
+    } else {
+      dispatcher.dispatch(options, this);
+    }
+    return this.answer;
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.controller || this.signal.aborted) {
+      // undici may put a request on a second connection; it must not run twice.
+      controller.abort(new Error('aborted'));
+      return;
+    }
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    if (status < 200) return;
+    this.body = new AnswerBody(controller);
+    // The failure is delivered through iteration; without a listener it would end the process.
+    this.body.on('error', () => {});
+    this.resolve({status, headers, body: this.body});
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.received += chunk.length;
+    if (this.body?.push(chunk) === false) controller.pause();
+  }
+
+  onResponseEnd(): void {
+    this.signal.removeEventListener('abort', this.onAbort);
+    this.body?.push(null);
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController | undefined,
+    err: Error,
+  ): void {
+    this.fail(err);
+  }
+
+  private abort(): void {
+    const err = new Error('aborted');
+    if (this.controller) this.controller.abort(err);
+    else this.fail(err);
+  }
+
+  private fail(err: NodeJS.ErrnoException): void {
+    this.signal.removeEventListener('abort', this.onAbort);
+    const target = this.target;
+    const failure = this.controller
+      ? new FailureError(
+          {kind: 'target-stream-broken', target, bytes: this.received},
+          {cause: err},
+        )
+      : new FailureError(
+          {
+            kind: 'target-unreachable',
+            target,
+            reason: err.code ?? err.message,
+          },
+          {cause: err},
+        );
+    this.reject(failure);
+    if (this.body) this.body.destroy(failure);
+  }
+}
--- a/src/connection/target/http-target-client.ts
+++ b/src/connection/target/http-target-client.ts
@@ -1,24 +1,21 @@
-import {Pool} from 'undici';
-import {FailureError} from '../../process/errors/catalogue.js';
+import {connect} from 'node:net';
+import {Pool, type Dispatcher} from 'undici';
+import {HttpExchange} from './http-exchange.js';
 import {
   TargetClient,
   type TargetAnswer,
   type TargetRequest,
 } from './target-client.js';
 
-/** Error codes that are raised before any byte was written. */
-const notStartedCodes = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /** Time in which a connection must be established, in milliseconds. */
 const connectTimeoutMs = 1000;
+/** Time after which a probe of a target says nothing, in milliseconds. */
+const probeTimeoutMs = 300;
+/** Idle connections are closed before the usual five seconds of a server, in milliseconds. */
+const keepAliveMs = 4000;
 
 /** Target over HTTP/1.1. */
-export class HttpTargetClient extends TargetClient {
+export abstract class HttpTargetClient extends TargetClient {
   private readonly pool: Pool;
 
   /**
@@ -26,52 +23,80 @@
    * @param address - Base URL of the target.
    */
   constructor(
-    private readonly name: string,
-    address: string,
+    protected readonly name: string,
+    private readonly address: string,
   ) {
     super();
-    this.pool = new Pool(address, {
-      connections: null,
-      pipelining: 1,
-      connect: {timeout: connectTimeoutMs},
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this.pool = createPool(address, 1);
   }
 
-  override async send(
+  override send(
     req: TargetRequest,
     signal: AbortSignal,
   ): Promise<TargetAnswer> {
-    try {
-      const res = await this.pool.request({
-        method: req.method as 'POST',
-        path: req.path,
-        headers: {...req.headers, 'x-request-id': req.attemptId},
-        body: req.body.length > 0 ? req.body : null,
-        signal,
+    return this.exchange(this.connections(req), req, signal);
+  }
+
+  override isDown(): Promise<boolean> {
+    const {hostname, port, protocol} = new URL(this.address);
+    return new Promise(resolve => {
+      const socket = connect({
+        host: hostname.replace(/^\[|\]$/g, ''),
+        port: Number(port || (protocol === 'https:' ? 443 : 80)),
+        timeout: probeTimeoutMs,
       });
-      return {status: res.statusCode, headers: res.headers, body: res.body};
-    } catch (err) {
-      throw this.toFailure(err as NodeJS.ErrnoException);
-    }
+      const finish = (down: boolean) => {
+        socket.destroy();
+        resolve(down);
+      };
+      socket.once('connect', () => finish(false));
+      socket.once('timeout', () => finish(false));
+      socket.once('error', (err: NodeJS.ErrnoException) =>
+        finish(err.code === 'ECONNREFUSED' || err.code === 'EHOSTUNREACH'),
+      );
+    });
   }
 
   override async close(): Promise<void> {
     await this.pool.destroy();
   }
 
-  private toFailure(err: NodeJS.ErrnoException): FailureError {
-    const target = this.name;
-    if (err.code !== undefined && notStartedCodes.has(err.code)) {
-      return new FailureError(
-        {kind: 'target-unreachable', target, reason: err.code},
-        {cause: err},
-      );
-    }
-    return new FailureError(
-      {kind: 'target-stream-broken', target, bytes: 0},
-      {cause: err},
-    );
+  /** Selects the connections for a request. */
+  protected connections(_req: TargetRequest): Dispatcher {
+    return this.pool;
   }
+
+  /** Sends one request over given connections. */
+  protected exchange(
+    connections: Dispatcher,
+    req: TargetRequest,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    return new HttpExchange(this.name, signal).run(connections, {
+      method: req.method as Dispatcher.HttpMethod,
+      path: req.path,
+      headers: {...req.headers, 'x-request-id': req.attemptId},
+      body: req.body.length > 0 ? req.body : null,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+}
+
+/**
+ * Creates the connections to a target.
+ *
+ * @param address - Base URL.
+ * @param pipelining - 1 keeps connections for further requests, 0 uses a new one for each request.
+ * @returns The connections.
+ */
+export function createPool(address: string, pipelining: 0 | 1): Pool {
+  return new Pool(address, {
+    connections: null,
+    pipelining,
+    connect: {timeout: connectTimeoutMs},
+    keepAliveTimeout: keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
 }
--- a/src/connection/target/target-client.ts
+++ b/src/connection/target/target-client.ts
@@ -10,17 +10,23 @@
   readonly path: string;
   readonly headers: Record<string, string | string[]>;
   readonly body: Buffer;
+  /** Whether the request may be run again. */
+  readonly idempotent: boolean;
 }
 
 /** Head of a target's answer; the body follows as a stream. */
 export interface TargetAnswer {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** Fails if the target breaks off. Must be read to its end or destroyed. */
   readonly body: Readable;
 }
 
 /** Sends requests to one target. */
 export abstract class TargetClient {
+  /** Whether the target can resume a stream by request id. */
+  abstract readonly resumable: boolean;
+
   /**
    * Sends a request.
    *
@@ -32,6 +38,33 @@
    */
   abstract send(req: TargetRequest, signal: AbortSignal): Promise<TargetAnswer>;
 
+  /**
+   * Asks the target to stop a request. A target that cannot be reached or does not know the request
+   * is not an error.
+   *
+   * @param attemptId - Id of the attempt.
+   * @returns Whether the target confirmed that the attempt does not run any more.
+   */
+  abstract cancel(attemptId: string): Promise<boolean>;
+
+  /**
+   * Continues a stream that broke off.
+   *
+   * @param attemptId - Id of the attempt.
+   * @param after - Number of events that were received.
+   * @param signal - Aborted to give the request up.
+   * @returns The answer, starting with the first event that was not received.
+   * @throws {@link FailureError} of a target kind if the stream cannot be continued.
+   */
+  abstract resume(
+    attemptId: string,
+    after: number,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer>;
+
+  /** @returns Whether the target certainly accepts no connection any more. */
+  abstract isDown(): Promise<boolean>;
+
   /** Closes the connections to the target. */
   abstract close(): Promise<void>;
 }
--- a/src/connection/target/target-clients.ts
+++ b/src/connection/target/target-clients.ts
@@ -1,5 +1,7 @@
 import type {TargetView} from '../../request/scheduler/types.js';
-import {HttpTargetClient} from './http-target-client.js';
+import type {ServiceSpec} from '../../version/resources/kinds.js';
+import {ModelEngineClient} from './model-engine-client.js';
+import {PlainServiceClient} from './plain-service-client.js';
 import type {TargetClient} from './target-client.js';
 
 /** Keeps one client for each target address in use. */
@@ -10,17 +12,36 @@
    * Finds or creates the client of a target.
    *
    * @param target - Target to reach.
+   * @param type - Type of the target's service.
    * @returns Its client.
    */
-  get(target: TargetView): TargetClient {
-    let client = this.clients.get(target.address);
+  get(target: TargetView, type: ServiceSpec['type'] = 'model'): TargetClient {
+    const key = `${type} ${target.address}`;
+    let client = this.clients.get(key);
     if (!client) {
-      client = new HttpTargetClient(target.name, target.address);
-      this.clients.set(target.address, client);
+      client =
+        type === 'model'
+          ? new ModelEngineClient(target.name, target.address)
+          : new PlainServiceClient(target.name, target.address);
+      this.clients.set(key, client);
     }
     return client;
   }
 
+  /**
+   * Forgets the clients of targets that are no longer declared. Their requests in flight continue,
+   * and their idle connections close by themselves.
+   *
+   * @param addresses - Base URLs that are still in use.
+   */
+  retain(addresses: ReadonlySet<string>): void {
+    for (const key of this.clients.keys()) {
+      if (!addresses.has(key.slice(key.indexOf(' ') + 1))) {
+        this.clients.delete(key);
+      }
+    }
+  }
+
   /** Closes all clients. */
   async close(): Promise<void> {
     await Promise.all([...this.clients.values()].map(client => client.close()));
--- a/src/process/errors/request-failures.ts
+++ b/src/process/errors/request-failures.ts
@@ -1,4 +1,4 @@
-import type {RefusalReason} from '../../request/refusals.js';
+import type {Execution, RefusalReason} from '../../request/refusals.js';
 import type {FailureTexts} from './catalogue.js';
 
 /** Failures of one caller's request. */
@@ -8,9 +8,13 @@
       reason: RefusalReason;
       detail?: string;
       retryAfterMs?: number;
+      /** Set to `unknown` if an earlier attempt may have run. */
+      execution?: Execution;
     }
   | {kind: 'target-unreachable'; target: string; reason: string}
-  | {kind: 'target-stream-broken'; target: string; bytes: number};
+  | {kind: 'target-stream-broken'; target: string; bytes: number}
+  | {kind: 'target-resume-refused'; target: string; status: number}
+  | {kind: 'caller-left'};
 
 /** Texts of the request failures. */
 export const requestFailures: FailureTexts<RequestFailure> = {
@@ -31,4 +35,15 @@
       `target "${f.target}" broke off its answer after ${f.bytes} bytes`,
     hint: 'Check the log of the target.',
   },
+  'target-resume-refused': {
+    title: 'Target cannot resume a stream',
+    message: f =>
+      `target "${f.target}" answered ${f.status} to a request to resume a stream`,
+    hint: 'Engines forget streams after a restart; the request is tried again where that is safe.',
+  },
+  'caller-left': {
+    title: 'Caller closed the connection',
+    message: () => 'the caller closed the connection before the answer ended',
+    hint: 'Check the timeouts of the caller.',
+  },
 };
--- a/src/process/events/request-events.ts
+++ b/src/process/events/request-events.ts
@@ -8,4 +8,24 @@
     level: 'warn',
     message: 'answer broke off after part of it was relayed',
   },
+  callerLeft: {
+    id: 2005,
+    level: 'debug',
+    message: 'caller closed the connection before the answer ended',
+  },
+  requestFaulted: {
+    id: 2006,
+    level: 'error',
+    message: 'request ended with an unexpected error',
+  },
+  targetCrashed: {
+    id: 2007,
+    level: 'warn',
+    message: 'target died while it ran requests',
+  },
+  connectionRejected: {
+    id: 2008,
+    level: 'debug',
+    message: 'connection of a caller closed because of a protocol error',
+  },
 } as const;
--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -1,15 +1,9 @@
-import {createHash, randomUUID, timingSafeEqual} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {FailureError} from '../process/errors/catalogue.js';
-import {
-  getResource,
-  listResources,
-  type ConfigState,
-} from '../version/config-state.js';
-import type {
-  OrganisationKey,
-  Resource,
-  Tier,
-} from '../version/resources/kinds.js';
+import {getResource, type ConfigState} from '../version/config-state.js';
+import type {Resource, Tier} from '../version/resources/kinds.js';
+import {indexOf, type KeyOwner} from './config-index.js';
+import {readIdempotencyKey} from './idempotency-key.js';
 import type {RefusalReason} from './refusals.js';
 
 /** Head of a caller's request. */
@@ -17,7 +11,8 @@
   readonly method: string;
   /** Path and query as received. */
   readonly url: string;
-  readonly headers: Record<string, string | string[] | undefined>;
+  /** Values by lower-case name, one for each field line. */
+  readonly headers: NodeJS.Dict<string[]>;
 }
 
 /** A request that was recognised and may be dispatched. */
@@ -41,6 +36,7 @@
 
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
 const modelPaths = new Set(['/v1/chat/completions', '/v1/completions']);
+const dotSegment = /(?:\/|%2f|\\|%5c)(?:\.|%2e){1,2}(?:\/|%2f|\\|%5c|$)/i;
 const servicePath = /^\/services\/([a-z0-9-]+)(\/.*)?$/;
 
 /**
@@ -62,35 +58,31 @@
   const found = modelPaths.has(path)
     ? findModelService(state, head, path, model)
     : findPlainService(state, head, path);
-  const idempotencyKey = head.headers['idempotency-key'];
   return {
     id: randomUUID(),
     organisation: organisation.name,
     weight: organisation.spec.weight,
     tier: key.tier,
     ...found,
-    key: typeof idempotencyKey === 'string' ? idempotencyKey : undefined,
+    key: readIdempotencyKey(head.headers['idempotency-key']),
     timeoutMs: readTimeout(head) ?? found.service.spec.defaultTimeoutMs,
   };
 }
 
-function authenticate(
-  state: ConfigState,
-  head: RequestHead,
-): {organisation: Resource<'organisation'>; key: OrganisationKey} {
-  const token = /^Bearer (.+)$/.exec(
-    String(head.headers['authorization'] ?? ''),
-  );
-  if (!token) throw refused('unauthenticated');
-  const digest = createHash('sha256').update(token[1]).digest();
-  for (const organisation of listResources(state, 'organisation')) {
-    for (const key of organisation.spec.keys) {
-      if (timingSafeEqual(digest, Buffer.from(key.sha256, 'hex'))) {
-        return {organisation, key};
-      }
-    }
-  }
-  throw refused('unauthenticated');
+/**
+ * Identifies the caller.
+ *
+ * @param state - Current configuration.
+ * @param head - Headers of the request.
+ * @returns Organisation and key.
+ * @throws {@link FailureError} of kind `refused`.
+ */
+export function authenticate(state: ConfigState, head: RequestHead): KeyOwner {
+  const values = head.headers['authorization'];
+  const token = /^Bearer +(\S+) *$/i.exec(values?.[0] ?? '');
+  const owner = token ? indexOf(state).findKey(token[1]) : undefined;
+  if (!owner) throw refused('unauthenticated');
+  return owner;
 }
 
 function findModelService(
@@ -100,9 +92,8 @@
   model: string | undefined,
 ) {
   if (head.method !== 'POST') throw refused('method-not-allowed');
-  const service = listResources(state, 'service').find(
-    ({name, spec}) => spec.type === 'model' && (spec.model ?? name) === model,
-  );
+  const service =
+    model === undefined ? undefined : indexOf(state).findModel(model);
   if (!service) throw refused('unknown-service');
   return {service, route: path, targetPath: head.url, idempotent: true};
 }
@@ -110,10 +101,15 @@
 function findPlainService(state: ConfigState, head: RequestHead, path: string) {
   const match = servicePath.exec(path);
   if (!match) throw refused('unknown-route');
+  // The target could resolve such a path to a route that must not be repeated.
+  if (dotSegment.test(path)) {
+    throw refused('malformed-request', 'the path contains dot segments');
+  }
   const service = getResource(state, 'service', match[1]);
   if (!service || service.spec.type !== 'plain')
     throw refused('unknown-service');
-  const targetPath = head.url.slice(`/services/${match[1]}`.length) || '/';
+  const rest = head.url.slice(`/services/${match[1]}`.length);
+  const targetPath = rest.startsWith('/') ? rest : `/${rest}`;
   const route = (service.spec.routes ?? [])
     .filter(
       ({pathPrefix, methods}) =>
@@ -129,17 +125,20 @@
   };
 }
 
+/** Longest deadline that a caller may ask for, in milliseconds: one day. */
+const maxTimeoutMs = 86_400_000;
+
 function readTimeout(head: RequestHead): number | undefined {
-  const value = head.headers['request-timeout-ms'];
-  if (value === undefined) return undefined;
-  const ms = Number(value);
-  if (!Number.isInteger(ms) || ms <= 0) {
+  const values = head.headers['request-timeout-ms'];
+  if (values === undefined) return undefined;
+  const ms = /^\d{1,9}$/.test(values[0]) ? Number(values[0]) : 0;
+  if (values.length > 1 || ms <= 0) {
     throw refused(
       'malformed-request',
-      'Request-Timeout-Ms is not a positive integer',
+      'Request-Timeout-Ms is not a positive integer of at most 9 digits',
     );
   }
-  return ms;
+  return Math.min(ms, maxTimeoutMs);
 }
 
 function refused(reason: RefusalReason, detail?: string): FailureError {
--- /dev/null
+++ b/src/request/attempt-loop.ts
@@ -0,0 +1,275 @@
+import type {TargetClient} from '../connection/target/target-client.js';
+import type {Clock} from '../process/clock.js';
+import {FailureError} from '../process/errors/catalogue.js';
+import type {Logger} from '../process/logger.js';
+import type {Metrics} from '../process/metrics.js';
+import type {Admitted} from './admission.js';
+import type {AnswerSink} from './answer-sink.js';
+import {decideAttempt, type AttemptDecision} from './attempt.js';
+import {runAttempt, type AttemptEnd} from './attempt-run.js';
+import {backoffMs, type RandomSource} from './backoff.js';
+import type {CrashEvidence} from './crash-evidence.js';
+import type {Dispatcher, Grant} from './dispatcher.js';
+import type {RefusalReason} from './refusals.js';
+import type {Relay} from './relay.js';
+import type {RetryBudget} from './retry-budget.js';
+import type {QueuedRequest} from './scheduler/types.js';
+
+/** Greatest number of attempts after failures of one request. */
+const maxRetries = 4;
+
+/** Parts of the process that attempts use. */
+export interface AttemptParts {
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly dispatcher: Dispatcher;
+  readonly client: (
+    target: Grant['target'],
+    type: 'model' | 'plain',
+  ) => TargetClient;
+  readonly random: RandomSource;
+  readonly retryBudget: RetryBudget;
+  readonly crashEvidence: CrashEvidence;
+}
+
+/** A request that is ready to be dispatched. */
+export interface Job {
+  readonly admitted: Admitted;
+  /** Request as the dispatcher sees it, before any attempt. */
+  readonly queued: QueuedRequest;
+  readonly method: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Buffer;
+  /** Whether the caller asked for a stream of events. */
+  readonly stream: boolean;
+  /** Deadline on the process's clock, in milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Fingerprints for crash evidence. */
+  readonly fingerprints: readonly string[];
+  readonly sink: AnswerSink;
+  /** Whether to keep a copy of the answer. */
+  readonly record: boolean;
+}
+
+/** How a request ended whose answer was relayed at least in part. */
+export interface JobEnd {
+  readonly whole: boolean;
+  readonly relay: Relay;
+}
+
+/** Why a request is given up from outside. */
+export type StopReason = 'caller-left' | 'deadline' | 'preempted';
+
+/** Runs the attempts of one request, one at a time. */
+export class AttemptLoop {
+  private readonly avoid: string[] = [];
+  private attempts = 0;
+  private retries = 0;
+  private mayHaveRun = false;
+
+  /**
+   * @param parts - Parts of the process.
+   * @param job - Request to run.
+   * @param caller - Aborted when the caller leaves.
+   */
+  constructor(
+    private readonly parts: AttemptParts,
+    private readonly job: Job,
+    private readonly caller: AbortSignal,
+  ) {}
+
+  /**
+   * Runs attempts until an answer was relayed or the request is refused.
+   *
+   * @returns How the relay ended.
+   * @throws {@link FailureError} of kind `refused` or `caller-left`; no byte of an answer was then
+   *   relayed, unless the caller left.
+   */
+  async run(): Promise<JobEnd> {
+    for (;;) {
+      if (this.job.deadlineAtMs <= this.parts.clock.nowMs()) {
+        throw this.deadlineWaiting();
+      }
+      this.checkCrashes();
+      const grant = await this.acquire();
+      const end = await runAttempt(this.parts, this.job, {
+        grant,
+        attemptId: this.nextAttemptId(),
+        caller: this.caller,
+        decide: (seen, resumable) =>
+          decideAttempt(seen, {
+            idempotent: this.job.admitted.idempotent,
+            resumable,
+            mayHaveRun: this.mayHaveRun,
+            mayRetry: () => this.mayRetry(),
+          }),
+      });
+      this.mayHaveRun ||= end.mayHaveRun;
+      const done = await this.follow(end, grant);
+      if (done) return done;
+    }
+  }
+
+  private async follow(
+    end: AttemptEnd,
+    grant: Grant,
+  ): Promise<JobEnd | undefined> {
+    const {decision, relay} = end;
+    switch (decision.kind) {
+      case 'relay':
+        this.parts.retryBudget.succeeded();
+        return {whole: true, relay};
+      case 'break':
+        return {whole: false, relay};
+      case 'refuse':
+        throw this.refused(decision.reason);
+      case 'requeue':
+        if (!end.ended) throw this.refused('retries-exhausted');
+        this.parts.metrics.retry('preempted');
+        return undefined;
+      default:
+        await this.prepareRetry(decision, end, grant);
+        return undefined;
+    }
+  }
+
+  private async prepareRetry(
+    decision: AttemptDecision,
+    end: AttemptEnd,
+    grant: Grant,
+  ): Promise<void> {
+    if (!end.ended) throw this.refused('retries-exhausted');
+    if (decision.kind === 'retry') this.parts.metrics.retry(decision.reason);
+    this.retries++;
+    if (!this.avoid.includes(grant.target.name)) {
+      this.avoid.push(grant.target.name);
+    }
+    await this.sleep(backoffMs(this.retries, this.parts.random));
+  }
+
+  private checkCrashes(): void {
+    const {crashEvidence, clock} = this.parts;
+    if (crashEvidence.refuses(this.job.fingerprints, clock.wallMs())) {
+      throw this.refused('crashes-targets');
+    }
+  }
+
+  private mayRetry(): boolean {
+    return (
+      this.retries < maxRetries &&
+      this.job.deadlineAtMs > this.parts.clock.nowMs() &&
+      this.parts.retryBudget.take()
+    );
+  }
+
+  private nextAttemptId(): string {
+    const {id} = this.job.admitted;
+    const attempt = this.attempts++;
+    return attempt === 0 ? id : `${id}-${attempt}`;
+  }
+
+  private async acquire(): Promise<Grant> {
+    const leftMs = this.job.deadlineAtMs - this.parts.clock.nowMs();
+    const stop = new AbortController();
+    const pending = this.parts.dispatcher.acquire(
+      {
+        ...this.job.queued,
+        timeoutMs: Math.max(1, Math.floor(leftMs)),
+        attempt: this.attempts,
+        avoid: [...this.avoid],
+      },
+      stop.signal,
+    );
+    let taken = false;
+    // A grant that arrives after the request was given up must go back to the owner.
+    pending.then(
+      grant => {
+        if (!taken && stop.signal.aborted) {
+          grant.release({result: 'cancelled', totalMs: 0, tokens: 0});
+        }
+      },
+      () => {},
+    );
+    try {
+      const grant = await this.untilStopped(pending, stop);
+      taken = true;
+      return grant;
+    } catch (err) {
+      throw this.afterPossibleRun(err);
+    }
+  }
+
+  /** Waits for a promise until the caller leaves or the deadline passes. */
+  private untilStopped<T>(
+    pending: Promise<T>,
+    stop: AbortController,
+  ): Promise<T> {
+    return new Promise<T>((resolve, reject) => {
+      const giveUp = (err: FailureError) => {
+        stop.abort();
+        finish(() => reject(err));
+      };
+      const onLeave = () => giveUp(new FailureError({kind: 'caller-left'}));
+      const leftMs = this.job.deadlineAtMs - this.parts.clock.nowMs();
+      const cancelTimer = this.parts.clock.after(leftMs, () =>
+        giveUp(this.deadlineWaiting()),
+      );
+      const finish = (settle: () => void) => {
+        cancelTimer();
+        this.caller.removeEventListener('abort', onLeave);
+        settle();
+      };
+      if (this.caller.aborted) return onLeave();
+      this.caller.addEventListener('abort', onLeave, {once: true});
+      pending.then(
+        value => finish(() => resolve(value)),
+        err => finish(() => reject(err)),
+      );
+    });
+  }
+
+  private sleep(ms: number): Promise<void> {
+    let wake: () => void;
+    const slept = new Promise<void>(resolve => (wake = resolve));
+    const cancel = this.parts.clock.after(ms, () => wake());
+    return this.untilStopped(slept, new AbortController()).finally(cancel);
+  }
+
+  private deadlineWaiting(): FailureError {
+    const decision = decideAttempt(
+      {kind: 'deadline', dispatched: false, relayed: false},
+      {
+        idempotent: this.job.admitted.idempotent,
+        resumable: false,
+        mayHaveRun: this.mayHaveRun,
+        mayRetry: () => false,
+      },
+    );
+    return this.refused(
+      decision.kind === 'refuse' ? decision.reason : 'outcome-unknown',
+    );
+  }
+
+  /** Refusals of the dispatcher say `not-run`, which is not true after an attempt that may have run. */
+  private afterPossibleRun(err: unknown): unknown {
+    if (!this.mayHaveRun || !(err instanceof FailureError)) return err;
+    const {failure} = err;
+    if (failure.kind !== 'refused') return err;
+    const reason: RefusalReason = failure.reason.startsWith('deadline')
+      ? 'deadline-exceeded-running'
+      : 'retries-exhausted';
+    return new FailureError(
+      {...failure, reason, execution: 'unknown'},
+      {cause: err},
+    );
+  }
+
+  private refused(reason: RefusalReason): FailureError {
+    return new FailureError({
+      kind: 'refused',
+      reason,
+      execution: this.mayHaveRun ? 'unknown' : undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/request/attempt-run.ts
@@ -0,0 +1,328 @@
+import type {
+  TargetAnswer,
+  TargetClient,
+} from '../connection/target/target-client.js';
+import {FailureError} from '../process/errors/catalogue.js';
+import type {AttemptDecision, Observation} from './attempt.js';
+import type {AttemptParts, Job, StopReason} from './attempt-loop.js';
+import type {Grant} from './dispatcher.js';
+import {Relay} from './relay.js';
+import type {AttemptOutcome} from './scheduler/types.js';
+
+/** Greatest number of resumptions of one stream. */
+const maxResumes = 3;
+/** Unread rest of an answer that is read to keep its connection, in bytes. */
+const maxDiscardBytes = 64 * 1024;
+
+/** A recorded answer is still wanted after the caller left, so that a resend can get it. */
+const neverAborted = new AbortController().signal;
+
+/** One attempt. */
+export interface AttemptRun {
+  readonly grant: Grant;
+  readonly attemptId: string;
+  readonly caller: AbortSignal;
+  /** Decides by the failure table. */
+  readonly decide: (seen: Observation, resumable: boolean) => AttemptDecision;
+}
+
+/** How an attempt ended. */
+export interface AttemptEnd {
+  readonly decision: AttemptDecision;
+  readonly relay: Relay;
+  /** Whether the target may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** Whether the attempt certainly does not run any more. */
+  readonly ended: boolean;
+}
+
+/**
+ * Sends a request to the granted target and relays its answer, resuming the stream if it breaks.
+ * Returns the permit in every case.
+ *
+ * @param parts - Parts of the process.
+ * @param job - Request.
+ * @param run - Grant and attempt id.
+ * @returns What follows.
+ * @throws {@link FailureError} of kind `caller-left`.
+ */
+export function runAttempt(
+  parts: AttemptParts,
+  job: Job,
+  run: AttemptRun,
+): Promise<AttemptEnd> {
+  return new SingleAttempt(parts, job, run).run();
+}
+
+class SingleAttempt {
+  private readonly client: TargetClient;
+  private readonly relay: Relay;
+  private readonly stop = new AbortController();
+  private stopReason: StopReason | undefined;
+  private readonly startMs: number;
+  private result: AttemptOutcome['result'] = 'broken';
+  private mayHaveRun = true;
+  private ended = true;
+  private resumes = 0;
+
+  constructor(
+    private readonly parts: AttemptParts,
+    private readonly job: Job,
+    private readonly attempt: AttemptRun,
+  ) {
+    const {type} = job.admitted.service.spec;
+    this.client = parts.client(attempt.grant.target, type);
+    this.startMs = parts.clock.nowMs();
+    this.relay = new Relay({
+      clock: parts.clock,
+      sink: job.sink,
+      model: type === 'model',
+      record: job.record,
+      onProgress: (tokens, firstTokenMs) =>
+        attempt.grant.progress(tokens, firstTokenMs),
+    });
+  }
+
+  async run(): Promise<AttemptEnd> {
+    const {grant, attemptId} = this.attempt;
+    const {crashEvidence, clock} = this.parts;
+    const caller = this.job.record ? neverAborted : this.attempt.caller;
+    const onLeave = () => this.giveUp('caller-left');
+    const onPreempt = () => this.giveUp('preempted');
+    const cancelTimer = clock.after(this.job.deadlineAtMs - this.startMs, () =>
+      this.giveUp('deadline'),
+    );
+    caller.addEventListener('abort', onLeave, {once: true});
+    // A run that must not be repeated is not given up for a higher tier.
+    if (this.job.admitted.idempotent) {
+      grant.preempted.addEventListener('abort', onPreempt, {once: true});
+      if (grant.preempted.aborted) onPreempt();
+    }
+    if (caller.aborted) onLeave();
+    crashEvidence.started(grant.target.name, attemptId, this.job.fingerprints);
+    try {
+      const decision = await this.perform();
+      return {
+        decision,
+        relay: this.relay,
+        mayHaveRun: this.mayHaveRun,
+        ended: this.ended,
+      };
+    } finally {
+      cancelTimer();
+      caller.removeEventListener('abort', onLeave);
+      grant.preempted.removeEventListener('abort', onPreempt);
+      this.release();
+    }
+  }
+
+  private giveUp(reason: StopReason): void {
+    this.stopReason ??= reason;
+    this.stop.abort();
+  }
+
+  private async perform(): Promise<AttemptDecision> {
+    const {admitted, method, headers, body} = this.job;
+    let answer: TargetAnswer;
+    try {
+      answer = await this.client.send(
+        {
+          attemptId: this.attempt.attemptId,
+          method,
+          path: admitted.targetPath,
+          headers,
+          body,
+          idempotent: admitted.idempotent,
+        },
+        this.stop.signal,
+      );
+    } catch (err) {
+      return this.afterFailure(toFailure(err), false);
+    }
+    const decision = this.readHead(answer);
+    if (decision.kind !== 'relay') {
+      discard(answer);
+      return decision;
+    }
+    return this.relayAnswer(answer);
+  }
+
+  private readHead(answer: TargetAnswer): AttemptDecision {
+    const {status} = answer;
+    const notRun = answer.headers['x-execution'] === 'not-run';
+    if (status === 429 || (status === 503 && notRun)) {
+      this.mayHaveRun = false;
+      this.result = 'busy';
+      return this.attempt.decide({kind: 'busy', status}, false);
+    }
+    this.result = status >= 500 ? 'failed' : 'ok';
+    return this.attempt.decide({kind: 'answer', status}, false);
+  }
+
+  private async relayAnswer(answer: TargetAnswer): Promise<AttemptDecision> {
+    try {
+      await this.relay.run(answer);
+      return {kind: 'relay'};
+    } catch (err) {
+      return this.afterFailure(toFailure(err), true);
+    }
+  }
+
+  private async afterFailure(
+    failure: FailureError['failure'],
+    answered: boolean,
+  ): Promise<AttemptDecision> {
+    if (this.stopReason !== undefined || failure.kind === 'caller-left') {
+      return this.afterStop(failure);
+    }
+    if (failure.kind === 'target-unreachable') {
+      this.mayHaveRun = false;
+      this.result = 'not-started';
+      if (failure.reason === 'ECONNREFUSED') this.reportDeath();
+      return this.attempt.decide({kind: 'not-started'}, false);
+    }
+    this.result = 'broken';
+    const {grant} = this.attempt;
+    this.parts.logger.event('attemptFailed', {
+      request: this.job.admitted.id,
+      target: grant.target.name,
+      kind: failure.kind,
+    });
+    const relayed = this.job.sink.started;
+    const seen: Observation =
+      answered || this.resumes > 0
+        ? {kind: 'broken', relayed}
+        : {kind: 'no-answer'};
+    const resumable =
+      this.client.resumable &&
+      this.job.stream &&
+      this.relay.aligned &&
+      this.resumes < maxResumes &&
+      failure.kind !== 'target-resume-refused';
+    const decision = this.attempt.decide(seen, resumable);
+    if (decision.kind === 'resume') return this.resume();
+    if (await this.client.isDown()) {
+      this.result = 'crashed';
+      this.reportDeath();
+    } else {
+      await this.confirmEnd();
+    }
+    if (decision.kind === 'break') this.job.sink.breakOff('answer-broken');
+    return decision;
+  }
+
+  private async resume(): Promise<AttemptDecision> {
+    this.resumes++;
+    let answer: TargetAnswer;
+    try {
+      answer = await this.client.resume(
+        this.attempt.attemptId,
+        this.relay.events,
+        this.stop.signal,
+      );
+    } catch (err) {
+      const {failure} = asFailureError(err);
+      const target = this.attempt.grant.target.name;
+      return this.afterFailure(
+        failure.kind === 'caller-left'
+          ? failure
+          : {kind: 'target-resume-refused', target, status: 0},
+        true,
+      );
+    }
+    this.parts.metrics.retry('resumed');
+    this.result = 'ok';
+    return this.relayAnswer(answer);
+  }
+
+  private async afterStop(
+    failure: FailureError['failure'],
+  ): Promise<AttemptDecision> {
+    const reason = this.stopReason ?? 'caller-left';
+    const relayed = this.job.sink.started;
+    const started = failure.kind !== 'target-unreachable';
+    this.mayHaveRun = started;
+    this.result = 'cancelled';
+    if (started) await this.confirmEnd();
+    if (reason === 'caller-left') {
+      throw new FailureError({kind: 'caller-left'});
+    }
+    const decision = this.attempt.decide(
+      reason === 'preempted'
+        ? {kind: 'preempted', relayed}
+        : {kind: 'deadline', dispatched: started, relayed},
+      false,
+    );
+    if (decision.kind === 'break') {
+      this.job.sink.breakOff(
+        reason === 'preempted' ? 'preempted' : 'deadline-exceeded-running',
+      );
+    }
+    return decision;
+  }
+
+  /** Stops an attempt at the engine. A plain service ends a request with its connection. */
+  private async confirmEnd(): Promise<void> {
+    if (!this.client.resumable) return;
+    this.ended =
+      (await this.client.cancel(this.attempt.attemptId)) ||
+      (await this.client.isDown());
+  }
+
+  private reportDeath(): void {
+    const {crashEvidence, clock, logger} = this.parts;
+    const target = this.attempt.grant.target.name;
+    if (this.result === 'not-started') {
+      // This attempt did not reach the target, so it cannot have crashed it.
+      crashEvidence.ended(
+        target,
+        this.attempt.attemptId,
+        'other',
+        clock.wallMs(),
+      );
+    }
+    const suspects = crashEvidence.targetDied(target, clock.wallMs());
+    if (suspects > 0) logger.event('targetCrashed', {target, suspects});
+  }
+
+  private release(): void {
+    const {clock, crashEvidence} = this.parts;
+    const {grant, attemptId} = this.attempt;
+    const how =
+      this.result === 'ok'
+        ? 'completed'
+        : this.result === 'broken'
+          ? 'broken'
+          : 'other';
+    crashEvidence.ended(grant.target.name, attemptId, how, clock.wallMs());
+    grant.release({
+      result: this.result,
+      firstTokenMs: this.relay.firstTokenMs,
+      totalMs: clock.nowMs() - this.startMs,
+      tokens: this.relay.firstTokenMs === undefined ? 0 : this.relay.tokens,
+      cachedTokens: this.relay.cachedTokens,
+    });
+  }
+}
+
+/** Programming errors are not failures of the target and pass through. */
+function asFailureError(err: unknown): FailureError {
+  if (err instanceof FailureError) return err;
+  throw err;
+}
+
+function toFailure(err: unknown): FailureError['failure'] {
+  if (err instanceof FailureError) return err.failure;
+  const unexpected =
+    err instanceof TypeError ||
+    err instanceof RangeError ||
+    err instanceof ReferenceError;
+  if (unexpected) throw err;
+  return {kind: 'target-stream-broken', target: '', bytes: 0};
+}
+
+function discard({headers, body}: TargetAnswer): void {
+  const length = Number(headers['content-length'] ?? Infinity);
+  if (length <= maxDiscardBytes) body.resume();
+  else body.destroy();
+}
--- /dev/null
+++ b/src/request/config-index.ts
@@ -0,0 +1,97 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {ConfigState} from '../version/config-state.js';
+import type {
+  OrganisationKey,
+  Resource,
+  ResourceKind,
+} from '../version/resources/kinds.js';
+
+/** Owner of a caller's key. */
+export interface KeyOwner {
+  readonly organisation: Resource<'organisation'>;
+  readonly key: OrganisationKey;
+}
+
+interface IndexedKey extends KeyOwner {
+  readonly digest: Buffer;
+}
+
+/** Look-ups that admission needs, made once for each change of the configuration. */
+export class ConfigIndex {
+  private readonly keys = new Map<string, IndexedKey>();
+  private readonly models = new Map<string, Resource<'service'>>();
+
+  /**
+   * @param resources - Resources of one configuration.
+   */
+  constructor(resources: ConfigState['resources']) {
+    for (const resource of resources.values()) {
+      if (isKind(resource, 'organisation')) this.addKeys(resource);
+      if (isKind(resource, 'service') && resource.spec.type === 'model') {
+        const model = resource.spec.model ?? resource.name;
+        if (!this.models.has(model)) this.models.set(model, resource);
+      }
+    }
+  }
+
+  /**
+   * Finds the owner of a key. The index is searched by a part of the digest, which says nothing
+   * about the key; the whole digest is compared in constant time.
+   *
+   * @param token - Key as sent by the caller.
+   * @returns Organisation and key, or `undefined`.
+   */
+  findKey(token: string): KeyOwner | undefined {
+    const digest = createHash('sha256').update(token).digest();
+    const found = this.keys.get(indexPart(digest));
+    return found && timingSafeEqual(found.digest, digest) ? found : undefined;
+  }
+
+  /**
+   * Finds the service of a model.
+   *
+   * @param model - Value of `model` in a request.
+   * @returns The service, or `undefined`.
+   */
+  findModel(model: string): Resource<'service'> | undefined {
+    return this.models.get(model);
+  }
+
+  private addKeys(organisation: Resource<'organisation'>): void {
+    for (const key of organisation.spec.keys) {
+      const digest = Buffer.from(key.sha256, 'hex');
+      // A malformed digest must not become a key that a caller can match.
+      if (digest.length !== 32) continue;
+      this.keys.set(indexPart(digest), {organisation, key, digest});
+    }
+  }
+}
+
+const indexes = new WeakMap<ConfigState['resources'], ConfigIndex>();
+
+/**
+ * Index of a configuration. It is made at the first use after a change and kept with the
+ * configuration.
+ *
+ * @param state - Configuration.
+ * @returns Its index.
+ */
+export function indexOf(state: ConfigState): ConfigIndex {
+  let index = indexes.get(state.resources);
+  if (!index) {
+    index = new ConfigIndex(state.resources);
+    indexes.set(state.resources, index);
+  }
+  return index;
+}
+
+function indexPart(digest: Buffer): string {
+  return digest.toString('base64', 0, 16);
+}
+
+function isKind<K extends ResourceKind>(
+  resource: Resource,
+  kind: K,
+): resource is Resource<K> {
+  return resource.kind === kind;
+}
--- /dev/null
+++ b/src/request/prompt.ts
@@ -0,0 +1,89 @@
+import {FailureError} from '../process/errors/catalogue.js';
+
+/** Characters of a token on average; only for estimates. */
+const charsPerToken = 4;
+
+/** What the scheduler needs to know of a completion request. */
+export interface CompletionRequest {
+  readonly model: string;
+  readonly stream: boolean;
+  /** Bound of generated tokens, if stated. */
+  readonly maxTokens?: number;
+  /** Text of the prompt. */
+  readonly prompt: string;
+  /** Estimate of the prompt's length in tokens, at least 1. */
+  readonly promptTokens: number;
+}
+
+/**
+ * Reads the body of a completion request in the OpenAI form. Only what scheduling needs is checked;
+ * the engine checks the rest.
+ *
+ * @param body - Body as received.
+ * @returns Its relevant parts.
+ * @throws {@link FailureError} of kind `refused` with reason `malformed-request`.
+ */
+export function readCompletion(body: Buffer): CompletionRequest {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString('utf8'));
+  } catch {
+    throw malformed('the body is not JSON');
+  }
+  if (!isObject(value)) throw malformed('the body is not a JSON object');
+  if (typeof value['model'] !== 'string') {
+    throw malformed('"model" is not a string');
+  }
+  const prompt = readPrompt(value);
+  return {
+    model: value['model'],
+    stream: value['stream'] === true,
+    maxTokens: readBound(value['max_completion_tokens'] ?? value['max_tokens']),
+    prompt,
+    promptTokens: Math.max(1, Math.ceil(prompt.length / charsPerToken)),
+  };
+}
+
+function readPrompt(value: Record<string, unknown>): string {
+  const {messages, prompt} = value;
+  if (!Array.isArray(messages)) return readText(prompt);
+  return messages
+    .filter(isObject)
+    .map(
+      message =>
+        `${readText(message['role'])}\n${readText(message['content'])}\n`,
+    )
+    .join('');
+}
+
+function readText(value: unknown): string {
+  if (typeof value === 'string') return value;
+  if (!Array.isArray(value)) return '';
+  return value
+    .map(part =>
+      typeof part === 'string'
+        ? part
+        : isObject(part) && typeof part['text'] === 'string'
+          ? part['text']
+          : '',
+    )
+    .join('');
+}
+
+function readBound(value: unknown): number | undefined {
+  return typeof value === 'number' && Number.isSafeInteger(value) && value > 0
+    ? value
+    : undefined;
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function malformed(detail: string): FailureError {
+  return new FailureError({
+    kind: 'refused',
+    reason: 'malformed-request',
+    detail,
+  });
+}
--- a/src/request/refusals.ts
+++ b/src/request/refusals.ts
@@ -176,6 +176,12 @@
     retryable: true,
     execution: notRun,
   },
+  'internal-error': {
+    status: 500,
+    title: 'Unexpected error in the host',
+    retryable: false,
+    execution: unknown,
+  },
   overloaded: {
     status: 503,
     title: 'Host is overloaded',
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -1,40 +1,45 @@
+import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
 import {RouteHandler} from '../connection/caller/caller-server.js';
+import {requestHeaders} from '../connection/caller/headers.js';
+import {HttpAnswerSink} from '../connection/caller/http-answer-sink.js';
 import {sendProblem} from '../connection/caller/problem.js';
-import type {TargetClient} from '../connection/target/target-client.js';
-import type {Clock} from '../process/clock.js';
+import {readBody} from '../connection/caller/request-body.js';
 import {FailureError} from '../process/errors/catalogue.js';
-import type {Metrics} from '../process/metrics.js';
 import type {ConfigState} from '../version/config-state.js';
-import {admit, type Admitted} from './admission.js';
-import type {Dispatcher, Grant} from './dispatcher.js';
+import {admit, authenticate, type Admitted} from './admission.js';
+import {
+  AttemptLoop,
+  type AttemptParts,
+  type Job,
+  type JobEnd,
+} from './attempt-loop.js';
+import type {ClaimGate, ClaimToken} from './claim-gate.js';
+import type {CostEstimator} from './cost-estimator.js';
+import type {PrefixHasher} from './prefix-hashes.js';
+import {readCompletion, type CompletionRequest} from './prompt.js';
+import {refusals, type RefusalReason} from './refusals.js';
 
 /** Parts that the request path uses. */
-export interface RequestParts {
+export interface RequestParts extends AttemptParts {
   readonly host: string;
-  readonly clock: Clock;
-  readonly metrics: Metrics;
-  readonly dispatcher: Dispatcher;
   readonly config: () => ConfigState;
-  readonly client: (target: Grant['target']) => TargetClient;
+  readonly claims: ClaimGate;
+  readonly costs: CostEstimator;
+  /** Hashes prompts; no prefixes are known before it is loaded. */
+  readonly prefixes: () => PrefixHasher | undefined;
   readonly maxBodyBytes: number;
 }
 
-const hopByHop = new Set([
-  'connection',
-  'host',
-  'keep-alive',
-  'transfer-encoding',
-  'content-length',
-  'authorization',
-  'expect',
-  'upgrade',
-  'te',
-  'trailer',
-]);
-
-/** Serves callers' requests: admission, dispatch, relay of the answer. */
+/** A request while it is served; filled in as far as serving has come. */
+interface Serving {
+  admitted?: Admitted;
+}
+
+/** Time after which a caller may ask for the answer of a running request, in milliseconds. */
+const inProgressRetryMs = 1000;
+
+/** Serves callers' requests: admission, claim, dispatch, relay of the answer. */
 export class RequestHandler extends RouteHandler {
   /**
    * @param parts - Parts of the process.
@@ -51,131 +56,225 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    const serving: Serving = {};
     try {
-      await this.serve(req, res);
+      await this.serve(req, res, serving);
     } catch (err) {
       if (!(err instanceof FailureError)) throw err;
-      if (res.headersSent) {
-        res.destroy();
-        return;
-      }
-      const failure = err.failure;
-      const reason =
-        failure.kind === 'refused' ? failure.reason : 'outcome-unknown';
-      this.parts.metrics.refusal(reason);
-      sendProblem(res, reason);
+      this.answerFailure(err.failure, res, serving.admitted);
     }
   }
 
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
+    serving: Serving,
   ): Promise<void> {
-    const {clock, config, dispatcher, metrics} = this.parts;
+    const {clock, config, maxBodyBytes} = this.parts;
     const startMs = clock.nowMs();
-    const body = await this.readBody(req);
+    const caller = new AbortController();
+    res.once('close', () => caller.abort());
     const head = {
       method: req.method ?? 'GET',
       url: req.url ?? '/',
-      headers: req.headers,
+      headers: req.headersDistinct,
     };
-    const admitted = admit(config(), head, readModel(head.url, body));
-    const caller = new AbortController();
-    res.once('close', () => caller.abort());
-    const grant = await dispatcher.acquire(
-      this.toQueued(admitted),
-      caller.signal,
-    );
-    const sentMs = clock.nowMs();
-    let firstMs = sentMs;
+    // Strangers are refused before their body is read into memory.
+    authenticate(config(), head);
+    const body = await readBody(req, maxBodyBytes);
+    const completion =
+      head.url.startsWith('/v1/') && head.method === 'POST'
+        ? readCompletion(body)
+        : undefined;
+    const admitted = admit(config(), head, completion?.model);
+    serving.admitted = admitted;
+    const keyed = admitted.key !== undefined && !admitted.idempotent;
+    const job: Job = {
+      admitted,
+      queued: this.toQueued(admitted, completion),
+      method: head.method,
+      headers: requestHeaders(head.headers),
+      body,
+      stream: completion?.stream ?? false,
+      deadlineAtMs: startMs + admitted.timeoutMs,
+      fingerprints: toFingerprints(admitted, head.method, body),
+      sink: new HttpAnswerSink(res, keyed),
+      record: keyed,
+    };
+    const end = keyed
+      ? await this.runClaimed(job, caller.signal)
+      : await this.runLoop(job, caller.signal);
+    if (end) this.finished(job, end, startMs);
+  }
+
+  private runLoop(job: Job, caller: AbortSignal): Promise<JobEnd> {
+    return new AttemptLoop(this.parts, job, caller).run();
+  }
+
+  /** Runs a keyed non-idempotent request at most once. */
+  private async runClaimed(
+    job: Job,
+    caller: AbortSignal,
+  ): Promise<JobEnd | undefined> {
+    const {claims} = this.parts;
+    const result = await claims.claim({
+      scopeKey: scopeKeyOf(job.admitted),
+      requestHash: hash(job.method, job.admitted.targetPath, job.body),
+      requestId: job.admitted.id,
+    });
+    switch (result.kind) {
+      case 'granted':
+        return this.runGranted(job, result.token, caller);
+      case 'answered': {
+        const {status, headers, body} = result.answer;
+        job.sink.head(status, {...headers, 'idempotency-replayed': 'true'});
+        if (body.length > 0) await job.sink.write(body);
+        job.sink.end();
+        return undefined;
+      }
+      case 'unknown':
+        throw refused('outcome-unknown');
+      case 'in-progress':
+        throw refused('key-in-progress', inProgressRetryMs);
+      case 'mismatch':
+        throw refused('key-reused');
+      case 'expired':
+        throw refused('key-expired');
+    }
+  }
+
+  private async runGranted(
+    job: Job,
+    token: ClaimToken,
+    caller: AbortSignal,
+  ): Promise<JobEnd> {
+    const {claims} = this.parts;
+    let end: JobEnd;
     try {
-      const answer = await this.parts.client(grant.target).send(
-        {
-          attemptId: admitted.id,
-          method: head.method,
-          path: admitted.targetPath,
-          headers: forwardHeaders(req),
-          body,
-        },
-        caller.signal,
-      );
-      firstMs = clock.nowMs();
-      res.writeHead(answer.status, answer.headers);
-      await pipeline(answer.body, res);
-      metrics.answered(
-        admitted.tier,
-        firstMs - startMs,
-        clock.nowMs() - startMs,
-      );
-      grant.release({
-        result: 'ok',
-        firstTokenMs: firstMs - sentMs,
-        totalMs: clock.nowMs() - sentMs,
-        tokens: 1,
-      });
+      end = await this.runLoop(job, caller);
     } catch (err) {
-      grant.release({
-        result: 'failed',
-        totalMs: clock.nowMs() - sentMs,
-        tokens: 0,
-      });
-      if (err instanceof FailureError) throw err;
+      if (isCertainlyNotRun(err)) claims.release(token);
+      else claims.finish(token, undefined);
+      throw err;
+    }
+    const {relay, whole} = end;
+    const body = whole ? relay.recorded : undefined;
+    claims.finish(
+      token,
+      body && relay.status !== undefined
+        ? {status: relay.status, headers: relay.headers, body}
+        : undefined,
+    );
+    return end;
+  }
+
+  private finished(job: Job, end: JobEnd, startMs: number): void {
+    const {clock, costs, logger, metrics} = this.parts;
+    const {id, organisation, service, tier} = job.admitted;
+    const fields = {request: id, organisation, tier, service: service.name};
+    if (!end.whole) {
+      logger.event('answerBroken', fields);
+      return;
+    }
+    const totalMs = clock.nowMs() - startMs;
+    const {firstByteAtMs, status, tokens} = end.relay;
+    metrics.answered(tier, (firstByteAtMs ?? clock.nowMs()) - startMs, totalMs);
+    if (service.spec.type === 'model' && status === 200) {
+      costs.record(organisation, service.name, tokens);
+    }
+    logger.event('requestFinished', {...fields, status, totalMs});
+  }
+
+  private answerFailure(
+    failure: FailureError['failure'],
+    res: ServerResponse,
+    admitted: Admitted | undefined,
+  ): void {
+    const {logger, metrics} = this.parts;
+    const fields = {
+      request: admitted?.id,
+      organisation: admitted?.organisation,
+      tier: admitted?.tier,
+    };
+    if (failure.kind === 'caller-left') {
+      logger.event('callerLeft', fields);
       res.destroy();
+      return;
     }
+    const refusal: FailureError['failure'] & {kind: 'refused'} =
+      failure.kind === 'refused'
+        ? failure
+        : {kind: 'refused', reason: 'outcome-unknown'};
+    metrics.refusal(refusal.reason, admitted?.tier);
+    logger.event('requestRefused', {...fields, reason: refusal.reason});
+    if (res.headersSent) res.destroy();
+    else sendProblem(res, refusal.reason, refusal);
   }
 
-  private toQueued(admitted: Admitted) {
+  private toQueued(
+    admitted: Admitted,
+    completion: CompletionRequest | undefined,
+  ): Job['queued'] {
+    const {organisation, service} = admitted;
     return {
       id: admitted.id,
       host: this.parts.host,
-      service: admitted.service.name,
+      service: service.name,
       route: admitted.route,
-      organisation: admitted.organisation,
+      organisation,
       weight: admitted.weight,
       tier: admitted.tier,
       idempotent: admitted.idempotent,
       timeoutMs: admitted.timeoutMs,
-      promptTokens: 1,
-      prefixes: [],
+      promptTokens: completion?.promptTokens ?? 1,
+      maxTokens:
+        completion &&
+        this.parts.costs.estimate(
+          organisation,
+          service.name,
+          completion.maxTokens,
+        ),
+      prefixes:
+        completion === undefined
+          ? []
+          : (this.parts.prefixes()?.(service.name, completion.prompt) ?? []),
       attempt: 0,
       avoid: [],
     };
   }
+}
 
-  private async readBody(req: IncomingMessage): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of req as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > this.parts.maxBodyBytes) {
-        throw new FailureError({kind: 'refused', reason: 'body-too-large'});
-      }
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
-  }
+function scopeKeyOf({organisation, service, key}: Admitted): string {
+  return `${organisation}/${service.name}/${key}`;
 }
 
-function readModel(url: string, body: Buffer): string | undefined {
-  if (!url.startsWith('/v1/')) return undefined;
-  try {
-    const parsed = JSON.parse(body.toString('utf8')) as {model?: unknown};
-    return typeof parsed.model === 'string' ? parsed.model : undefined;
-  } catch {
-    throw new FailureError({
-      kind: 'refused',
-      reason: 'malformed-request',
-      detail: 'the body is not JSON',
-    });
-  }
+function toFingerprints(
+  admitted: Admitted,
+  method: string,
+  body: Buffer,
+): string[] {
+  const {service, targetPath, key} = admitted;
+  const content = `content:${hash(method, `${service.name} ${targetPath}`, body)}`;
+  return key === undefined
+    ? [content]
+    : [content, `key:${hash(scopeKeyOf(admitted))}`];
 }
 
-function forwardHeaders(
-  req: IncomingMessage,
-): Record<string, string | string[]> {
-  const headers: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(req.headers)) {
-    if (value !== undefined && !hopByHop.has(name)) headers[name] = value;
+function hash(...parts: (string | Buffer)[]): string {
+  const sha256 = createHash('sha256');
+  for (const part of parts) sha256.update(part).update('\0');
+  return sha256.digest('base64url');
+}
+
+/** A recorded request ignores that its caller left once it was sent, so one that stopped was not sent. */
+function isCertainlyNotRun(err: unknown): boolean {
+  if (!(err instanceof FailureError) || err.failure.kind !== 'refused') {
+    return err instanceof FailureError && err.failure.kind === 'caller-left';
   }
-  return headers;
+  const {reason, execution} = err.failure;
+  return (execution ?? refusals[reason].execution) === 'not-run';
+}
+
+function refused(reason: RefusalReason, retryAfterMs?: number): FailureError {
+  return new FailureError({kind: 'refused', reason, retryAfterMs});
 }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -10,8 +10,15 @@
 import {Metrics} from './process/metrics.js';
 import type {Settings} from './process/settings.js';
 import {subscribe} from './process/subject.js';
+import type {RandomSource} from './request/backoff.js';
+import {LocalClaimGate} from './request/claim-gate.js';
+import {CostEstimator} from './request/cost-estimator.js';
+import {CrashEvidence} from './request/crash-evidence.js';
 import {LocalDispatcher} from './request/local-dispatcher.js';
+import {loadPrefixHasher, type PrefixHasher} from './request/prefix-hashes.js';
 import {RequestHandler} from './request/request-handler.js';
+import {TokenBucketRetryBudget} from './request/retry-budget.js';
+import {listResources} from './version/config-state.js';
 import {ConfigStore, configStream} from './version/config-store.js';
 
 /** Parts that a caller of {@link createHost} may replace. */
@@ -19,6 +26,8 @@
   readonly clock?: Clock;
   readonly log?: LogClient;
   readonly logger?: Logger;
+  /** Random source of the backoff between attempts. */
+  readonly random?: RandomSource;
 }
 
 /** A running entry host. */
@@ -60,25 +69,41 @@
   const store = new ConfigStore();
   const follower = new LogFollower(log, configStream, clock);
   const targets = new TargetClients();
+  let prefixHasher: PrefixHasher | undefined;
   const dispatcher = new LocalDispatcher(() => store.state);
   let ready = false;
   const server = new CallerServer(
     settings.callers,
+    {clock, logger, metrics},
     [
       new HealthHandler(metrics, () => ready),
       new RequestHandler({
         host: settings.host,
         clock,
         metrics,
+        logger,
         dispatcher,
         config: () => store.state,
-        client: target => targets.get(target),
+        client: (target, type) => targets.get(target, type),
+        random: parts.random ?? Math.random,
+        retryBudget: new TokenBucketRetryBudget(),
+        crashEvidence: new CrashEvidence(),
+        claims: new LocalClaimGate(clock, {
+          retentionMs: settings.claims.retentionMs,
+        }),
+        costs: new CostEstimator(),
+        prefixes: () => prefixHasher,
         maxBodyBytes: settings.callers.maxBodyBytes,
       }),
     ],
     new UnknownPathHandler(metrics),
   );
 
+  const unsubscribeTargets = subscribe(store.changes, ({record, state}) => {
+    if (record.kind !== 'target') return;
+    const declared = listResources(state, 'target');
+    targets.retain(new Set(declared.map(({spec}) => spec.address)));
+  });
   const unsubscribe = subscribe(follower.events, event => {
     if (event.kind !== 'records') return;
     store.post({kind: 'records', records: event.records});
@@ -88,6 +113,7 @@
   return {
     metrics,
     async start() {
+      prefixHasher = await loadPrefixHasher();
       const callersPort = await server.listen();
       follower.start(() => store.state.offset);
       logger.event('hostStarted', {callersPort});
@@ -96,9 +122,11 @@
     async stop() {
       ready = false;
       logger.event('drainStarted');
+      const broken = await server.close(settings.drainMs);
+      if (broken > 0) logger.event('drainTimedOut', {requests: broken});
       follower.stop();
       unsubscribe();
-      await server.close();
+      unsubscribeTargets();
       await targets.close();
       await ownLog?.close();
       logger.event('drainFinished');
