--- /dev/null
+++ b/test/connection/target/http-target.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {ModelEngineClient} from '../../../src/connection/target/model-engine-client.js';
+import {PlainServiceClient} from '../../../src/connection/target/plain-service-client.js';
+import type {FailureError} from '../../../src/process/errors/catalogue.js';
+
+const never = new AbortController().signal;
+const request = {
+  attemptId: 'r',
+  method: 'POST',
+  path: '/x',
+  headers: {},
+  body: Buffer.from('{}'),
+  idempotent: false,
+};
+
+async function listen(t: TestContext, onSocket: (socket: Socket) => void) {
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    onSocket(socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const stop = () => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  };
+  t.after(stop);
+  return {address: `http://127.0.0.1:${port}`, stop, sockets};
+}
+
+async function kindOf(promise: Promise<unknown>): Promise<string> {
+  const err = await promise.then(
+    () => undefined,
+    e => e as FailureError,
+  );
+  return err ? err.failure.kind : 'answered';
+}
+
+test('only a request of which no byte was written counts as not started', async t => {
+  const reset = await listen(t, socket =>
+    socket.once('data', () => socket.resetAndDestroy()),
+  );
+  const client = new PlainServiceClient('t', reset.address);
+  t.after(() => client.close());
+  assert.equal(
+    await kindOf(client.send(request, never)),
+    'target-stream-broken',
+  );
+  assert.equal(await client.isDown(), false);
+  reset.stop();
+  assert.equal(await kindOf(client.send(request, never)), 'target-unreachable');
+  assert.equal(await client.isDown(), true);
+});
+
+test('a non-idempotent call does not use a connection that the target may be closing', async t => {
+  const server = await listen(t, socket =>
+    socket.on('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok');
+    }),
+  );
+  const client = new PlainServiceClient('t', server.address);
+  t.after(() => client.close());
+  for (let i = 0; i < 3; i++) {
+    const answer = await client.send(request, never);
+    for await (const chunk of answer.body) assert.equal(String(chunk), 'ok');
+  }
+  assert.equal(server.sockets.size, 3);
+});
+
+for (const [name, head] of [
+  ['a length', 'content-length: 10'],
+  ['chunks', 'transfer-encoding: chunked'],
+] as const) {
+  test(`an answer with ${name} that breaks off is not presented as whole`, async t => {
+    const body = name === 'chunks' ? '2\r\nok\r\n' : 'ok';
+    const server = await listen(t, socket =>
+      socket.once('data', () =>
+        socket.end(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${body}`),
+      ),
+    );
+    const client = new ModelEngineClient('t', server.address);
+    t.after(() => client.close());
+    const answer = await client.send(request, never);
+    let received = '';
+    const failed = (async () => {
+      for await (const chunk of answer.body) received += String(chunk);
+    })();
+    assert.equal(await kindOf(failed), 'target-stream-broken');
+    assert.equal(received, 'ok');
+  });
+}
+
+test('a body that nobody reads pauses the target', async t => {
+  let sent = 0;
+  let blocked = () => {};
+  const full = new Promise<void>(resolve => (blocked = resolve));
+  const chunk = Buffer.alloc(1 << 16);
+  const server = await listen(t, socket =>
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n');
+      const pump = () => {
+        while (socket.write(chunk)) sent += chunk.length;
+        sent += chunk.length;
+        socket.once('drain', pump);
+        if (sent > 64 << 20) blocked();
+        clearTimeout(timer);
+        timer = setTimeout(blocked, 200);
+      };
+      let timer = setTimeout(blocked, 200);
+      pump();
+    }),
+  );
+  const client = new ModelEngineClient('t', server.address);
+  t.after(() => client.close());
+  const answer = await client.send(request, never);
+  await full;
+  assert.ok(answer.body.readableLength <= 1 << 18);
+  assert.ok(sent < 64 << 20, `${sent} bytes were taken`);
+  answer.body.destroy();
+});
+
+test('giving a request up closes its connection', async t => {
+  let closed: Promise<unknown> | undefined;
+  const stop = new AbortController();
+  const server = await listen(t, socket => {
+    closed = once(socket, 'close');
+    socket.once('data', () => stop.abort());
+  });
+  const client = new ModelEngineClient('t', server.address);
+  t.after(() => client.close());
+  assert.equal(
+    await kindOf(client.send(request, stop.signal)),
+    'target-stream-broken',
+  );
+  await closed;
+});
