--- a/src/request/admission.ts
+++ b/src/request/admission.ts
@@ -35,7 +35,11 @@
 }
 
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
-const modelPaths = new Set(['/v1/chat/completions', '/v1/completions']);
+/** Paths of model services. */
+export const modelPaths: ReadonlySet<string> = new Set([
+  '/v1/chat/completions',
+  '/v1/completions',
+]);
 const dotSegment = /(?:\/|%2f|\\|%5c)(?:\.|%2e){1,2}(?:\/|%2f|\\|%5c|$)/i;
 const servicePath = /^\/services\/([a-z0-9-]+)(\/.*)?$/;
 
--- a/src/request/local-dispatcher.ts
+++ b/src/request/local-dispatcher.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '../process/clock.js';
 import {FailureError} from '../process/errors/catalogue.js';
 import {
   getResource,
@@ -11,15 +12,24 @@
   TargetView,
 } from './scheduler/types.js';
 
+/** Time for which an unreachable target is passed over, in milliseconds. */
+const downMs = 1000;
+
 /** Picks the target with the fewest requests of this host; knows nothing of other hosts. */
 export class LocalDispatcher extends Dispatcher {
   private readonly inFlight = new Map<string, number>();
+  /** Time until which a target that could not be reached is passed over. */
+  private readonly downUntilMs = new Map<string, number>();
   private sequence = 0;
 
   /**
    * @param config - Returns the current configuration.
+   * @param clock - Clock of the process.
    */
-  constructor(private readonly config: () => ConfigState) {
+  constructor(
+    private readonly config: () => ConfigState,
+    private readonly clock: Clock,
+  ) {
     super();
   }
 
@@ -33,16 +43,29 @@
       cachedTokens: 0,
       preempted: new AbortController().signal,
       progress: () => {},
-      release: (_outcome: AttemptOutcome) => {
+      release: (outcome: AttemptOutcome) => {
         this.inFlight.set(target.name, this.load(target) - 1);
+        this.observe(target, outcome);
       },
     };
   }
 
   private pick(req: QueuedRequest): TargetView | undefined {
+    const nowMs = this.clock.nowMs();
+    const isDown = ({name}: TargetView) =>
+      Number((this.downUntilMs.get(name) ?? 0) > nowMs);
     return this.usableTargets(req)
       .filter(target => this.load(target) < target.maxConcurrency)
-      .sort((a, b) => this.load(a) - this.load(b))[0];
+      .sort(
+        (a, b) => isDown(a) - isDown(b) || this.load(a) - this.load(b),
+      )[0];
+  }
+
+  /** An unreachable target has no load, so without this it would attract every request. */
+  private observe({name}: TargetView, {result}: AttemptOutcome): void {
+    if (result === 'not-started' || result === 'crashed') {
+      this.downUntilMs.set(name, this.clock.nowMs() + downMs);
+    }
   }
 
   private load(target: TargetView): number {
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -7,7 +7,7 @@
 import {readBody} from '../connection/caller/request-body.js';
 import {FailureError} from '../process/errors/catalogue.js';
 import type {ConfigState} from '../version/config-state.js';
-import {admit, authenticate, type Admitted} from './admission.js';
+import {admit, authenticate, modelPaths, type Admitted} from './admission.js';
 import {
   AttemptLoop,
   type AttemptParts,
@@ -83,7 +83,7 @@
     authenticate(config(), head);
     const body = await readBody(req, maxBodyBytes);
     const completion =
-      head.url.startsWith('/v1/') && head.method === 'POST'
+      modelPaths.has(head.url.split('?', 1)[0]) && head.method === 'POST'
         ? readCompletion(body)
         : undefined;
     const admitted = admit(config(), head, completion?.model);
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -70,7 +70,7 @@
   const follower = new LogFollower(log, configStream, clock);
   const targets = new TargetClients();
   let prefixHasher: PrefixHasher | undefined;
-  const dispatcher = new LocalDispatcher(() => store.state);
+  const dispatcher = new LocalDispatcher(() => store.state, clock);
   let ready = false;
   const server = new CallerServer(
     settings.callers,
--- /dev/null
+++ b/test/connection/caller/caller-server.test.ts
@@ -0,0 +1,291 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
+import {
+  CallerServer,
+  RouteHandler,
+} from '../../../src/connection/caller/caller-server.js';
+import {HealthHandler} from '../../../src/connection/caller/health-handler.js';
+import {HttpAnswerSink} from '../../../src/connection/caller/http-answer-sink.js';
+import {answerHeaders} from '../../../src/connection/caller/headers.js';
+import {readBody} from '../../../src/connection/caller/request-body.js';
+import {UnknownPathHandler} from '../../../src/connection/caller/unknown-path-handler.js';
+import {SystemClock} from '../../../src/process/clock.js';
+import {Logger} from '../../../src/process/logger.js';
+import {Metrics} from '../../../src/process/metrics.js';
+import {checkSettings} from '../../../src/process/settings.js';
+import {EngineServer} from '../../../stand-ins/index.js';
+import {authorization, startHosts} from '../../request/fixtures.js';
+
+const auth = `authorization: ${authorization}\r\n`;
+
+/** Sends bytes and reads until the peer closes; a half-close follows if `end` is set. */
+async function exchange(port: number, data: Buffer | string, end = false) {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', chunk => (received += chunk.toString('latin1')));
+  socket.on('error', () => {});
+  const closed = once(socket, 'close');
+  socket.write(data);
+  if (end) socket.end();
+  await closed;
+  return received;
+}
+
+async function untilIdle(count: () => Promise<number>, want: number) {
+  while ((await count()) > want) await new Promise(r => setImmediate(r));
+}
+
+class TestHandler extends RouteHandler {
+  readonly serving: {req: IncomingMessage; res: ServerResponse}[] = [];
+  arrived: () => void = () => {};
+
+  override matches(path: string): boolean {
+    return path === '/test';
+  }
+
+  override async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.headers['x-fault']) throw new Error('programming error');
+    await readBody(req, 1024);
+    this.serving.push({req, res});
+    this.arrived();
+  }
+}
+
+async function startServer(t: TestContext, callers = {}) {
+  const cfg = checkSettings({
+    host: 'h',
+    fleet: 'f',
+    zone: 'a',
+    region: 'r',
+    callers: {address: '127.0.0.1', port: 0, ...callers},
+    peers: {address: '127.0.0.1', port: 0, tls: {mode: 'plain'}},
+    platform: {logUrl: 'http://127.0.0.1:1'},
+  }).callers;
+  const metrics = new Metrics();
+  const handler = new TestHandler();
+  const logger = Logger.create('silent');
+  const server = new CallerServer(
+    cfg,
+    {clock: new SystemClock(), logger, metrics},
+    [new HealthHandler(metrics, () => true), handler],
+    new UnknownPathHandler(metrics),
+  );
+  const port = await server.listen();
+  t.after(() => server.close(0));
+  const arrival = () => new Promise<void>(r => (handler.arrived = r));
+  return {server, port, handler, metrics, arrival};
+}
+
+test('malformed bytes on raw sockets end in 4xx or a close, and leak no connection', async t => {
+  const engine = new EngineServer();
+  await engine.listen();
+  const fleet = await startHosts({
+    targets: [{service: 'chat', address: engine.address}],
+    callers: {maxBodyBytes: 2048, maxHeaderBytes: 2048},
+  });
+  t.after(async () => {
+    await fleet.stop();
+    await engine.close();
+  });
+  const {port} = fleet.hosts[0];
+  const head = fc.constantFrom(
+    'POST /v1/chat/completions HTTP/1.1\r\n',
+    'GET /services/orders/x HTTP/1.1\r\n',
+    'POST /services/%00/x HTTP/1.1\r\n',
+    'BREW / HTTP/1.1\r\n',
+    'POST /v1/completions HTTP/9.9\r\n',
+    'CONNECT a:1 HTTP/1.1\r\n',
+    '\r\n\r\n',
+  );
+  const field = fc.oneof(
+    fc.constantFrom(
+      'host: h\r\n',
+      auth,
+      'content-length: 5\r\n',
+      'content-length: -1\r\n',
+      'content-length: 99999999\r\n',
+      'transfer-encoding: chunked\r\n',
+      'transfer-encoding: gzip\r\n',
+      'expect: 100-continue\r\n',
+      'expect: other\r\n',
+      'upgrade: x\r\nconnection: upgrade\r\n',
+      'request-timeout-ms: -1\r\n',
+      'idempotency-key: "\r\n',
+      `x: ${'y'.repeat(3000)}\r\n`,
+      ': \r\n',
+      'bad header\r\n',
+      'a: \0\r\n',
+    ),
+    fc.string({maxLength: 20}).map(s => `x: ${s}\r\n`),
+  );
+  const body = fc.oneof(
+    fc.constantFrom(
+      '{"model":"chat"',
+      '5\r\nhello\r\n0\r\n\r\n',
+      'zz\r\n',
+      'ffffffffffffffffff\r\n',
+      '[]',
+    ),
+    fc.uint8Array({maxLength: 64}).map(b => Buffer.from(b).toString('latin1')),
+  );
+  const message = fc
+    .tuple(head, fc.array(field, {maxLength: 5}), body)
+    .map(([h, fields, b]) => `${h}${fields.join('')}\r\n${b}`);
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(message, {minLength: 1, maxLength: 3}),
+      async messages => {
+        const data = Buffer.from(messages.join(''), 'latin1');
+        const text = await exchange(port, data, true);
+        const statuses = text.match(/^HTTP\/1\.1 \d{3}/gm) ?? [];
+        for (const status of statuses) assert.match(status, / (4\d\d|100)$/);
+      },
+    ),
+    {seed: 20260102, numRuns: 400},
+  );
+  const probe = await exchange(
+    port,
+    'GET /healthz HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n',
+  );
+  assert.match(probe, /^HTTP\/1\.1 200 /);
+  assert.equal(engine.executions.length, 0);
+});
+
+for (const [name, data, reason] of [
+  ['garbage', 'nonsense\r\n\r\n', 'malformed-request'],
+  ['a long head', `GET / HTTP/1.1\r\nx: ${'y'.repeat(2000)}`, 'headers-too-large'],
+  [
+    'a bad chunk',
+    'POST /test HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+    'malformed-request',
+  ],
+  ['a request that never ends', 'POST /test HTTP/1.1\r\nhost: h\r\n', 'request-timeout'],
+] as const) {
+  test(`${name} gets a typed refusal, is counted and does not leak its connection`, async t => {
+    const {server, port, metrics} = await startServer(t, {
+      maxHeaderBytes: 1024,
+      headersTimeoutMs: 100,
+      requestTimeoutMs: 100,
+    });
+    const text = await exchange(port, data);
+    assert.match(text, /content-type: application\/problem\+json/);
+    assert.match(text, new RegExp(`"reason":"${reason}"`));
+    assert.match(text, /"execution":"not-run"/);
+    assert.match(await metrics.render(), new RegExp(`reason="${reason}"`));
+    await untilIdle(() => server.connections, 0);
+    assert.equal(server.requests, 0);
+  });
+}
+
+test('garbage behind a whole request does not corrupt the answer to it', async t => {
+  const {port, handler, arrival} = await startServer(t);
+  const arrived = arrival();
+  const answer = exchange(
+    port,
+    'GET /test HTTP/1.1\r\nhost: h\r\n\r\n\0garbage\r\n\r\n',
+  );
+  await arrived;
+  await new Promise(resolve => setImmediate(resolve));
+  handler.serving[0].res.end('whole');
+  const text = await answer;
+  assert.match(text, /^HTTP\/1\.1 200 /);
+  assert.equal(text.match(/HTTP\/1\.1/g)?.length, 1);
+  assert.match(text, /whole/);
+});
+
+test('a programming error answers its own request only and does not end the process', async t => {
+  const {port} = await startServer(t);
+  const text = await exchange(
+    port,
+    'GET /test HTTP/1.1\r\nhost: h\r\nx-fault: 1\r\n\r\n',
+  );
+  assert.match(text, /"reason":"internal-error"/);
+  assert.match(text, /"execution":"unknown"/);
+});
+
+test('a drain lets requests in flight end and refuses new ones on kept connections', async t => {
+  const {server, port, handler, arrival} = await startServer(t);
+  const kept: Socket = connect(port, '127.0.0.1');
+  const request = 'GET /test HTTP/1.1\r\nhost: h\r\n\r\n';
+  const health = 'GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n';
+  kept.write(health);
+  await once(kept, 'data');
+  const arrived = arrival();
+  const inFlight = exchange(port, request);
+  await arrived;
+  const closed = server.close(60_000);
+  kept.write(request);
+  const [refused] = (await once(kept, 'data')) as [Buffer];
+  assert.match(refused.toString(), /connection: close/i);
+  assert.match(refused.toString(), /"reason":"draining".*"execution":"not-run"/);
+  handler.serving[0].res.end('whole');
+  assert.match(await inFlight, /connection: close[^]*whole/i);
+  assert.equal(await closed, 0);
+});
+
+test('a drain ends at its bound', async t => {
+  const {server, port, arrival} = await startServer(t);
+  const arrived = arrival();
+  const inFlight = exchange(port, 'GET /test HTTP/1.1\r\nhost: h\r\n\r\n');
+  await arrived;
+  assert.equal(await server.close(0), 1);
+  assert.equal(await inFlight, '');
+});
+
+test('a caller that does not read holds the writer back', async t => {
+  const {port, handler, arrival} = await startServer(t);
+  const arrived = arrival();
+  const socket = connect(port, '127.0.0.1').pause();
+  socket.write('GET /test HTTP/1.1\r\nhost: h\r\n\r\n');
+  await arrived;
+  const {res} = handler.serving[0];
+  const sink = new HttpAnswerSink(res);
+  sink.head(200, {'content-type': 'application/octet-stream'});
+  let writes = 0;
+  const writer = (async () => {
+    for (; ; writes++) {
+      await sink.write(Buffer.alloc(1 << 16));
+      assert.ok(res.writableLength <= 1 << 18);
+    }
+  })();
+  // The caller leaves once the writer makes no progress; the outcome is the same if it leaves early.
+  for (let idle = 0, seen = -1; idle < 50; idle++) {
+    if (writes !== seen) [idle, seen] = [0, writes];
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  socket.destroy();
+  await assert.rejects(writer, {failure: {kind: 'caller-left'}});
+});
+
+test('a broken stream ends with an error event and without a regular end', async t => {
+  const {port, handler, arrival} = await startServer(t);
+  const arrived = arrival();
+  const answer = exchange(port, 'GET /test HTTP/1.1\r\nhost: h\r\n\r\n');
+  await arrived;
+  const sink = new HttpAnswerSink(handler.serving[0].res);
+  sink.head(200, {'content-type': 'text/event-stream'});
+  await sink.write(Buffer.from('data: 1\n\n'));
+  sink.breakOff('answer-broken');
+  const text = await answer;
+  assert.match(text, /data: {"error":{.*"reason":"answer-broken"/);
+  assert.doesNotMatch(text, /\r\n0\r\n\r\n$/);
+});
+
+test('hop-by-hop and unsendable headers of a target do not reach the caller', () => {
+  const headers = answerHeaders({
+    connection: 'x-own, close',
+    'x-own': '1',
+    'transfer-encoding': 'chunked',
+    'set-cookie': ['a', 'b'],
+    'x-bad': 'a\u0001b',
+    'x-good': 'c',
+  });
+  assert.deepEqual(headers, {'set-cookie': ['a', 'b'], 'x-good': 'c'});
+});
--- a/test/connection/target/http-target.test.ts
+++ b/test/connection/target/http-target.test.ts
@@ -2,6 +2,8 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import type {Dispatcher} from 'undici';
+import {HttpExchange} from '../../../src/connection/target/http-exchange.js';
 import {ModelEngineClient} from '../../../src/connection/target/model-engine-client.js';
 import {PlainServiceClient} from '../../../src/connection/target/plain-service-client.js';
 import type {FailureError} from '../../../src/process/errors/catalogue.js';
@@ -96,33 +98,44 @@
   });
 }
 
-test('a body that nobody reads pauses the target', async t => {
-  let sent = 0;
-  let blocked = () => {};
-  const full = new Promise<void>(resolve => (blocked = resolve));
-  const chunk = Buffer.alloc(1 << 16);
-  const server = await listen(t, socket =>
-    socket.once('data', () => {
-      socket.write('HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n');
-      const pump = () => {
-        while (socket.write(chunk)) sent += chunk.length;
-        sent += chunk.length;
-        socket.once('drain', pump);
-        if (sent > 64 << 20) blocked();
-        clearTimeout(timer);
-        timer = setTimeout(blocked, 200);
-      };
-      let timer = setTimeout(blocked, 200);
-      pump();
-    }),
-  );
-  const client = new ModelEngineClient('t', server.address);
-  t.after(() => client.close());
-  const answer = await client.send(request, never);
-  await full;
-  assert.ok(answer.body.readableLength <= 1 << 18);
-  assert.ok(sent < 64 << 20, `${sent} bytes were taken`);
-  answer.body.destroy();
+test('a body that is read slowly pauses the target instead of growing in memory', async () => {
+  const calls: string[] = [];
+  let paused = false;
+  const controller = {
+    get paused() {
+      return paused;
+    },
+    pause() {
+      paused = true;
+      calls.push('pause');
+    },
+    resume() {
+      paused = false;
+      calls.push('resume');
+    },
+  } as unknown as Dispatcher.DispatchController;
+  const exchange = new HttpExchange('t', never);
+  exchange.onRequestStart(controller);
+  exchange.onResponseStart(controller, 200, {});
+  const {body} = await exchange.answer;
+  exchange.onResponseData(controller, Buffer.alloc(60_000));
+  assert.deepEqual(calls, []);
+  exchange.onResponseData(controller, Buffer.alloc(10_000));
+  assert.deepEqual(calls, ['pause']);
+  assert.equal((body.read() as Buffer).length, 70_000);
+  assert.deepEqual(calls, ['pause', 'resume']);
+});
+
+test('a request that undici puts on a second connection is not written again', async () => {
+  const aborted: string[] = [];
+  const controller = (name: string) =>
+    ({
+      abort: () => aborted.push(name),
+    }) as unknown as Dispatcher.DispatchController;
+  const exchange = new HttpExchange('t', never);
+  exchange.onRequestStart(controller('first'));
+  exchange.onRequestStart(controller('second'));
+  assert.deepEqual(aborted, ['second']);
 });
 
 test('giving a request up closes its connection', async t => {
