Let stand-ins without control commands keep the default

Merging the stand-ins made control abstract, which two test stand-ins of the request path do not need. The default answers that the command is unknown.

Before: the build failed with 2 errors. After: the build passes.

--- a/src/request/local-dispatcher.ts
+++ b/src/request/local-dispatcher.ts
@@ -56,9 +56,7 @@
       Number((this.downUntilMs.get(name) ?? 0) > nowMs);
     return this.usableTargets(req)
       .filter(target => this.load(target) < target.maxConcurrency)
-      .sort(
-        (a, b) => isDown(a) - isDown(b) || this.load(a) - this.load(b),
-      )[0];
+      .sort((a, b) => isDown(a) - isDown(b) || this.load(a) - this.load(b))[0];
   }
 
   /** An unreachable target has no load, so without this it would attract every request. */
--- a/stand-ins/http-stand-in.ts
+++ b/stand-ins/http-stand-in.ts
@@ -28,11 +28,13 @@
 
   /**
    * Carries out a command of `POST /control`, the way in which tests outside the process reach the
-   * methods of a stand-in.
+   * methods of a stand-in. A stand-in without commands keeps this one.
    *
    * @returns The answer, JSON, or `undefined` if the command does not exist.
    */
-  protected abstract control(command: ControlCommand): unknown;
+  protected control(_command: ControlCommand): unknown {
+    return undefined;
+  }
 
   /** Starts to listen; port 0 takes a free one. */
   listen(port = 0): Promise<void> {
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -160,13 +160,21 @@
 
 for (const [name, data, reason] of [
   ['garbage', 'nonsense\r\n\r\n', 'malformed-request'],
-  ['a long head', `GET / HTTP/1.1\r\nx: ${'y'.repeat(2000)}`, 'headers-too-large'],
+  [
+    'a long head',
+    `GET / HTTP/1.1\r\nx: ${'y'.repeat(2000)}`,
+    'headers-too-large',
+  ],
   [
     'a bad chunk',
     'POST /test HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
     'malformed-request',
   ],
-  ['a request that never ends', 'POST /test HTTP/1.1\r\nhost: h\r\n', 'request-timeout'],
+  [
+    'a request that never ends',
+    'POST /test HTTP/1.1\r\nhost: h\r\n',
+    'request-timeout',
+  ],
 ] as const) {
   test(`${name} gets a typed refusal, is counted and does not leak its connection`, async t => {
     const {server, port, metrics} = await startServer(t, {
@@ -224,7 +232,10 @@
   kept.write(request);
   const [refused] = (await once(kept, 'data')) as [Buffer];
   assert.match(refused.toString(), /connection: close/i);
-  assert.match(refused.toString(), /"reason":"draining".*"execution":"not-run"/);
+  assert.match(
+    refused.toString(),
+    /"reason":"draining".*"execution":"not-run"/,
+  );
   handler.serving[0].res.end('whole');
   assert.match(await inFlight, /connection: close[^]*whole/i);
   assert.equal(await closed, 0);
--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -260,11 +260,7 @@
 });
 
 test('a second attempt starts only after the engine confirmed the end of the first', async () => {
-  const steps = () => [
-    broken,
-    unreachable,
-    () => answer(200, sse, [event(0)]),
-  ];
+  const steps = () => [broken, unreachable, () => answer(200, sse, [event(0)])];
   const confirmed = setUp(steps());
   await confirmed.run();
   assert.deepEqual(confirmed.client.calls, [
--- a/test/request/many-requests.test.ts
+++ b/test/request/many-requests.test.ts
@@ -5,7 +5,11 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {Agent, request} from 'undici';
-import {HttpStandIn, readBody, sendJson} from '../../stand-ins/http-stand-in.js';
+import {
+  HttpStandIn,
+  readBody,
+  sendJson,
+} from '../../stand-ins/http-stand-in.js';
 import {authorization, startHosts, type TestHost} from './fixtures.js';
 
 const total = 2000;
--- a/test/request/parts.test.ts
+++ b/test/request/parts.test.ts
@@ -168,7 +168,9 @@
     url,
     headers: {authorization: [authorization]},
   });
-  assert.ok(admit(state, head('/services/s/lookup/a..b'), undefined).idempotent);
+  assert.ok(
+    admit(state, head('/services/s/lookup/a..b'), undefined).idempotent,
+  );
   for (const path of ['/lookup/../dispatch', '/lookup/%2e%2E/dispatch']) {
     assert.throws(
       () => admit(state, head(`/services/s${path}`), undefined),
--- a/test/request/request-handler.test.ts
+++ b/test/request/request-handler.test.ts
@@ -2,7 +2,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {test, type TestContext} from 'node:test';
 import {request} from 'undici';
-import {HttpStandIn, readBody, sendJson} from '../../stand-ins/http-stand-in.js';
+import {
+  HttpStandIn,
+  readBody,
+  sendJson,
+} from '../../stand-ins/http-stand-in.js';
 import {authorization, startHosts} from './fixtures.js';
 
 /** Plain service whose behaviour a test sets. */
@@ -128,7 +132,11 @@
   let received = '';
   service.script = (res, body) => {
     received = body.toString();
-    res.writeHead(200, {'x-answer': ['1', '2'], connection: 'x-hop', 'x-hop': '1'});
+    res.writeHead(200, {
+      'x-answer': ['1', '2'],
+      connection: 'x-hop',
+      'x-hop': '1',
+    });
     res.end('done');
   };
   const res = await send(
