--- a/src/connection/caller/request-body.ts
+++ b/src/connection/caller/request-body.ts
@@ -33,9 +33,13 @@
       }
       chunks.push(chunk);
     });
-    req.once('end', () => resolve(Buffer.concat(chunks)));
     const left = () => reject(new FailureError({kind: 'caller-left'}));
-    req.once('error', left);
+    req.once('end', () => {
+      req.off('close', left);
+      resolve(Buffer.concat(chunks));
+    });
     req.once('close', left);
+    // Without a listener, a reset connection would end the process.
+    req.on('error', () => {});
   });
 }
--- a/src/request/attempt-loop.ts
+++ b/src/request/attempt-loop.ts
@@ -207,7 +207,7 @@
   ): Promise<T> {
     return new Promise<T>((resolve, reject) => {
       const giveUp = (err: FailureError) => {
-        stop.abort();
+        stop.abort('given up');
         finish(() => reject(err));
       };
       const onLeave = () => giveUp(new FailureError({kind: 'caller-left'}));
--- a/src/request/attempt-run.ts
+++ b/src/request/attempt-run.ts
@@ -118,7 +118,7 @@
 
   private giveUp(reason: StopReason): void {
     this.stopReason ??= reason;
-    this.stop.abort();
+    this.stop.abort(reason);
   }
 
   private async perform(): Promise<AttemptDecision> {
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -73,7 +73,10 @@
     const {clock, config, maxBodyBytes} = this.parts;
     const startMs = clock.nowMs();
     const caller = new AbortController();
-    res.once('close', () => caller.abort());
+    res.once('close', () => {
+      // The default reason would capture a stack trace.
+      if (!res.writableFinished) caller.abort('caller left');
+    });
     const head = {
       method: req.method ?? 'GET',
       url: req.url ?? '/',
