--- a/src/connection/caller/headers.ts
+++ b/src/connection/caller/headers.ts
@@ -67,14 +67,15 @@
   drop: ReadonlySet<string>,
   connection: readonly string[] | undefined,
 ): Record<string, string | string[]> {
-  const named = new Set(
-    (connection ?? []).flatMap(value =>
-      value.split(',').map(name => name.trim().toLowerCase()),
-    ),
+  const named = connection?.flatMap(value =>
+    value.split(',').map(name => name.trim().toLowerCase()),
   );
   const selected: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || drop.has(name) || named.has(name)) continue;
+  for (const name in headers) {
+    const value = headers[name];
+    if (value === undefined || drop.has(name) || named?.includes(name)) {
+      continue;
+    }
     selected[name] =
       Array.isArray(value) && value.length === 1 ? value[0] : value;
   }
--- a/src/request/attempt-run.ts
+++ b/src/request/attempt-run.ts
@@ -14,9 +14,6 @@
 /** Unread rest of an answer that is read to keep its connection, in bytes. */
 const maxDiscardBytes = 64 * 1024;
 
-/** A recorded answer is still wanted after the caller left, so that a resend can get it. */
-const neverAborted = new AbortController().signal;
-
 /** One attempt. */
 export interface AttemptRun {
   readonly grant: Grant;
@@ -84,21 +81,23 @@
   }
 
   async run(): Promise<AttemptEnd> {
-    const {grant, attemptId} = this.attempt;
+    const {grant, attemptId, caller} = this.attempt;
     const {crashEvidence, clock} = this.parts;
-    const caller = this.job.record ? neverAborted : this.attempt.caller;
     const onLeave = () => this.giveUp('caller-left');
     const onPreempt = () => this.giveUp('preempted');
     const cancelTimer = clock.after(this.job.deadlineAtMs - this.startMs, () =>
       this.giveUp('deadline'),
     );
-    caller.addEventListener('abort', onLeave, {once: true});
+    // A recorded answer is still wanted after the caller left, so that a resend can get it.
+    if (!this.job.record) {
+      caller.addEventListener('abort', onLeave, {once: true});
+      if (caller.aborted) onLeave();
+    }
     // A run that must not be repeated is not given up for a higher tier.
     if (this.job.admitted.idempotent) {
       grant.preempted.addEventListener('abort', onPreempt, {once: true});
       if (grant.preempted.aborted) onPreempt();
     }
-    if (caller.aborted) onLeave();
     crashEvidence.started(grant.target.name, attemptId, this.job.fingerprints);
     try {
       const decision = await this.perform();
