Report the usage that engines state at the end of a stream

The number of events counts the last two events of a stream as tokens and says nothing of the cached part of the prompt.

--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -9,6 +9,8 @@
 const maxHeldBytes = 1024 * 1024;
 /** Greatest event that is held back until complete, in bytes. */
 const maxEventBytes = 256 * 1024;
+/** End of a stream in which its usage is looked for, in bytes. */
+const maxTailBytes = 4096;
 /** Least time between two progress reports, in milliseconds. */
 const progressIntervalMs = 250;
 
@@ -99,11 +101,12 @@
   private async relayEvents(answer: TargetAnswer): Promise<void> {
     const {sink, model} = this.options;
     this.splitter.discardPartial();
-    let tail: Buffer = Buffer.alloc(0);
+    // The last events state the usage and may arrive in two parts.
+    let tail: Buffer[] = [];
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       const whole = this.splitter.push(chunk);
       if (whole.length === 0) continue;
-      tail = whole.subarray(-64);
+      tail = [...tail.slice(-1), whole.subarray(-maxTailBytes)];
       this.start(answer);
       this.progress();
       this.record(whole);
@@ -111,7 +114,7 @@
       if (drained) await drained;
     }
     const rest = this.splitter.flush();
-    const ended = Buffer.concat([tail, rest]).toString('latin1');
+    const ended = Buffer.concat([...tail, rest]).toString('utf8');
     // The end of an answer that is delimited by the connection's end looks like a broken connection.
     if (model && !isFramed(answer) && !ended.trimEnd().endsWith('[DONE]')) {
       throw new Error('the stream ended without its last event');
@@ -121,6 +124,8 @@
       this.record(rest);
       await sink.write(rest);
     }
+    const last = ended.split('\n').findLast(line => line.includes('"usage"'));
+    if (last) this.readUsage(last.replace(/^data: ?/, ''));
   }
 
   private async relayHeld(answer: TargetAnswer): Promise<void> {
@@ -141,7 +146,7 @@
     }
     this.start(answer);
     const whole = Buffer.concat(held);
-    this.readUsage(whole);
+    this.readUsage(whole.toString('utf8'));
     if (whole.length > 0) await this.write(whole);
   }
 
@@ -181,10 +186,10 @@
     else this.copy.push(chunk);
   }
 
-  private readUsage(body: Buffer): void {
-    if (!this.options.model || body.length === 0) return;
+  private readUsage(json: string): void {
+    if (!this.options.model || json === '') return;
     try {
-      const {usage} = JSON.parse(body.toString('utf8')) as {
+      const {usage} = JSON.parse(json) as {
         usage?: {
           completion_tokens?: number;
           prompt_tokens_details?: {cached_tokens?: number};
--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -106,6 +106,7 @@
 class FakeDispatcher extends Dispatcher {
   readonly requests: QueuedRequest[] = [];
   readonly outcomes: AttemptOutcome['result'][] = [];
+  readonly released: AttemptOutcome[] = [];
   readonly preempt: AbortController[] = [];
   /** Refuses from this request on. */
   refuseFrom = Infinity;
@@ -128,7 +129,10 @@
       cachedTokens: 0,
       preempted: preempt.signal,
       progress: () => {},
-      release: ({result}) => this.outcomes.push(result),
+      release: outcome => {
+        this.outcomes.push(outcome.result);
+        this.released.push(outcome);
+      },
     };
   }
 }
@@ -250,6 +254,20 @@
   assert.deepEqual(t.client.calls, ['send r', 'resume r 1', 'resume r 1']);
 });
 
+test('a stream reports the usage that its engine states, not the number of events', async () => {
+  const usage = {
+    completion_tokens: 7,
+    prompt_tokens_details: {cached_tokens: 64},
+  };
+  const last = `data: ${JSON.stringify({choices: [], usage})}\n\n`;
+  const t = setUp([
+    () => answer(200, sse, [event(0), last.slice(0, 20), last.slice(20)]),
+  ]);
+  await t.run();
+  assert.equal(t.dispatcher.released[0].tokens, 7);
+  assert.equal(t.dispatcher.released[0].cachedTokens, 64);
+});
+
 test('a stream that cannot be resumed after part was relayed ends with a visible error', async () => {
   const t = setUp([() => answer(200, sse, [event(0)], true), unreachable]);
   const {whole} = await t.run();
--- a/test/request/many-requests.test.ts
+++ b/test/request/many-requests.test.ts
@@ -55,6 +55,10 @@
     this.digests.set(number, known.add(sha256(parts.join(''))));
     res.end();
   }
+
+  protected override control(): undefined {
+    return undefined;
+  }
 }
 
 interface Result {
--- a/test/request/request-handler.test.ts
+++ b/test/request/request-handler.test.ts
@@ -25,6 +25,10 @@
     this.seen.push(req);
     await this.script(res, body);
   }
+
+  protected override control(): undefined {
+    return undefined;
+  }
 }
 
 async function start(t: TestContext) {
