Detect cut answers that end with their connection

An answer without a length or chunks ends with its connection, so a crash of the engine looked like the end. Model answers now also need their last event or complete JSON, and HTTP/1.0 callers see a reset. Gauges count callers' connections and requests in progress; the fuzz test waits for them to be zero.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -56,6 +56,7 @@
   private readonly server: Server;
   /** Requests in progress, by connection. */
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
+  private sockets = 0;
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -80,6 +81,20 @@
       noDelay: true,
     });
     this.server.maxConnections = cfg.maxConnections;
+    this.server.on('connection', socket => {
+      this.sockets++;
+      socket.once('close', () => this.sockets--);
+    });
+    parts.metrics.gauge(
+      'guavaseam_caller_connections',
+      'Open connections of callers and operators',
+      () => this.sockets,
+    );
+    parts.metrics.gauge(
+      'guavaseam_caller_requests',
+      'Requests of callers and operators in progress',
+      () => this.requests,
+    );
     this.server.on('request', (req, res) => void this.route(req, res));
     this.server.on('checkContinue', (req, res) => {
       // The body of a request that is refused by its length must not be asked for.
@@ -93,12 +108,8 @@
   }
 
   /** Number of open connections. */
-  get connections(): Promise<number> {
-    return new Promise((resolve, reject) =>
-      this.server.getConnections((err, count) =>
-        err ? reject(err) : resolve(count),
-      ),
-    );
+  get connections(): number {
+    return this.sockets;
   }
 
   /** Number of requests in progress. */
--- a/src/connection/caller/http-answer-sink.ts
+++ b/src/connection/caller/http-answer-sink.ts
@@ -61,6 +61,11 @@
 
   override breakOff(reason: BreakReason): void {
     if (this.res.destroyed) return;
+    if (this.res.req.httpVersion === '1.0') {
+      // These answers end with the connection; only a reset tells a broken one from a whole one.
+      this.res.socket?.resetAndDestroy();
+      return;
+    }
     if (!this.streamed) {
       this.res.destroy();
       return;
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -144,8 +144,11 @@
         for (const part of held.splice(0)) await this.write(part);
       }
     }
-    this.start(answer);
     const whole = Buffer.concat(held);
+    if (this.options.model && !isFramed(answer) && !isJson(whole)) {
+      throw new Error('the answer ended before its JSON did');
+    }
+    this.start(answer);
     this.readUsage(whole.toString('utf8'));
     if (whole.length > 0) await this.write(whole);
   }
@@ -212,6 +215,15 @@
   return typeof value === 'number' && value >= 0 ? value : undefined;
 }
 
+function isJson(body: Buffer): boolean {
+  try {
+    JSON.parse(body.toString('utf8'));
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 function isEventStream(answer: TargetAnswer): boolean {
   return String(answer.headers['content-type'] ?? '').startsWith(
     'text/event-stream',
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -35,8 +35,8 @@
   return received;
 }
 
-async function untilIdle(count: () => Promise<number>, want: number) {
-  while ((await count()) > want) await new Promise(r => setImmediate(r));
+async function untilIdle(count: () => number | Promise<number>) {
+  while ((await count()) > 0) await new Promise(r => setImmediate(r));
 }
 
 class TestHandler extends RouteHandler {
@@ -150,6 +150,11 @@
     ),
     {seed: 20260102, numRuns: 400},
   );
+  // Ends only if each socket of the runs above was closed by the host as well.
+  await untilIdle(async () => {
+    const text = await fleet.hosts[0].host.metrics.render();
+    return Number(/^guavaseam_caller_connections (\d+)$/m.exec(text)?.[1]);
+  });
   const probe = await exchange(
     port,
     'GET /healthz HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n',
@@ -187,7 +192,7 @@
     assert.match(text, new RegExp(`"reason":"${reason}"`));
     assert.match(text, /"execution":"not-run"/);
     assert.match(await metrics.render(), new RegExp(`reason="${reason}"`));
-    await untilIdle(() => server.connections, 0);
+    await untilIdle(() => server.connections);
     assert.equal(server.requests, 0);
   });
 }
@@ -289,6 +294,22 @@
   assert.doesNotMatch(text, /\r\n0\r\n\r\n$/);
 });
 
+test('an HTTP/1.0 caller sees a reset where its answer breaks off', async t => {
+  const {port, handler, arrival} = await startServer(t);
+  const arrived = arrival();
+  const socket = connect(port, '127.0.0.1');
+  socket.write('GET /test HTTP/1.0\r\n\r\n');
+  await arrived;
+  const sink = new HttpAnswerSink(handler.serving[0].res);
+  sink.head(200, {'content-type': 'text/plain'});
+  await sink.write(Buffer.from('part'));
+  await once(socket, 'data');
+  const failed = once(socket, 'error');
+  sink.breakOff('answer-broken');
+  const [err] = (await failed) as [NodeJS.ErrnoException];
+  assert.equal(err.code, 'ECONNRESET');
+});
+
 test('hop-by-hop and unsendable headers of a target do not reach the caller', () => {
   const headers = answerHeaders({
     connection: 'x-own, close',
--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -268,6 +268,31 @@
   assert.equal(t.dispatcher.released[0].cachedTokens, 64);
 });
 
+test('a cut answer that ends with its connection is not presented as whole', async () => {
+  const unframed = (type: string, text: string) => () => {
+    const whole = answer(200, {'content-type': type}, [text]);
+    delete whole.headers['transfer-encoding'];
+    return whole;
+  };
+  const json = 'application/json';
+  const held = setUp(
+    [unframed(json, '{"choices":['), unframed(json, '{"choices":[]}')],
+    {resumable: false},
+  );
+  assert.ok((await held.run()).whole);
+  assert.equal(held.sink.text, '{"choices":[]}');
+
+  const relayed = setUp([unframed('text/event-stream', event(0))], {
+    resumable: false,
+  });
+  assert.equal((await relayed.run()).whole, false);
+  assert.equal(relayed.sink.brokenBy, 'answer-broken');
+
+  const text = event(0) + 'data: [DONE]\n\n';
+  const whole = setUp([unframed('text/event-stream', text)]);
+  assert.ok((await whole.run()).whole);
+});
+
 test('a stream that cannot be resumed after part was relayed ends with a visible error', async () => {
   const t = setUp([() => answer(200, sse, [event(0)], true), unreachable]);
   const {whole} = await t.run();
--- a/test/request/fixtures.ts
+++ b/test/request/fixtures.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {request} from 'undici';
+import {Agent, request} from 'undici';
 import {HttpLogClient} from '../../src/connection/platform/http-log-client.js';
 import {createHost, type Host, type HostParts} from '../../src/index.js';
 import {checkSettings} from '../../src/process/settings.js';
--- a/test/request/whole-path.test.ts
+++ b/test/request/whole-path.test.ts
@@ -6,21 +6,7 @@
 import {HttpLogClient} from '../../src/connection/platform/http-log-client.js';
 import {checkSettings} from '../../src/process/settings.js';
 import {EngineServer, LogServer} from '../../stand-ins/index.js';
-
-const token = 'test-key';
-
-function put(kind: string, name: string, spec: unknown) {
-  return {
-    writeId: `${kind}-${name}`,
-    actor: 'test',
-    time: '2026-01-01T00:00:00Z',
-    op: 'put',
-    kind,
-    name,
-    baseGeneration: 0,
-    spec,
-  };
-}
+import {authorization, put, startHosts, token} from './fixtures.js';
 
 test('a streamed completion passes from an engine to the caller byte for byte', async t => {
   const log = new LogServer();
@@ -85,3 +71,32 @@
   assert.ok(text.endsWith('data: [DONE]\n\n'));
   assert.equal(engine.executions.length, 1);
 });
+
+test('a stream whose connections break again and again reaches the caller whole, from one run', async t => {
+  const engine = new EngineServer();
+  await engine.listen();
+  const fleet = await startHosts({
+    targets: [{service: 'chat', address: engine.address}],
+  });
+  t.after(async () => {
+    await fleet.stop();
+    await engine.close();
+  });
+  const res = await request(`${fleet.hosts[0].origin}/v1/chat/completions`, {
+    method: 'POST',
+    headers: {authorization},
+    body: JSON.stringify({model: 'chat', stream: true, max_tokens: 60}),
+  });
+  const hash = createHash('sha256');
+  let chunks = 0;
+  for await (const chunk of res.body as AsyncIterable<Buffer>) {
+    hash.update(chunk);
+    chunks++;
+    if (chunks === 3 || chunks === 8) engine.breakStreams();
+  }
+  assert.ok(chunks >= 8);
+  assert.equal(engine.executions.length, 1);
+  assert.equal(hash.digest('hex'), engine.executions[0].answerSha256);
+  const metrics = await fleet.hosts[0].host.metrics.render();
+  assert.match(metrics, /guavaseam_retries_total{reason="resumed"} 2/);
+});
