--- a/test/request/fixtures.ts
+++ b/test/request/fixtures.ts
@@ -79,11 +79,14 @@
     const host = createHost(settings, options.parts);
     const {callersPort: port} = await host.start();
     const origin = `http://127.0.0.1:${port}`;
+    // Kept connections of the shared agent would be counted as the host's open ones.
+    const dispatcher = new Agent();
     for (let ready = 0; ready !== 200;) {
-      const probe = await request(`${origin}/readyz`);
+      const probe = await request(`${origin}/readyz`, {dispatcher});
       await probe.body.dump();
       ready = probe.statusCode;
     }
+    await dispatcher.destroy();
     hosts.push({host, origin, port});
   }
   return {
