--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -106,6 +106,7 @@
 class FakeDispatcher extends Dispatcher {
   readonly requests: QueuedRequest[] = [];
   readonly outcomes: AttemptOutcome['result'][] = [];
+  readonly released: AttemptOutcome[] = [];
   readonly preempt: AbortController[] = [];
   /** Refuses from this request on. */
   refuseFrom = Infinity;
@@ -128,7 +129,10 @@
       cachedTokens: 0,
       preempted: preempt.signal,
       progress: () => {},
-      release: ({result}) => this.outcomes.push(result),
+      release: outcome => {
+        this.outcomes.push(outcome.result);
+        this.released.push(outcome);
+      },
     };
   }
 }
@@ -250,6 +254,45 @@
   assert.deepEqual(t.client.calls, ['send r', 'resume r 1', 'resume r 1']);
 });
 
+test('a stream reports the usage that its engine states, not the number of events', async () => {
+  const usage = {
+    completion_tokens: 7,
+    prompt_tokens_details: {cached_tokens: 64},
+  };
+  const last = `data: ${JSON.stringify({choices: [], usage})}\n\n`;
+  const t = setUp([
+    () => answer(200, sse, [event(0), last.slice(0, 20), last.slice(20)]),
+  ]);
+  await t.run();
+  assert.equal(t.dispatcher.released[0].tokens, 7);
+  assert.equal(t.dispatcher.released[0].cachedTokens, 64);
+});
+
+test('a cut answer that ends with its connection is not presented as whole', async () => {
+  const unframed = (type: string, text: string) => () => {
+    const whole = answer(200, {'content-type': type}, [text]);
+    delete whole.headers['transfer-encoding'];
+    return whole;
+  };
+  const json = 'application/json';
+  const held = setUp(
+    [unframed(json, '{"choices":['), unframed(json, '{"choices":[]}')],
+    {resumable: false},
+  );
+  assert.ok((await held.run()).whole);
+  assert.equal(held.sink.text, '{"choices":[]}');
+
+  const relayed = setUp([unframed('text/event-stream', event(0))], {
+    resumable: false,
+  });
+  assert.equal((await relayed.run()).whole, false);
+  assert.equal(relayed.sink.brokenBy, 'answer-broken');
+
+  const text = event(0) + 'data: [DONE]\n\n';
+  const whole = setUp([unframed('text/event-stream', text)]);
+  assert.ok((await whole.run()).whole);
+});
+
 test('a stream that cannot be resumed after part was relayed ends with a visible error', async () => {
   const t = setUp([() => answer(200, sse, [event(0)], true), unreachable]);
   const {whole} = await t.run();
