--- a/src/connection/platform/log-follower.ts
+++ b/src/connection/platform/log-follower.ts
@@ -20,6 +20,9 @@
  * Reads one stream of the log from an offset onwards and publishes what it finds. The log holds
  * each read back until there is a record; after a failure the next read follows with exponential
  * backoff and full jitter, so that the hosts do not return to a recovering log all at once.
+ *
+ * A record is published again if its consumer has not advanced the position by the next read;
+ * consumers go by the offset.
  */
 export class LogFollower {
   private readonly subject = new Subject<FollowerEvent>();
--- /dev/null
+++ b/test/commands/demo.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import {createHash} from 'node:crypto';
+import {test} from 'node:test';
+import {exampleNames, readExample} from '../../src/demo/example.js';
+import {planLoad} from '../../src/demo/load-plan.js';
+import type {CallerOutcome} from '../../src/demo/load-sender.js';
+import {tally, type TargetExecution} from '../../src/demo/tally.js';
+import {checkSettings} from '../../src/process/settings.js';
+import {seededRandom} from '../../stand-ins/seeded-random.js';
+
+const sha256 = (text: string) =>
+  createHash('sha256').update(text).digest('hex');
+
+test('a short demo ends by itself with every request accounted for', () => {
+  for (const name of exampleNames) {
+    const {status, stdout} = spawnSync(
+      process.execPath,
+      [
+        'dist/src/main.js',
+        'demo',
+        name,
+        '--seconds',
+        '2',
+        '--resend-share',
+        '0',
+      ],
+      {encoding: 'utf8'},
+    );
+    const last = stdout.trimEnd().split('\n').at(-1) ?? '';
+    const counts = last.match(/\d+/g)?.map(Number) ?? [];
+    const [requests, whole, refused, lost, duplicate] = counts;
+    assert.match(last, /^demo: \d+ requests, .* duplicate$/, stdout);
+    assert.equal(requests, 100);
+    assert.equal(whole + refused, requests, stdout);
+    assert.deepEqual([lost, duplicate, status], [0, 0, 0], stdout);
+  }
+});
+
+test('the examples are consistent: settings, keys, zones and services', async () => {
+  for (const name of exampleNames) {
+    const {resources, hosts, keys} = await readExample(name);
+    const names = (kind: string) =>
+      resources.filter(res => res.kind === kind).map(res => res.name);
+    for (const host of hosts) {
+      const {zone} = checkSettings(structuredClone(host));
+      assert.ok(names('zone').includes(zone));
+    }
+    for (const resource of resources) {
+      if (resource.kind !== 'target') continue;
+      assert.ok(names('zone').includes(resource.spec.zone));
+      assert.ok(names('service').includes(resource.spec.service));
+    }
+    const declared = resources.flatMap(resource =>
+      resource.kind === 'organisation'
+        ? resource.spec.keys.map(
+            key => `${resource.name}/${key.tier}/${key.sha256}`,
+          )
+        : [],
+    );
+    assert.deepEqual(
+      keys.map(key => `${key.organisation}/${key.tier}/${sha256(key.token)}`),
+      declared,
+    );
+    assert.equal(names('organisation').length, 5);
+  }
+});
+
+test('the load is the same for the same seed, except for its keys', async () => {
+  const example = await readExample('himalchuli');
+  const options = {seconds: 5, requestsPerSecond: 50, resendShare: 0.5};
+  const plan = (seed: number) =>
+    planLoad(example, options, seededRandom(seed)).map(req => ({
+      ...req,
+      key: req.key !== undefined,
+    }));
+  assert.deepEqual(plan(3), plan(3));
+  assert.notDeepEqual(plan(3), plan(4));
+  assert.ok(plan(3).some(req => req.resent && req.key));
+});
+
+test('lost, untrue and duplicate outcomes are found by the targets’ records', async () => {
+  const example = await readExample('himalchuli');
+  const options = {seconds: 20, requestsPerSecond: 10, resendShare: 0};
+  const keyed = planLoad(example, options, seededRandom(1)).filter(
+    req => req.key,
+  );
+  const judge = (outcome: CallerOutcome, answers: string[]) => {
+    const [req] = keyed;
+    const executions = answers.map<TargetExecution>(answerSha256 => ({
+      target: 't',
+      method: req.method,
+      path: req.targetPath,
+      bodySha256: sha256(req.body),
+      answerSha256,
+    }));
+    const result = {req, outcome, firstByteMs: 1, totalMs: 1};
+    const {whole, refused, lost, duplicate} = tally([result], executions);
+    return [whole, refused, lost, duplicate];
+  };
+  const answered = {kind: 'answered', status: 200, sha256: 'a'} as const;
+  const refused = {kind: 'refused', reason: 'shed'} as const;
+  assert.deepEqual(judge(answered, ['a']), [1, 0, 0, 0]);
+  assert.deepEqual(judge(answered, ['b']), [0, 0, 1, 0]);
+  assert.deepEqual(judge(answered, ['a', 'a', 'a']), [1, 0, 0, 2]);
+  assert.deepEqual(judge({...answered, status: 500}, ['a']), [0, 0, 1, 0]);
+  const notRun = {...refused, execution: 'not-run'};
+  assert.deepEqual(judge(notRun, []), [0, 1, 0, 0]);
+  assert.deepEqual(judge(notRun, ['a']), [0, 0, 1, 0]);
+  assert.deepEqual(judge({...refused, execution: 'unknown'}, []), [0, 0, 1, 0]);
+  assert.deepEqual(judge({kind: 'broken', reason: 'x'}, []), [0, 0, 1, 0]);
+});
