Hash prompts in the engine stand-in as hosts do

Cache events named prefixes that no host knows, because the stand-in had its own hash and block size. The stand-in also said that it listens before it did after a restart.

--- a/stand-ins/engine-answer.ts
+++ b/stand-ins/engine-answer.ts
@@ -1,20 +1,10 @@
 import {createHash} from 'node:crypto';
+import type {PrefixHasher} from '../src/request/prefix-hashes.js';
+import {readCompletion} from '../src/request/prompt.js';
 import type {EngineRequest} from './engine-model.js';
 
 /** Tokens generated when the request states no limit. */
 const defaultTokens = 16;
-/** Characters of prompt text that count as one token. */
-const charsPerToken = 4;
-
-/** Body of a completion request, as far as the stand-in reads it. */
-export interface CompletionBody {
-  readonly model?: string;
-  readonly stream?: boolean;
-  readonly max_tokens?: number;
-  readonly prompt?: string;
-  readonly messages?: readonly {role?: string; content?: string}[];
-}
-
 /** What an engine reports about the tokens of an answer. */
 export interface AnswerUsage {
   readonly promptTokens: number;
@@ -33,35 +23,44 @@
   readonly prompt: string;
   readonly promptTokens: number;
   private readonly chat: boolean;
-  private readonly model: string | undefined;
+  private readonly model: string;
 
   /**
    * @param path - Path of the request.
    * @param bytes - Body of the request.
-   * @throws SyntaxError if the body is not JSON.
+   * @throws FailureError if the body is not a completion request.
    */
   constructor(path: string, bytes: Buffer) {
-    const body = JSON.parse(bytes.toString('utf8')) as CompletionBody;
+    const {model, stream, maxTokens, prompt, promptTokens} =
+      readCompletion(bytes);
     this.bodySha256 = createHash('sha256').update(bytes).digest('hex');
     this.chat = path.startsWith('/v1/chat/');
-    this.model = body.model;
-    this.stream = body.stream === true;
-    this.tokens = Math.max(1, Math.floor(body.max_tokens ?? defaultTokens));
-    this.prompt =
-      body.prompt ?? (body.messages ?? []).map(m => m.content ?? '').join('\n');
-    this.promptTokens = Math.max(
-      1,
-      Math.ceil(this.prompt.length / charsPerToken),
-    );
+    this.model = model;
+    this.stream = stream;
+    this.tokens = maxTokens ?? defaultTokens;
+    this.prompt = prompt;
+    this.promptTokens = promptTokens;
   }
 
-  /** The request as the engine model takes it. */
-  toModel(id: string, route: string, blockTokens: number): EngineRequest {
+  /**
+   * The request as the engine model takes it.
+   *
+   * @param id - Id of the execution.
+   * @param route - Route, for faults on one route only.
+   * @param hash - Hashes prompts as hosts do, so that cache events mean something to them.
+   * @param scope - Name of the service; the model's name if it is not known.
+   */
+  toModel(
+    id: string,
+    route: string,
+    hash: PrefixHasher,
+    scope: string = this.model,
+  ): EngineRequest {
     return {
       id,
       promptTokens: this.promptTokens,
       outputTokens: this.tokens,
-      prefixes: hashPrefixes(this.prompt, blockTokens * charsPerToken),
+      prefixes: hash(scope, this.prompt),
       route,
       content: this.prompt,
     };
@@ -129,20 +128,3 @@
     };
   }
 }
-
-/**
- * Hashes a text at block boundaries; each hash covers the text from its start.
- *
- * @param text - Prompt text.
- * @param blockChars - Characters in a block.
- * @returns Hashes of the whole blocks, shortest prefix first, 16 hexadecimal digits each.
- */
-export function hashPrefixes(text: string, blockChars: number): string[] {
-  const hash = createHash('sha256');
-  const hashes: string[] = [];
-  for (let end = blockChars; end <= text.length; end += blockChars) {
-    hash.update(text.slice(end - blockChars, end));
-    hashes.push(hash.copy().digest('hex').slice(0, 16));
-  }
-  return hashes;
-}
--- a/stand-ins/engine-server.ts
+++ b/stand-ins/engine-server.ts
@@ -1,5 +1,10 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  loadPrefixHasher,
+  prefixBlockChars,
+  type PrefixHasher,
+} from '../src/request/prefix-hashes.js';
 import {EngineAnswer} from './engine-answer.js';
 import {EngineDriver} from './engine-driver.js';
 import {EngineExecution} from './engine-execution.js';
@@ -20,6 +25,8 @@
 } from './http-stand-in.js';
 import {seededRandom} from './seeded-random.js';
 
+/** Tokens in a prefix block of the hosts, at their estimate of 4 characters for a token. */
+const blockTokens = prefixBlockChars / 4;
 /** Number of ended executions whose answers can still be replayed. */
 const keptAnswers = 1000;
 
@@ -36,6 +43,7 @@
   readonly checksFencing?: boolean;
   /** Duration of a load, in milliseconds of the model. */
   readonly loadMs?: number;
+  /** Name of the service or model that the engine offers. */
   readonly modelName?: string;
   readonly version?: string;
   /** Faults of versions, by version; they take effect when the version is loaded. */
@@ -53,7 +61,9 @@
   private readonly byId = new Map<string, EngineExecution>();
   private readonly active = new Set<EngineExecution>();
   private readonly cacheReaders = new Set<ServerResponse>();
+  private hashPrefixes: PrefixHasher = () => [];
   private listening = false;
+  private starting = false;
   private closed = false;
 
   /**
@@ -64,6 +74,7 @@
     this.cfg = {
       ...defaultEngineModelCfg,
       startsCold: false,
+      blockTokens,
       ...options.model,
     };
     this.model = new EngineModel(this.cfg, seededRandom(options.seed ?? 1));
@@ -80,7 +91,13 @@
     );
   }
 
+  /** Whether the engine accepts connections. */
+  get isListening(): boolean {
+    return this.listening;
+  }
+
   override async listen(port = 0): Promise<void> {
+    this.hashPrefixes = await loadPrefixHasher();
     await super.listen(port);
     this.listening = true;
   }
@@ -179,7 +196,12 @@
       return sendJson(res, 409, {error: {type: 'id-in-use'}});
     }
     const execution = new EngineExecution(id, path, answer);
-    const request = answer.toModel(id, path, this.cfg.blockTokens);
+    const request = answer.toModel(
+      id,
+      path,
+      this.hashPrefixes,
+      this.options.modelName,
+    );
     // A restarting engine does not listen; this connection was accepted just before the crash.
     if (!this.model.submit(request, this.driver.nowMs)) {
       res.destroy();
@@ -275,10 +297,15 @@
   }
 
   private comeUp(): void {
-    this.listening = true;
-    this.resume().catch(() => {
-      this.listening = false;
-    });
+    if (this.starting) return;
+    this.starting = true;
+    // A failure to listen is tried again when the model is next advanced.
+    void this.resume()
+      .catch(() => {})
+      .finally(() => {
+        this.starting = false;
+        if (this.closed) void super.close();
+      });
   }
 
   private changed(): void {
--- a/stand-ins/http-stand-in.ts
+++ b/stand-ins/http-stand-in.ts
@@ -30,6 +30,7 @@
    * Carries out a command of `POST /control`, the way in which tests outside the process reach the
    * methods of a stand-in. A stand-in without commands keeps this one.
    *
+   * @param _command - Command with its arguments.
    * @returns The answer, JSON, or `undefined` if the command does not exist.
    */
   protected control(_command: ControlCommand): unknown {
