--- a/src/commands/demo.ts
+++ b/src/commands/demo.ts
@@ -23,7 +23,12 @@
   });
   rate = Option.String('--rate', '50', {description: 'requests per second'});
   resends = Option.String('--resend-share', '0.3', {
-    description: 'share of keyed requests sent again through another host',
+    description: 'share of keyed requests sent again with the same key',
+  });
+  // Each host decides alone which of two requests with one key may run, so the default keeps to one
+  // host. It becomes `other` when claims are decided in the log.
+  resendTo = Option.String('--resend-to', 'same', {
+    description: 'send them again through the same host or an other one',
   });
   seed = Option.String('--seed', '1', {description: 'seed of the load'});
 
@@ -35,9 +40,15 @@
       Number,
     );
     const [seconds, requestsPerSecond, resendShare, seed] = numbers;
-    if (!name || !(seconds > 0) || !numbers.every(n => n >= 0)) {
+    const {resendTo} = this;
+    if (
+      !name ||
+      !(seconds > 0) ||
+      !numbers.every(n => n >= 0) ||
+      (resendTo !== 'same' && resendTo !== 'other')
+    ) {
       this.context.stderr.write(
-        `error: expected one of ${exampleNames.join(', ')}, and numbers for the options\n`,
+        `error: expected one of ${exampleNames.join(', ')}, numbers for the options, and same or other\n`,
       );
       return exitCodes.usage;
     }
@@ -46,6 +57,7 @@
       seconds,
       requestsPerSecond,
       resendShare,
+      resendTo,
       seed,
       clock: new SystemClock(),
       print: line => this.context.stdout.write(`${line}\n`),
--- a/src/demo/load-plan.ts
+++ b/src/demo/load-plan.ts
@@ -24,12 +24,18 @@
   readonly timeoutMs: number;
 }
 
+/** Host through which a keyed request is sent again. */
+export type ResendTo = 'same' | 'other';
+
 /** Size of the load. */
 export interface LoadOptions {
+  /** Duration of the load, in seconds. */
   readonly seconds: number;
   readonly requestsPerSecond: number;
-  /** Share of keyed requests that are sent again through another host. */
+  /** Share of keyed requests that are sent again with the same key. */
   readonly resendShare: number;
+  /** Whether they are sent again through the same host or another one. */
+  readonly resendTo: ResendTo;
 }
 
 /** Time limit and answer length by tier; the last tier is long work without haste. */
@@ -74,7 +80,10 @@
       plan.push({
         ...req,
         atMs: atMs + random() * maxResendDelayMs,
-        host: (req.host + 1) % example.hosts.length,
+        host:
+          options.resendTo === 'same'
+            ? req.host
+            : (req.host + 1) % example.hosts.length,
         resent: true,
       });
     }
--- a/src/demo/run-demo.ts
+++ b/src/demo/run-demo.ts
@@ -3,7 +3,7 @@
 import {DemoFleet} from './demo-fleet.js';
 import type {Example} from './example.js';
 import type {ExampleStandIns} from './example-stand-ins.js';
-import {planLoad} from './load-plan.js';
+import {planLoad, type LoadOptions} from './load-plan.js';
 import {LoadSender} from './load-sender.js';
 import {renderReport} from './report.js';
 import {tally, type Tally, type TargetExecution} from './tally.js';
@@ -14,13 +14,8 @@
 const progressMs = 1000;
 
 /** What to run. */
-export interface DemoOptions {
+export interface DemoOptions extends LoadOptions {
   readonly example: Example;
-  /** Duration of the load, in seconds. */
-  readonly seconds: number;
-  readonly requestsPerSecond: number;
-  /** Share of keyed requests that are sent again through another host. */
-  readonly resendShare: number;
   readonly seed: number;
   readonly clock: Clock;
   /** Receives each line of output. */
