--- a/stand-ins/engine-server.ts
+++ b/stand-ins/engine-server.ts
@@ -143,8 +143,10 @@
       const fault = Object.keys(rest).length > 0 ? rest : undefined;
       this.model.setFault(fault as EngineFault | undefined);
     } else if (name === 'slow') this.model.setSlowdown(Number(rest['factor']));
-    else if (name === 'crash') this.crash();
-    else if (name === 'break-streams') this.breakStreams();
+    else if (name === 'crash') {
+      // The connection of this command breaks too, so its answer goes first.
+      setImmediate(() => this.crash());
+    } else if (name === 'break-streams') this.breakStreams();
     else if (name === 'go-cold') this.goCold();
     else return undefined;
     return {done: name};
