--- a/stand-ins/service-server.ts
+++ b/stand-ins/service-server.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {SystemClock, type Clock} from '../src/process/clock.js';
 import {
   HttpStandIn,
   readBody,
@@ -36,6 +37,13 @@
   delayMs = 0;
   private fault: ServiceFault | undefined;
 
+  /**
+   * @param clock - Clock for the delay.
+   */
+  constructor(private readonly clock: Clock = new SystemClock()) {
+    super();
+  }
+
   /** Sets the fault of the next requests. */
   setFault(fault: ServiceFault | undefined): void {
     this.fault = fault;
@@ -60,7 +68,9 @@
   ): Promise<void> {
     const body = await readBody(req);
     if (this.delayMs > 0) {
-      await new Promise(resolve => setTimeout(resolve, this.delayMs));
+      await new Promise<void>(resolve =>
+        this.clock.after(this.delayMs, resolve),
+      );
     }
     const fault = this.takeFault();
     if (fault === 'drop-before') return void res.destroy();
--- a/test/stand-ins/engine-server.test.ts
+++ b/test/stand-ins/engine-server.test.ts
@@ -107,7 +107,8 @@
   const res = await complete('r', {stream: true, max_tokens: 100_000});
   await once(res.body, 'data');
   const broken = once(res.body, 'error');
-  engine.crash();
+  const command = await send('POST', '/control', {do: 'crash'});
+  assert.equal(command.statusCode, 200);
   await broken;
   await assert.rejects(complete('s'), {code: 'ECONNREFUSED'});
   while (!engine.isListening) {
--- a/test/stand-ins/service-server.test.ts
+++ b/test/stand-ins/service-server.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {createHash} from 'node:crypto';
+import {EventEmitter, once} from 'node:events';
 import {test, type TestContext} from 'node:test';
 import {Agent} from 'undici';
+import {SystemClock, type Cancel} from '../../src/process/clock.js';
 import {HostListServer, WeightStoreServer} from '../../stand-ins/index.js';
 import type {HttpStandIn} from '../../stand-ins/http-stand-in.js';
 import {ServiceServer} from '../../stand-ins/service-server.js';
@@ -53,6 +55,27 @@
   assert.equal((await send('POST', '/x', {})).statusCode, 200);
 });
 
+test('a delayed request is executed only after its delay', async t => {
+  const delayed = new EventEmitter();
+  class HeldClock extends SystemClock {
+    override after(delayMs: number, fn: () => void): Cancel {
+      delayed.emit('delay', delayMs, fn);
+      return () => {};
+    }
+  }
+  const service = new ServiceServer(new HeldClock());
+  const send = await start(t, service);
+  await send('POST', '/control', {do: 'delay', ms: 700});
+  const arrived = once(delayed, 'delay');
+  const pending = send('GET', '/slow');
+  const [delayMs, release] = (await arrived) as [number, () => void];
+  assert.equal(delayMs, 700);
+  assert.equal(service.executions.length, 0);
+  release();
+  assert.equal((await pending).statusCode, 200);
+  assert.equal(service.executions.length, 1);
+});
+
 test('the weight store grants no more loads at once than its limit', async t => {
   const store = new WeightStoreServer();
   store.limits.bytesPerSecond = 1000;
