--- a/src/process/events/version-events.ts
+++ b/src/process/events/version-events.ts
@@ -10,4 +10,34 @@
     level: 'info',
     message: 'configuration write lost a race',
   },
+  configInvalid: {
+    id: 5003,
+    level: 'warn',
+    message: 'configuration record is invalid and was ignored',
+  },
+  configSnapshotLoaded: {
+    id: 5004,
+    level: 'info',
+    message: 'configuration loaded from a snapshot',
+  },
+  configSnapshotWritten: {
+    id: 5005,
+    level: 'info',
+    message: 'configuration snapshot written',
+  },
+  operatorWrite: {
+    id: 5006,
+    level: 'info',
+    message: 'operator write answered',
+  },
+  operatorRefused: {
+    id: 5007,
+    level: 'warn',
+    message: 'resource API refused a credential',
+  },
+  claimsUnavailable: {
+    id: 5008,
+    level: 'warn',
+    message: 'at-most-once claims cannot be recorded',
+  },
 } as const;
--- a/src/version/config-state.ts
+++ b/src/version/config-state.ts
@@ -1,4 +1,11 @@
-import type {Resource, ResourceKind, ResourceSpecs} from './resources/kinds.js';
+import {PersistentMap} from './persistent-map.js';
+import {checkRecord, type FieldError} from './resources/check-spec.js';
+import {
+  resourceKinds,
+  type Resource,
+  type ResourceKind,
+  type ResourceSpecs,
+} from './resources/kinds.js';
 
 /** An operator's write as it stands in the log. */
 export interface ConfigRecord {
@@ -21,30 +28,55 @@
 export type FoldOutcome =
   | {kind: 'accepted'; generation: number}
   | {kind: 'conflict'; expected: number; actual: number}
+  | {kind: 'invalid'; errors: readonly FieldError[]}
   | {kind: 'duplicate'};
 
-/** Number of write ids that are remembered to recognise duplicates. */
-export const rememberedWriteIds = 4096;
+/** Outcome of a write, and where its record stands. */
+export interface RememberedWrite {
+  readonly offset: number;
+  readonly outcome: FoldOutcome;
+}
+
+/** Last generation of a deleted resource. */
+export interface DeletedResource {
+  readonly offset: number;
+  readonly generation: number;
+}
+
+/** Number of records for which write ids and deleted generations are remembered. */
+export const rememberedRecords = 4096;
+
+/** Resources of all kinds, by kind and name. */
+export type ResourceMaps = {
+  readonly [K in ResourceKind]: PersistentMap<Resource<K>>;
+};
 
 /** The configuration after all records below `offset`. */
 export interface ConfigState {
   /** Offset of the next record to fold. */
   readonly offset: number;
-  /** Resources by `KIND/NAME`. */
-  readonly resources: ReadonlyMap<string, Resource>;
-  /** Outcomes of the most recent writes, by write id, oldest first. */
-  readonly recentWrites: ReadonlyMap<string, FoldOutcome>;
+  readonly resources: ResourceMaps;
+  /** Outcomes of the writes in the last {@link rememberedRecords} records, by write id. */
+  readonly recentWrites: PersistentMap<RememberedWrite>;
+  /**
+   * Generations of recently deleted resources by {@link resourceKey}. A resource that is created
+   * again continues from there; otherwise a write made against the deleted one could be accepted.
+   */
+  readonly deleted: PersistentMap<DeletedResource>;
 }
 
 /** The configuration before any record. */
 export const emptyConfig: ConfigState = {
   offset: 0,
-  resources: new Map(),
-  recentWrites: new Map(),
+  resources: Object.fromEntries(
+    Object.values(resourceKinds).map(kind => [kind, PersistentMap.from()]),
+  ) as unknown as ResourceMaps,
+  recentWrites: PersistentMap.from(),
+  deleted: PersistentMap.from(),
 };
 
 /**
- * Key of a resource in {@link ConfigState.resources}.
+ * Key of a resource across kinds.
  *
  * @param kind - Kind of the resource.
  * @param name - Name of the resource.
@@ -56,7 +88,7 @@
 
 /**
  * Applies one record. Every host folds the same records in the same order, so that all agree on
- * the winner of a race.
+ * the winner of a race. Any JSON value is folded; one that is not a valid record changes nothing.
  *
  * @param state - Configuration before the record.
  * @param record - Record to apply.
@@ -68,73 +100,68 @@
   record: ConfigRecord,
   offset: number,
 ): {state: ConfigState; outcome: FoldOutcome} {
-  if (state.recentWrites.has(record.writeId)) {
-    return {
-      state: {...state, offset: offset + 1},
-      outcome: {kind: 'duplicate'},
-    };
+  const next = {...state, offset: offset + 1};
+  const errors = checkRecord(record);
+  const writeId = (record as Partial<ConfigRecord> | null)?.writeId;
+  if (typeof writeId !== 'string') {
+    return {state: next, outcome: {kind: 'invalid', errors}};
+  }
+  const keep = (entry: {offset: number}) =>
+    offset - entry.offset < rememberedRecords;
+  const earlier = state.recentWrites.get(writeId);
+  if (earlier && keep(earlier)) {
+    return {state: next, outcome: {kind: 'duplicate'}};
   }
+  const outcome: FoldOutcome =
+    errors.length > 0
+      ? {kind: 'invalid', errors}
+      : decideOutcome(state, record, keep);
+  const recentWrites = state.recentWrites.withPruned(
+    writeId,
+    {offset, outcome},
+    keep,
+  );
+  if (outcome.kind !== 'accepted') {
+    return {state: {...next, recentWrites}, outcome};
+  }
+  const {generation} = outcome;
   const key = resourceKey(record.kind, record.name);
-  const actual = state.resources.get(key)?.generation ?? 0;
-  const outcome = decideOutcome(record, actual);
-  const resources =
-    outcome.kind === 'accepted'
-      ? applyRecord(state.resources, record, outcome.generation, offset)
-      : state.resources;
-  return {
-    state: {
-      offset: offset + 1,
-      resources,
-      recentWrites: rememberWrite(state.recentWrites, record.writeId, outcome),
-    },
-    outcome,
+  if (record.op === 'delete') {
+    const map = state.resources[record.kind].without(record.name);
+    const resources = {...state.resources, [record.kind]: map};
+    const deleted = state.deleted.withPruned(key, {offset, generation}, keep);
+    return {state: {...next, resources, recentWrites, deleted}, outcome};
+  }
+  const resource = {
+    kind: record.kind,
+    name: record.name,
+    generation,
+    spec: record.spec as ResourceSpecs[ResourceKind],
+    writtenBy: record.actor,
+    writtenAt: record.time,
+    offset,
+  };
+  const maps = state.resources[record.kind] as PersistentMap<Resource>;
+  const resources = {
+    ...state.resources,
+    [record.kind]: maps.with(record.name, resource),
   };
+  return {state: {...next, resources, recentWrites}, outcome};
 }
 
-function decideOutcome(record: ConfigRecord, actual: number): FoldOutcome {
+function decideOutcome(
+  state: ConfigState,
+  record: ConfigRecord,
+  keep: (entry: DeletedResource) => boolean,
+): FoldOutcome {
+  const actual = getResource(state, record.kind, record.name)?.generation ?? 0;
   const expected = record.baseGeneration;
   if (expected >= 0 && expected !== actual) {
     return {kind: 'conflict', expected, actual};
   }
-  return {kind: 'accepted', generation: actual + 1};
-}
-
-function applyRecord(
-  resources: ReadonlyMap<string, Resource>,
-  record: ConfigRecord,
-  generation: number,
-  offset: number,
-): ReadonlyMap<string, Resource> {
-  const next = new Map(resources);
-  const key = resourceKey(record.kind, record.name);
-  if (record.op === 'delete' || record.spec === undefined) {
-    next.delete(key);
-  } else {
-    next.set(key, {
-      kind: record.kind,
-      name: record.name,
-      generation,
-      spec: record.spec,
-      writtenBy: record.actor,
-      writtenAt: record.time,
-      offset,
-    });
-  }
-  return next;
-}
-
-function rememberWrite(
-  writes: ReadonlyMap<string, FoldOutcome>,
-  writeId: string,
-  outcome: FoldOutcome,
-): ReadonlyMap<string, FoldOutcome> {
-  const next = new Map(writes);
-  next.set(writeId, outcome);
-  if (next.size > rememberedWriteIds) {
-    const oldest = next.keys().next().value as string;
-    next.delete(oldest);
-  }
-  return next;
+  const gone = state.deleted.get(resourceKey(record.kind, record.name));
+  const previous = actual || (gone && keep(gone) ? gone.generation : 0);
+  return {kind: 'accepted', generation: previous + 1};
 }
 
 /**
@@ -150,24 +177,27 @@
   kind: K,
   name: string,
 ): Resource<K> | undefined {
-  return state.resources.get(resourceKey(kind, name)) as
-    Resource<K> | undefined;
+  return (state.resources[kind] as PersistentMap<Resource<K>>).get(name);
 }
 
+const lists = new WeakMap<object, readonly Resource[]>();
+
 /**
- * Lists the resources of one kind.
+ * Lists the resources of one kind. The list is computed once for each state of the kind.
  *
  * @param state - Configuration to read.
  * @param kind - Kind to list.
- * @returns Resources in the order of their creation.
+ * @returns Resources ordered by name.
  */
 export function listResources<K extends ResourceKind>(
   state: ConfigState,
   kind: K,
-): Resource<K>[] {
-  const found: Resource<K>[] = [];
-  for (const resource of state.resources.values()) {
-    if (resource.kind === kind) found.push(resource as Resource<K>);
+): readonly Resource<K>[] {
+  const map = state.resources[kind];
+  let list = lists.get(map);
+  if (!list) {
+    list = [...map.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+    lists.set(map, list);
   }
-  return found;
+  return list as readonly Resource<K>[];
 }
--- a/src/version/config-store.ts
+++ b/src/version/config-store.ts
@@ -8,15 +8,21 @@
   type ConfigState,
   type FoldOutcome,
 } from './config-state.js';
+import {RecordSink, RecordSource} from './record-relay.js';
+import {RecordRing} from './record-ring.js';
 
 /** Name of the log stream that holds operators' writes. */
 export const configStream = 'config';
 
+/** Records kept for peers and watches: about half a day at 7,100 changes a day. */
+const ringRecords = 4096;
+/** Bound of the kept records, in bytes; a quarter of it is typical. */
+const ringBytes = 4_194_304;
+
 /** Messages to the configuration store. */
-export type ConfigMessage = {
-  kind: 'records';
-  records: readonly LogRecord[];
-};
+export type ConfigMessage =
+  | {kind: 'records'; records: readonly LogRecord[]}
+  | {kind: 'snapshot'; state: ConfigState};
 
 /** A record that was folded. */
 export interface ConfigChange {
@@ -27,32 +33,88 @@
   readonly state: ConfigState;
 }
 
-/** Folds the configuration stream. Records that were folded before are ignored. */
+/** Folds the configuration stream. The offset never decreases. */
 export class ConfigStore extends Task<ConfigMessage> {
   private current: ConfigState = emptyConfig;
   private readonly subject = new Subject<ConfigChange>();
+  private readonly installs = new Subject<ConfigState>();
+  private readonly ring = new RecordRing(ringRecords, ringBytes);
 
   /** Each record after it was folded. */
   readonly changes = this.subject.stream;
 
+  /** Each snapshot that replaced the folded state. */
+  readonly installed = this.installs.stream;
+
+  /** Records for peers. */
+  readonly source: RecordSource = new StoreSource(this, this.ring);
+
+  /** Entry for records that peers relay. */
+  readonly sink: RecordSink = new StoreSink(this);
+
   /** Configuration after all records folded so far. */
   get state(): ConfigState {
     return this.current;
   }
 
+  /** Oldest offset from which all later records are kept in memory. */
+  get firstKept(): number {
+    return this.ring.first ?? this.current.offset;
+  }
+
   protected override *run(): Generator<undefined, void, ConfigMessage> {
     for (;;) {
       const message = yield;
-      for (const {offset, data} of message.records) this.fold(offset, data);
+      if (message.kind === 'snapshot') this.install(message.state);
+      else for (const record of message.records) this.fold(record);
     }
   }
 
-  private fold(offset: number, data: unknown): void {
+  private fold({offset, data}: LogRecord): void {
     // A gap would mean that a record was skipped; the follower asks again from the old position.
     if (offset !== this.current.offset) return;
     const record = data as ConfigRecord;
     const {state, outcome} = foldRecord(this.current, record, offset);
     this.current = state;
+    this.ring.push({offset, data});
     this.subject.next({record, offset, outcome, state});
   }
+
+  private install(state: ConfigState): void {
+    if (state.offset <= this.current.offset) return;
+    this.current = state;
+    this.ring.clear();
+    this.installs.next(state);
+  }
+}
+
+class StoreSource extends RecordSource {
+  constructor(
+    private readonly store: ConfigStore,
+    private readonly ring: RecordRing,
+  ) {
+    super();
+  }
+
+  override nextOffset(stream: string): number {
+    return stream === configStream ? this.store.state.offset : 0;
+  }
+
+  override recordsFrom(
+    stream: string,
+    from: number,
+    maxBytes: number,
+  ): readonly LogRecord[] {
+    return stream === configStream ? this.ring.from(from, maxBytes) : [];
+  }
+}
+
+class StoreSink extends RecordSink {
+  constructor(private readonly store: ConfigStore) {
+    super();
+  }
+
+  override accept(stream: string, records: readonly LogRecord[]): void {
+    if (stream === configStream) this.store.post({kind: 'records', records});
+  }
 }
--- /dev/null
+++ b/src/version/config-writer.ts
@@ -0,0 +1,158 @@
+import {randomUUID} from 'node:crypto';
+import type {LogClient} from '../connection/platform/log-client.js';
+import type {Clock} from '../process/clock.js';
+import {FailureError} from '../process/errors/catalogue.js';
+import {subscribe} from '../process/subject.js';
+import type {ConfigRecord, RememberedWrite} from './config-state.js';
+import {configStream, type ConfigStore} from './config-store.js';
+import type {FieldError} from './resources/check-spec.js';
+
+/** What became of a write. */
+export type WriteResult =
+  | {kind: 'accepted'; writeId: string; generation: number; offset: number}
+  | {kind: 'conflict'; writeId: string; expected: number; actual: number}
+  | {kind: 'invalid'; writeId: string; errors: readonly FieldError[]}
+  | {
+      kind: 'unavailable';
+      writeId: string;
+      /** `unknown` if the record may stand in the log or may still arrive there. */
+      accepted: 'no' | 'unknown';
+    };
+
+/** Parts that the writer uses. */
+export interface ConfigWriterParts {
+  readonly log: LogClient;
+  readonly store: ConfigStore;
+  readonly clock: Clock;
+  /** Uniform random number in 0..1, for the jitter. */
+  readonly random: () => number;
+  /** Tells whether the log answered the last read; a write is not tried otherwise. */
+  readonly logUp?: () => boolean;
+}
+
+/** Time after which a write is answered as unavailable, in milliseconds. */
+const writeTimeoutMs = 5000;
+/** First upper bound of the delay between two tries, in milliseconds; doubles up to the last. */
+const firstDelayMs = 50;
+const lastDelayMs = 1000;
+
+/** Appends configuration records and reports a result only after the record was read back. */
+export class ConfigWriter {
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: ConfigWriterParts) {}
+
+  /**
+   * Writes one record.
+   *
+   * @param write - Record without id; `writeId` may be given to repeat an earlier write.
+   * @returns What became of the record.
+   */
+  async write(
+    write: Omit<ConfigRecord, 'writeId'> & {writeId?: string},
+  ): Promise<WriteResult> {
+    const {clock, store, random} = this.parts;
+    const record = {...write, writeId: write.writeId ?? randomUUID()};
+    const {writeId} = record;
+    const endMs = clock.nowMs() + writeTimeoutMs;
+    let maybeAppended = false;
+    for (let attempt = 0; clock.nowMs() < endMs; attempt++) {
+      const known = store.state.recentWrites.get(writeId);
+      if (known) return toResult(writeId, known);
+      if (!maybeAppended && this.parts.logUp?.() === false) break;
+      const tried = await this.tryAppend(record);
+      if (tried.kind !== 'limited') maybeAppended = true;
+      if (tried.kind === 'appended') {
+        await this.readUpTo(tried.offset + 1, endMs);
+        break;
+      }
+      const delayMs = Math.min(lastDelayMs, firstDelayMs * 2 ** attempt);
+      const waitMs =
+        tried.kind === 'limited' ? tried.retryAfterMs + delayMs : delayMs;
+      await this.sleep(Math.min(waitMs * random(), endMs - clock.nowMs()));
+      // The store must have read all that the log held after the failed append; a record that
+      // arrives still later is folded as a duplicate of the one appended next.
+      if (tried.kind === 'lost' && !(await this.catchUp(endMs))) break;
+    }
+    const known = store.state.recentWrites.get(writeId);
+    if (known) return toResult(writeId, known);
+    const accepted = maybeAppended ? 'unknown' : 'no';
+    return {kind: 'unavailable', writeId, accepted};
+  }
+
+  private async tryAppend(
+    record: ConfigRecord,
+  ): Promise<
+    | {kind: 'appended'; offset: number}
+    | {kind: 'limited'; retryAfterMs: number}
+    | {kind: 'lost'}
+  > {
+    try {
+      const offset = await this.parts.log.append(configStream, record);
+      return {kind: 'appended', offset};
+    } catch (err) {
+      if (!(err instanceof FailureError)) throw err;
+      if (err.failure.kind === 'log-rate-limited') {
+        return {kind: 'limited', retryAfterMs: err.failure.retryAfterMs};
+      }
+      return {kind: 'lost'};
+    }
+  }
+
+  /** Waits until the store has read the log up to its present end; false if the log is down. */
+  private async catchUp(endMs: number): Promise<boolean> {
+    const {log, store, clock, random} = this.parts;
+    for (let attempt = 0; clock.nowMs() < endMs; attempt++) {
+      try {
+        const from = store.state.offset;
+        const page = await log.read(configStream, from, {limit: 500});
+        store.post({kind: 'records', records: page.records});
+        if (store.state.offset >= page.next) return true;
+        if (page.records.length > 0) continue;
+      } catch (err) {
+        if (!(err instanceof FailureError)) throw err;
+      }
+      const delayMs = Math.min(lastDelayMs, firstDelayMs * 2 ** attempt);
+      await this.sleep(Math.min(delayMs * random(), endMs - clock.nowMs()));
+    }
+    return false;
+  }
+
+  private readUpTo(offset: number, endMs: number): Promise<void> {
+    const {store, clock} = this.parts;
+    if (store.state.offset >= offset) return Promise.resolve();
+    return new Promise(resolve => {
+      const done = () => {
+        cancel();
+        stopChanges();
+        stopInstalls();
+        resolve();
+      };
+      const check = () => {
+        if (store.state.offset >= offset) done();
+      };
+      const cancel = clock.after(Math.max(0, endMs - clock.nowMs()), done);
+      const stopChanges = subscribe(store.changes, check);
+      const stopInstalls = subscribe(store.installed, check);
+    });
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      this.parts.clock.after(Math.max(1, ms), resolve);
+    });
+  }
+}
+
+function toResult(writeId: string, {offset, outcome}: RememberedWrite) {
+  switch (outcome.kind) {
+    case 'accepted':
+      return {...outcome, writeId, offset};
+    case 'conflict':
+    case 'invalid':
+      return {...outcome, writeId};
+    default:
+      throw new Error('a remembered write is never a duplicate');
+  }
+}
--- /dev/null
+++ b/src/version/snapshots/snapshot-writer.ts
@@ -0,0 +1,94 @@
+import {randomUUID} from 'node:crypto';
+import type {LogClient} from '../../connection/platform/log-client.js';
+import {every, type Cancel, type Clock} from '../../process/clock.js';
+import {FailureError} from '../../process/errors/catalogue.js';
+import type {MemberView} from '../../process/member-view.js';
+import {findOwner} from '../../process/ownership.js';
+import type {ConfigStore} from '../config-store.js';
+import {encodeSnapshot, snapshotStream} from './snapshot-format.js';
+import {SnapshotReader} from './snapshot-loader.js';
+
+/** Records after which a new snapshot is written: about every seven hours at 7,100 a day. */
+const recordsBetween = 2000;
+
+/** Parts that the snapshot writer uses. */
+export interface SnapshotWriterParts {
+  readonly log: LogClient;
+  readonly store: ConfigStore;
+  readonly clock: Clock;
+  /** Absent for a host without peers, which then always writes. */
+  readonly members?: MemberView;
+  /** Least time for which the log keeps records, in milliseconds. */
+  readonly retentionMs: number;
+}
+
+/** Writes snapshots to the log well before the records that they replace are dropped. */
+export class SnapshotWriter {
+  private cancel: Cancel = () => {};
+  private running = false;
+  private readonly reader: SnapshotReader;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: SnapshotWriterParts) {
+    this.reader = new SnapshotReader(parts.log);
+  }
+
+  /** Starts to check regularly whether a snapshot is due. */
+  start(): void {
+    const {clock, retentionMs} = this.parts;
+    this.cancel = every(clock, Math.min(60_000, retentionMs / 16), () => {
+      void this.checkNow();
+    });
+  }
+
+  /** Stops the checks. */
+  stop(): void {
+    this.cancel();
+  }
+
+  /**
+   * Writes a snapshot if one is due and this host is the chosen writer.
+   *
+   * @returns Whether a snapshot was written.
+   */
+  async checkNow(): Promise<boolean> {
+    if (this.running || !this.chosen()) return false;
+    this.running = true;
+    try {
+      return await this.writeIfDue();
+    } catch (err) {
+      // The next check tries again; three further checks fit into the retention.
+      if (err instanceof FailureError) return false;
+      throw err;
+    } finally {
+      this.running = false;
+    }
+  }
+
+  private chosen(): boolean {
+    const {members} = this.parts;
+    if (!members) return true;
+    const ids = members.live().map(member => member.id);
+    return findOwner(snapshotStream, ids) === members.self.id;
+  }
+
+  private async writeIfDue(): Promise<boolean> {
+    const {log, store, clock, retentionMs} = this.parts;
+    const newest = (await this.reader.readNewest())?.[0];
+    const {state} = store;
+    if (state.offset === 0 || (newest && newest.offset > state.offset)) {
+      return false;
+    }
+    const ageMs = newest ? clock.wallMs() - Date.parse(newest.time) : Infinity;
+    const newRecords = state.offset - (newest?.offset ?? 0);
+    // A snapshot is repeated even without new records, since the log drops old snapshots too.
+    if (newRecords < recordsBetween && ageMs < retentionMs / 4) return false;
+    const time = new Date(clock.wallMs()).toISOString();
+    for (const part of encodeSnapshot(state, randomUUID(), time)) {
+      await log.append(snapshotStream, part);
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/version/status/resource-status.ts
@@ -0,0 +1,160 @@
+import type {Clock} from '../../process/clock.js';
+import type {ConfigState} from '../config-state.js';
+import {checkReferences} from '../references.js';
+import type {Resource} from '../resources/kinds.js';
+import type {ZoneOffset, ZoneOffsets} from './zone-offsets.js';
+
+/** One statement about a resource. */
+export interface Condition {
+  readonly type: string;
+  readonly status: 'True' | 'False' | 'Unknown';
+  /** Stable word for programs. */
+  readonly reason: string;
+  /** Sentence for people. */
+  readonly message: string;
+  /** Time since which the condition holds, or of the statement, RFC 3339. */
+  readonly time: string;
+}
+
+/** Effect of one resource in one zone. */
+export interface ZoneStatus {
+  readonly zone: string;
+  readonly inEffect: 'True' | 'False' | 'Unknown';
+  /** Configuration offset in effect in the zone; absent if it cannot be heard. */
+  readonly configOffset?: number;
+  /** Time since which it is so, RFC 3339; absent if it is longer ago than remembered. */
+  readonly since?: string;
+}
+
+/** What the answering host knows of a resource. */
+export interface ResourceStatus {
+  readonly observedGeneration: number;
+  readonly conditions: readonly Condition[];
+  readonly zones: readonly ZoneStatus[];
+  /** Host that computed the status. */
+  readonly answeredBy: string;
+}
+
+/** Adds conditions of one kind of resource that need more than the configuration. */
+export abstract class ConditionSource {
+  /**
+   * Computes conditions.
+   *
+   * @param resource - Resource of any kind.
+   * @returns Conditions; empty if this source has nothing to say.
+   */
+  abstract conditions(resource: Resource): readonly Condition[];
+}
+
+/** Parts from which statuses are computed. */
+export interface StatusParts {
+  readonly host: string;
+  readonly clock: Clock;
+  readonly config: () => ConfigState;
+  readonly zones: ZoneOffsets;
+  readonly sources: readonly ConditionSource[];
+}
+
+/**
+ * Computes the status of a resource.
+ *
+ * @param parts - Parts of the process.
+ * @param resource - Resource in the current configuration.
+ * @returns The status as known to this host.
+ */
+export function computeStatus(
+  parts: StatusParts,
+  resource: Resource,
+): ResourceStatus {
+  const zones = parts.zones
+    .list()
+    .map(zone => toZoneStatus(parts.zones, zone, resource.offset));
+  return {
+    observedGeneration: resource.generation,
+    conditions: [
+      inEffectCondition(parts, zones),
+      ...referenceConditions(parts, resource),
+      ...parts.sources.flatMap(source => source.conditions(resource)),
+    ],
+    zones,
+    answeredBy: parts.host,
+  };
+}
+
+function toZoneStatus(
+  offsets: ZoneOffsets,
+  {zone, offset, sinceMs}: ZoneOffset,
+  wanted: number,
+): ZoneStatus {
+  if (offset === undefined) {
+    return {zone, inEffect: 'Unknown', since: toTime(sinceMs)};
+  }
+  if (offset <= wanted) {
+    return {zone, inEffect: 'False', configOffset: offset};
+  }
+  const reachedMs = offsets.inEffectSince(zone, wanted);
+  const since = reachedMs === undefined ? undefined : toTime(reachedMs);
+  return {zone, inEffect: 'True', configOffset: offset, since};
+}
+
+function inEffectCondition(
+  {clock}: StatusParts,
+  zones: readonly ZoneStatus[],
+): Condition {
+  const names = (state: ZoneStatus['inEffect']) =>
+    zones.filter(zone => zone.inEffect === state).map(zone => zone.zone);
+  const now = toTime(clock.wallMs());
+  const behind = names('False');
+  const unheard = names('Unknown');
+  if (behind.length > 0) {
+    return {
+      type: 'InEffect',
+      status: 'False',
+      reason: 'ZonesBehind',
+      message: `not yet in effect in zone ${behind.join(', ')}`,
+      time: now,
+    };
+  }
+  if (unheard.length > 0) {
+    return {
+      type: 'InEffect',
+      status: 'Unknown',
+      reason: 'ZonesNotHeard',
+      message: `no host of zone ${unheard.join(', ')} can be heard`,
+      time: now,
+    };
+  }
+  const since = zones
+    .map(zone => zone.since)
+    .filter(time => time !== undefined);
+  return {
+    type: 'InEffect',
+    status: 'True',
+    reason: 'AllZones',
+    message: 'in effect in all zones',
+    time: since.sort().at(-1) ?? now,
+  };
+}
+
+function referenceConditions(
+  {clock, config}: StatusParts,
+  resource: Resource,
+): Condition[] {
+  if (resource.kind !== 'target' && resource.kind !== 'rollout') return [];
+  const errors = checkReferences(config(), resource.kind, resource.spec);
+  return [
+    {
+      type: 'ReferencesResolved',
+      status: errors.length > 0 ? 'False' : 'True',
+      reason: errors.length > 0 ? 'Dangling' : 'AllFound',
+      message:
+        errors.map(({path, reason}) => `${path} ${reason}`).join('; ') ||
+        'all named resources exist',
+      time: toTime(clock.wallMs()),
+    },
+  ];
+}
+
+function toTime(ms: number): string {
+  return new Date(ms).toISOString();
+}
