--- /dev/null
+++ b/src/commands/check.ts
@@ -0,0 +1,53 @@
+import {Command, Option, UsageError} from 'clipanion';
+import {FailureError} from '../process/errors/catalogue.js';
+import {loadSettings} from '../process/settings.js';
+import {readResourceFiles} from '../version/client/resource-files.js';
+import {exitCodes, printFailure} from './shared.js';
+
+/** Checks a settings file or resource files without contacting any host. */
+export class CheckCommand extends Command {
+  static override paths = [['check']];
+  static override usage = Command.Usage({
+    category: 'Configuration',
+    description: 'check settings or resource files without contacting a host',
+    details:
+      'Exit codes: 0 valid, 2 invalid or unreadable; each fault is printed with its path.',
+    examples: [
+      ['Check settings', '$0 check host.json'],
+      ['Check all resource files below a directory', '$0 check -f resources'],
+    ],
+  });
+
+  settings = Option.String({required: false, name: 'SETTINGS'});
+  files = Option.String('-f,--files', {
+    description: 'resource file or directory',
+  });
+
+  async execute(): Promise<number> {
+    if ((this.settings === undefined) === (this.files === undefined)) {
+      throw new UsageError('give either SETTINGS or -f');
+    }
+    try {
+      if (this.settings !== undefined) {
+        await loadSettings(this.settings);
+        this.context.stdout.write('settings are valid\n');
+        return exitCodes.ok;
+      }
+      return await this.checkFiles(this.files as string);
+    } catch (err) {
+      if (!(err instanceof FailureError)) throw err;
+      printFailure(this.context.stderr, err);
+      return exitCodes.usage;
+    }
+  }
+
+  private async checkFiles(path: string): Promise<number> {
+    const {resources, faults} = await readResourceFiles(path);
+    for (const {file, path: field, reason} of faults) {
+      this.context.stderr.write(`${file}: ${field} ${reason}\n`);
+    }
+    if (faults.length > 0) return exitCodes.usage;
+    this.context.stdout.write(`${resources.length} resources are valid\n`);
+    return exitCodes.ok;
+  }
+}
--- a/src/commands/shared.ts
+++ b/src/commands/shared.ts
@@ -11,6 +11,18 @@
   failed: 1,
   /** Arguments, settings or files are invalid; nothing was done. */
   usage: 2,
+  /** `diff` found differences. */
+  different: 3,
+  /** A part was applied; the output lists what was not. */
+  partial: 4,
+  /** The credential was refused. */
+  refused: 5,
+  /** No host answered, or the log is unavailable. */
+  unavailable: 6,
+  /** A racing write came first; nothing of this command was applied. */
+  conflict: 7,
+  /** Applied, but the awaited state was not reached in time. */
+  waitTimedOut: 8,
 } as const;
 
 /**
--- /dev/null
+++ b/src/connection/caller/resource-request.ts
@@ -0,0 +1,130 @@
+import type {IncomingMessage} from 'node:http';
+import {FailureError} from '../../process/errors/catalogue.js';
+import {isObject} from '../../version/merge-patch.js';
+import {
+  resourceKinds,
+  type ResourceKind,
+} from '../../version/resources/kinds.js';
+import {namePattern} from '../../version/resources/schemas.js';
+
+/** Path prefix of the resource API. */
+export const apiPrefix = '/api/v1/';
+
+const nameCheck = new RegExp(namePattern);
+const mediaTypes = new Set([
+  '',
+  'application/json',
+  'application/merge-patch+json',
+]);
+
+/** What a write may be conditional on. */
+export type Precondition =
+  | {kind: 'none'}
+  | {kind: 'exists'}
+  | {kind: 'absent'}
+  | {kind: 'generation'; generations: readonly number[]};
+
+/**
+ * Reads a kind from a path.
+ *
+ * @param text - Segment of the path.
+ * @returns The kind.
+ * @throws {@link FailureError} of kind `resource-kind-unknown`.
+ */
+export function parseKind(text: string): ResourceKind {
+  if (Object.hasOwn(resourceKinds, text)) return text as ResourceKind;
+  const known = Object.values(resourceKinds);
+  throw new FailureError({kind: 'resource-kind-unknown', name: text, known});
+}
+
+/**
+ * Checks a resource name.
+ *
+ * @param text - Segment of the path.
+ * @returns The name.
+ * @throws {@link FailureError} of kind `resource-name-invalid`.
+ */
+export function parseName(text: string): string {
+  if (nameCheck.test(text)) return text;
+  throw new FailureError({kind: 'resource-name-invalid', name: text});
+}
+
+/**
+ * Reads the conditional headers of a write.
+ *
+ * @param req - Request with its headers.
+ * @returns The precondition.
+ * @throws {@link FailureError} of kind `resource-etag-malformed`.
+ */
+export function parsePrecondition(req: IncomingMessage): Precondition {
+  const ifMatch = req.headers['if-match'];
+  const ifNoneMatch = req.headers['if-none-match'];
+  if (ifNoneMatch !== undefined) {
+    if (ifNoneMatch.trim() === '*') return {kind: 'absent'};
+    throw malformed('If-None-Match', ifNoneMatch);
+  }
+  if (ifMatch === undefined) return {kind: 'none'};
+  if (ifMatch.trim() === '*') return {kind: 'exists'};
+  const generations = parseTags('If-Match', ifMatch);
+  return {kind: 'generation', generations};
+}
+
+/**
+ * Reads a list of entity tags.
+ *
+ * @param header - Name of the header, for the failure.
+ * @param value - For example `"3", "4"`.
+ * @returns Generations.
+ * @throws {@link FailureError} of kind `resource-etag-malformed`.
+ */
+export function parseTags(header: string, value: string): number[] {
+  return value.split(',').map(part => {
+    const match = /^\s*"(\d{1,15})"\s*$/.exec(part);
+    if (!match) throw malformed(header, value);
+    return Number(match[1]);
+  });
+}
+
+/**
+ * Reads the JSON body of a write.
+ *
+ * @param req - Request whose body was not read yet.
+ * @param maxBytes - Greatest size, in bytes.
+ * @returns The object sent.
+ * @throws {@link FailureError} of a resource kind.
+ */
+export async function readObject(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Record<string, unknown>> {
+  const mediaType = (req.headers['content-type'] ?? '')
+    .split(';')[0]
+    .trim()
+    .toLowerCase();
+  if (!mediaTypes.has(mediaType)) {
+    throw new FailureError({kind: 'resource-media-type', mediaType});
+  }
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      throw new FailureError({kind: 'resource-body-too-large', maxBytes});
+    }
+    chunks.push(chunk);
+  }
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+  } catch (err) {
+    const reason = (err as Error).message;
+    throw new FailureError({kind: 'resource-body-malformed', reason});
+  }
+  if (isObject(value)) return value;
+  const reason = 'it is not a JSON object';
+  throw new FailureError({kind: 'resource-body-malformed', reason});
+}
+
+function malformed(header: string, value: string): FailureError {
+  return new FailureError({kind: 'resource-etag-malformed', header, value});
+}
--- /dev/null
+++ b/src/connection/caller/resource-watch.ts
@@ -0,0 +1,120 @@
+import type {ServerResponse} from 'node:http';
+import {every, type Clock} from '../../process/clock.js';
+import {FailureError} from '../../process/errors/catalogue.js';
+import {subscribe} from '../../process/subject.js';
+import type {ConfigRecord} from '../../version/config-state.js';
+import {
+  configStream,
+  type ConfigChange,
+  type ConfigStore,
+} from '../../version/config-store.js';
+import type {ResourceKind} from '../../version/resources/kinds.js';
+
+/** Time between two heartbeats, in milliseconds. */
+const heartbeatMs = 5000;
+/** Unsent bytes after which a watch is broken off; its reader resumes from an offset. */
+const maxUnsentBytes = 1_048_576;
+/** Greatest number of watches at one host. */
+const maxWatches = 256;
+
+/** Streams changes of resources as JSON lines. */
+export class ResourceWatches {
+  private readonly open = new Set<ServerResponse>();
+
+  /**
+   * @param store - Source of the changes.
+   * @param clock - Clock for the heartbeats.
+   */
+  constructor(
+    private readonly store: ConfigStore,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Ends all streams; their readers resume at another host. */
+  endAll(): void {
+    for (const res of this.open) res.end();
+  }
+
+  /**
+   * Answers with a stream that ends when the client leaves.
+   *
+   * @param res - Response whose head was not sent yet.
+   * @param from - First configuration offset wanted.
+   * @param filter - Kind, and name if only one resource is wanted.
+   * @throws {@link FailureError} of kind `watch-too-old` or `watch-limit`.
+   */
+  serve(
+    res: ServerResponse,
+    from: number,
+    filter: {kind: ResourceKind; name?: string},
+  ): void {
+    const {store} = this;
+    const first = store.firstKept;
+    if (from < first)
+      throw new FailureError({kind: 'watch-too-old', from, first});
+    if (this.open.size >= maxWatches) {
+      throw new FailureError({kind: 'watch-limit', limit: maxWatches});
+    }
+    this.open.add(res);
+    res.writeHead(200, {
+      'content-type': 'application/jsonl',
+      'cache-control': 'no-store',
+    });
+    const send = (line: unknown) => {
+      if (res.writableEnded || res.destroyed) return;
+      res.write(`${JSON.stringify(line)}\n`);
+      if (res.writableLength > maxUnsentBytes) res.destroy();
+    };
+    const heartbeat = () =>
+      send({type: 'heartbeat', offset: Math.max(from, store.state.offset)});
+    const sendChange = (change: Omit<ConfigChange, 'state'>) => {
+      const line = toLine(change, from, filter);
+      if (line) send(line);
+    };
+    for (const {offset, data} of store.source.recordsFrom(
+      configStream,
+      from,
+      Infinity,
+    )) {
+      const record = data as ConfigRecord;
+      const known = store.state.recentWrites.get(record?.writeId);
+      if (known?.offset === offset) {
+        sendChange({record, offset, outcome: known.outcome});
+      }
+    }
+    heartbeat();
+    const stopChanges = subscribe(store.changes, sendChange);
+    // A snapshot skips records that this watch would have to send.
+    const stopInstalls = subscribe(store.installed, () => res.end());
+    const stopHeartbeat = every(this.clock, heartbeatMs, heartbeat);
+    res.once('close', () => {
+      this.open.delete(res);
+      stopChanges();
+      stopInstalls();
+      stopHeartbeat();
+    });
+  }
+}
+
+function toLine(
+  {record, offset, outcome}: Omit<ConfigChange, 'state'>,
+  from: number,
+  filter: {kind: ResourceKind; name?: string},
+) {
+  if (offset < from || outcome.kind !== 'accepted') return undefined;
+  if (record.kind !== filter.kind) return undefined;
+  if (filter.name !== undefined && record.name !== filter.name)
+    return undefined;
+  return {
+    type: record.op,
+    offset,
+    next: offset + 1,
+    kind: record.kind,
+    name: record.name,
+    generation: outcome.generation,
+    spec: record.spec,
+    writtenBy: record.actor,
+    writtenAt: record.time,
+    writeId: record.writeId,
+  };
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,8 +1,14 @@
 #!/usr/bin/env node
 import {Builtins, Cli} from 'clipanion';
+import {ApplyCommand} from './commands/apply.js';
+import {CheckCommand} from './commands/check.js';
+import {DiffCommand} from './commands/diff.js';
 import {DemoCommand} from './commands/demo.js';
 import {EntryCommand} from './commands/entry.js';
+import {GetCommand} from './commands/get.js';
 import {StandInsCommand} from './commands/stand-ins.js';
+import {StatusCommand} from './commands/status.js';
+import {WatchCommand} from './commands/watch.js';
 
 const cli = new Cli({
   binaryLabel: 'guavaseam',
@@ -14,4 +20,10 @@
 cli.register(DemoCommand);
 cli.register(EntryCommand);
 cli.register(StandInsCommand);
+cli.register(CheckCommand);
+cli.register(DiffCommand);
+cli.register(ApplyCommand);
+cli.register(GetCommand);
+cli.register(WatchCommand);
+cli.register(StatusCommand);
 void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/version/client/resource-client.ts
@@ -0,0 +1,229 @@
+import {Agent, request, type Dispatcher} from 'undici';
+import {FailureError} from '../../process/errors/catalogue.js';
+import type {Resource, ResourceKind} from '../resources/kinds.js';
+import type {ResourceStatus} from '../status/resource-status.js';
+
+/** Time after which a call is given up, in milliseconds; a write may take five seconds. */
+const callTimeoutMs = 10_000;
+
+/** Members of a problem document that the commands use. */
+export interface Problem {
+  readonly status: number;
+  readonly reason: string;
+  readonly title: string;
+  readonly detail: string;
+  readonly hint?: string;
+  readonly accepted?: 'no' | 'unknown';
+  readonly errors?: readonly {path: string; reason: string}[];
+}
+
+/** Answer of the resource API: the body, or a problem. */
+export type ApiAnswer<T> =
+  {kind: 'ok'; body: T} | {kind: 'problem'; problem: Problem};
+
+/** Resource as a host returns it. */
+export type ResourceWithStatus = Resource & {readonly status: ResourceStatus};
+
+/** List of the resources of one kind. */
+export interface ResourceList {
+  readonly kind: ResourceKind;
+  /** Offset from which a watch continues the list. */
+  readonly offset: number;
+  readonly items: readonly Resource[];
+  readonly answeredBy: string;
+}
+
+/** Answer to a write. */
+export interface WriteDone {
+  readonly change: 'created' | 'updated' | 'deleted' | 'unchanged';
+  readonly generation: number;
+  readonly offset?: number;
+  readonly warnings: readonly string[];
+}
+
+/** Outcome of an earlier write. */
+export interface LookedUpWrite {
+  readonly writeId: string;
+  readonly offset: number;
+  readonly outcome: {readonly kind: string; readonly generation?: number};
+}
+
+/** Status of one host and the zones that it hears. */
+export interface HostStatus {
+  readonly answeredBy: string;
+  readonly configOffset: number;
+  readonly log: 'up' | 'down';
+  readonly resources: Readonly<Record<string, number>>;
+  readonly zones: readonly {
+    readonly zone: string;
+    readonly state: string;
+    readonly configOffset: number | 'Unknown';
+    readonly hosts: number;
+    readonly since: string;
+  }[];
+}
+
+/** What a write is conditional on. */
+export interface WriteOptions {
+  /** Generation that must be current; 0 if the resource must not exist. */
+  readonly base: number;
+  readonly writeId: string;
+  readonly dryRun?: boolean;
+}
+
+/** Client of the resource API at one host. */
+export class ResourceClient {
+  private readonly agent = new Agent({connections: 4});
+
+  /**
+   * @param host - Base URL of the host.
+   * @param token - Operator token.
+   */
+  constructor(
+    readonly host: string,
+    private readonly token: string,
+  ) {}
+
+  /** Reads one resource with its status. */
+  get(kind: string, name: string): Promise<ApiAnswer<ResourceWithStatus>> {
+    return this.call('GET', `${kind}/${encodeURIComponent(name)}`);
+  }
+
+  /** Lists one kind. */
+  list(kind: string): Promise<ApiAnswer<ResourceList>> {
+    return this.call('GET', kind);
+  }
+
+  /** Reads the status of the host. */
+  status(): Promise<ApiAnswer<HostStatus>> {
+    return this.call('GET', 'status');
+  }
+
+  /** Looks up what became of a write. */
+  lookUp(writeId: string): Promise<ApiAnswer<LookedUpWrite>> {
+    return this.call('GET', `writes/${encodeURIComponent(writeId)}`);
+  }
+
+  /** Creates or replaces one resource; deletes it if `spec` is absent. */
+  write(
+    target: {kind: string; name: string; spec?: unknown},
+    options: WriteOptions,
+  ): Promise<ApiAnswer<WriteDone>> {
+    const {kind, name, spec} = target;
+    const query = options.dryRun ? '?dryRun=true' : '';
+    return this.call(
+      spec === undefined ? 'DELETE' : 'PUT',
+      `${kind}/${encodeURIComponent(name)}${query}`,
+      spec === undefined ? undefined : {kind, name, spec},
+      {
+        'write-id': options.writeId,
+        ...(options.base === 0
+          ? {'if-none-match': '*'}
+          : {'if-match': `"${options.base}"`}),
+      },
+    );
+  }
+
+  /**
+   * Follows the changes of one kind.
+   *
+   * @param kind - Kind to watch.
+   * @param from - First configuration offset wanted.
+   * @param signal - Ends the watch.
+   * @returns Parsed lines, heartbeats included, until the host ends the stream.
+   * @throws {@link FailureError} of kind `host-unreachable` or `host-answer-unexpected`.
+   */
+  async *watch(
+    kind: string,
+    from: number,
+    signal: AbortSignal,
+  ): AsyncGenerator<Record<string, unknown>> {
+    const res = await this.send('GET', `${kind}?watch=${from}`, {signal});
+    if (res.statusCode !== 200) {
+      const problem = (await res.body.json()) as Problem;
+      const reason = `HTTP status ${res.statusCode}: ${problem.detail}`;
+      throw new FailureError({
+        kind: 'host-answer-unexpected',
+        host: this.host,
+        reason,
+      });
+    }
+    let rest = '';
+    try {
+      for await (const chunk of res.body) {
+        const lines = (rest + String(chunk)).split('\n');
+        rest = lines.pop() as string;
+        for (const line of lines) {
+          yield JSON.parse(line) as Record<string, unknown>;
+        }
+      }
+    } catch (err) {
+      if (signal.aborted) return;
+      throw this.unreachable(err);
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async call<T>(
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
+    body?: unknown,
+    headers: Record<string, string> = {},
+  ): Promise<ApiAnswer<T>> {
+    const signal = AbortSignal.timeout(callTimeoutMs);
+    const res = await this.send(method, path, {body, headers, signal});
+    let value: unknown;
+    try {
+      value = await res.body.json();
+    } catch {
+      throw new FailureError({
+        kind: 'host-answer-unexpected',
+        host: this.host,
+        reason: `HTTP status ${res.statusCode} without a JSON body`,
+      });
+    }
+    if (res.statusCode < 300) return {kind: 'ok', body: value as T};
+    return {kind: 'problem', problem: value as Problem};
+  }
+
+  private async send(
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
+    options: {
+      body?: unknown;
+      headers?: Record<string, string>;
+      signal: AbortSignal;
+    },
+  ): Promise<Dispatcher.ResponseData> {
+    try {
+      return await request(new URL(`/api/v1/${path}`, this.host), {
+        method,
+        dispatcher: this.agent,
+        signal: options.signal,
+        headers: {
+          ...options.headers,
+          authorization: `Bearer ${this.token}`,
+          ...(options.body !== undefined && {
+            'content-type': 'application/json',
+          }),
+        },
+        body:
+          options.body === undefined ? undefined : JSON.stringify(options.body),
+      });
+    } catch (err) {
+      throw this.unreachable(err);
+    }
+  }
+
+  private unreachable(err: unknown): FailureError {
+    const reason = (err as Error).message || (err as Error).name;
+    return new FailureError(
+      {kind: 'host-unreachable', host: this.host, reason},
+      {cause: err},
+    );
+  }
+}
--- a/src/version/config-writer.ts
+++ b/src/version/config-writer.ts
@@ -32,6 +32,8 @@
 
 /** Time after which a write is answered as unavailable, in milliseconds. */
 const writeTimeoutMs = 5000;
+/** Time after which an extra read of the log is given up, in milliseconds. */
+const refreshTimeoutMs = 1000;
 /** First upper bound of the delay between two tries, in milliseconds; doubles up to the last. */
 const firstDelayMs = 50;
 const lastDelayMs = 1000;
@@ -59,7 +61,7 @@
     let maybeAppended = false;
     for (let attempt = 0; clock.nowMs() < endMs; attempt++) {
       const known = store.state.recentWrites.get(writeId);
-      if (known) return toResult(writeId, known);
+      if (known) return toWriteResult(writeId, known);
       if (!maybeAppended && this.parts.logUp?.() === false) break;
       const tried = await this.tryAppend(record);
       if (tried.kind !== 'limited') maybeAppended = true;
@@ -76,11 +78,21 @@
       if (tried.kind === 'lost' && !(await this.catchUp(endMs))) break;
     }
     const known = store.state.recentWrites.get(writeId);
-    if (known) return toResult(writeId, known);
+    if (known) return toWriteResult(writeId, known);
     const accepted = maybeAppended ? 'unknown' : 'no';
     return {kind: 'unavailable', writeId, accepted};
   }
 
+  /**
+   * Reads the log up to its present end.
+   *
+   * @returns Whether the store now holds all that the log held.
+   */
+  refresh(): Promise<boolean> {
+    if (this.parts.logUp?.() === false) return Promise.resolve(false);
+    return this.catchUp(this.parts.clock.nowMs() + refreshTimeoutMs);
+  }
+
   private async tryAppend(
     record: ConfigRecord,
   ): Promise<
@@ -109,7 +121,7 @@
         const page = await log.read(configStream, from, {limit: 500});
         store.post({kind: 'records', records: page.records});
         if (store.state.offset >= page.next) return true;
-        if (page.records.length > 0) continue;
+        if (store.state.offset > from) continue;
       } catch (err) {
         if (!(err instanceof FailureError)) throw err;
       }
@@ -145,11 +157,22 @@
   }
 }
 
-function toResult(writeId: string, {offset, outcome}: RememberedWrite) {
+/**
+ * Converts the folded outcome of a write.
+ *
+ * @param writeId - Id of the write.
+ * @param known - Outcome and offset as folded.
+ * @returns The result for the writer.
+ */
+export function toWriteResult(
+  writeId: string,
+  {offset, outcome}: RememberedWrite,
+): WriteResult {
   switch (outcome.kind) {
     case 'accepted':
       return {...outcome, writeId, offset};
     case 'conflict':
+      return {...outcome, writeId};
     case 'invalid':
       return {...outcome, writeId};
     default:
--- a/src/version/status/self-member-view.ts
+++ b/src/version/status/self-member-view.ts
@@ -1,9 +1,9 @@
-import {empty} from 'most';
+import {empty, type Stream} from 'most';
 import {MemberView, type Member} from '../../process/member-view.js';
 
 /** Members of a host that knows no other host: itself. */
 export class SelfMemberView extends MemberView {
-  override readonly changes = empty<Member>();
+  override readonly changes = empty() as Stream<Member>;
 
   /**
    * @param place - Name, zone and region of this host.
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,9 +1,9 @@
 import {CallerServer} from './connection/caller/caller-server.js';
 import {HealthHandler} from './connection/caller/health-handler.js';
+import {ResourceHandler} from './connection/caller/resource-handler.js';
 import {UnknownPathHandler} from './connection/caller/unknown-path-handler.js';
 import {HttpLogClient} from './connection/platform/http-log-client.js';
 import type {LogClient} from './connection/platform/log-client.js';
-import {LogFollower} from './connection/platform/log-follower.js';
 import {TargetClients} from './connection/target/target-clients.js';
 import {SystemClock, type Clock} from './process/clock.js';
 import {Logger} from './process/logger.js';
@@ -19,7 +19,12 @@
 import {RequestHandler} from './request/request-handler.js';
 import {TokenBucketRetryBudget} from './request/retry-budget.js';
 import {listResources} from './version/config-state.js';
-import {ConfigStore, configStream} from './version/config-store.js';
+import {ConfigFeed} from './version/config-feed.js';
+import {ConfigStore} from './version/config-store.js';
+import {ConfigWriter} from './version/config-writer.js';
+import {SnapshotWriter} from './version/snapshots/snapshot-writer.js';
+import {SelfMemberView} from './version/status/self-member-view.js';
+import {ZoneOffsets} from './version/status/zone-offsets.js';
 
 /** Parts that a caller of {@link createHost} may replace. */
 export interface HostParts {
@@ -67,16 +72,49 @@
     : new HttpLogClient(settings.platform.logUrl);
   const log = parts.log ?? (ownLog as LogClient);
   const store = new ConfigStore();
-  const follower = new LogFollower(log, configStream, clock);
+  const feed = new ConfigFeed({log, store, clock, logger});
+  const members = new SelfMemberView(settings, () => store.state.offset);
+  const zones = new ZoneOffsets(members, () => store.state, clock);
+  const logUp = () => feed.logUp;
+  const writer = new ConfigWriter({
+    log,
+    store,
+    clock,
+    random: Math.random,
+    logUp,
+  });
+  const snapshots = new SnapshotWriter({
+    log,
+    store,
+    clock,
+    members,
+    retentionMs: settings.claims.retentionMs,
+  });
+  const resources = new ResourceHandler({
+    operators: settings.operators,
+    store,
+    writer,
+    clock,
+    logger,
+    status: {
+      host: settings.host,
+      clock,
+      config: () => store.state,
+      zones,
+      sources: [],
+    },
+    logUp,
+  });
   const targets = new TargetClients();
   let prefixHasher: PrefixHasher | undefined;
   const dispatcher = new LocalDispatcher(() => store.state, clock);
-  let ready = false;
+  let draining = false;
   const server = new CallerServer(
     settings.callers,
     {clock, logger, metrics},
     [
-      new HealthHandler(metrics, () => ready),
+      new HealthHandler(metrics, () => feed.complete && !draining),
+      resources,
       new RequestHandler({
         host: settings.host,
         clock,
@@ -99,34 +137,41 @@
     new UnknownPathHandler(metrics),
   );
 
-  const unsubscribeTargets = subscribe(store.changes, ({record, state}) => {
-    if (record.kind !== 'target') return;
-    const declared = listResources(state, 'target');
+  const retainTargets = () => {
+    const declared = listResources(store.state, 'target');
     targets.retain(new Set(declared.map(({spec}) => spec.address)));
-  });
-  const unsubscribe = subscribe(follower.events, event => {
-    if (event.kind !== 'records') return;
-    store.post({kind: 'records', records: event.records});
-    if (store.state.offset >= event.next) ready = true;
-  });
+  };
+  const unsubscribe = [
+    subscribe(store.changes, ({record}) => {
+      if (record.kind === 'target') retainTargets();
+      zones.refresh();
+    }),
+    subscribe(store.installed, () => {
+      retainTargets();
+      zones.refresh();
+    }),
+    subscribe(members.changes, () => zones.refresh()),
+  ];
 
   return {
     metrics,
     async start() {
       prefixHasher = await loadPrefixHasher();
       const callersPort = await server.listen();
-      follower.start(() => store.state.offset);
+      void feed.start();
+      snapshots.start();
       logger.event('hostStarted', {callersPort});
       return {callersPort};
     },
     async stop() {
-      ready = false;
+      draining = true;
       logger.event('drainStarted');
+      resources.close();
       const broken = await server.close(settings.drainMs);
       if (broken > 0) logger.event('drainTimedOut', {requests: broken});
-      follower.stop();
-      unsubscribe();
-      unsubscribeTargets();
+      feed.stop();
+      snapshots.stop();
+      for (const end of unsubscribe) end();
       await targets.close();
       await ownLog?.close();
       logger.event('drainFinished');
