--- /dev/null
+++ b/src/version/claims/claim-submitter.ts
@@ -0,0 +1,85 @@
+import {ClaimWriter, type ClaimWriterParts} from './claim-writer.js';
+import type {LedgerDecision, LedgerEntry} from './claim-ledger.js';
+
+/** Brings an entry to a writer of its partition: in this process, or at the partition's owner. */
+export abstract class ClaimSubmitter {
+  /**
+   * Submits one entry.
+   *
+   * @param partition - Number of the partition.
+   * @param entry - Claim or release.
+   * @returns The decision of the log.
+   * @throws {@link ClaimUndecided}, for claims only. A lost answer of another host counts as
+   *   possibly appended.
+   */
+  abstract submit(
+    partition: number,
+    entry: LedgerEntry,
+  ): Promise<LedgerDecision>;
+}
+
+/** Settings of the writers of all partitions. */
+export interface LocalClaimOptions extends Omit<
+  ClaimWriterParts,
+  'stream' | 'appendsPerSecond'
+> {
+  /** Number of partitions; the same in the whole fleet. */
+  readonly partitions: number;
+  /** Appends per second over all partitions that the fleet must not exceed for long. */
+  readonly fleetAppendsPerSecond: number;
+}
+
+/** Writes all partitions from this process. */
+export class LocalClaimSubmitter extends ClaimSubmitter {
+  private readonly writers = new Map<number, ClaimWriter>();
+
+  /**
+   * @param options - Parts and settings of the writers.
+   */
+  constructor(private readonly options: LocalClaimOptions) {
+    super();
+  }
+
+  /** Records appended so far. */
+  get appends(): number {
+    let sum = 0;
+    for (const writer of this.writers.values()) sum += writer.appends;
+    return sum;
+  }
+
+  override submit(
+    partition: number,
+    entry: LedgerEntry,
+  ): Promise<LedgerDecision> {
+    return this.writer(partition).submit(entry);
+  }
+
+  /** Stops all writers. */
+  stop(): void {
+    for (const writer of this.writers.values()) writer.stop();
+  }
+
+  private writer(partition: number): ClaimWriter {
+    let writer = this.writers.get(partition);
+    if (!writer) {
+      const {partitions, fleetAppendsPerSecond, ...parts} = this.options;
+      writer = new ClaimWriter({
+        ...parts,
+        stream: claimStream(partition),
+        appendsPerSecond: fleetAppendsPerSecond / partitions,
+      });
+      this.writers.set(partition, writer);
+    }
+    return writer;
+  }
+}
+
+/**
+ * Names the stream of a partition.
+ *
+ * @param partition - Number of the partition.
+ * @returns For example `claims-07`.
+ */
+export function claimStream(partition: number): string {
+  return `claims-${String(partition).padStart(2, '0')}`;
+}
--- /dev/null
+++ b/src/version/claims/claim-writer.ts
@@ -0,0 +1,254 @@
+import type {LogClient} from '../../connection/platform/log-client.js';
+import type {Cancel, Clock} from '../../process/clock.js';
+import {FailureError} from '../../process/errors/catalogue.js';
+import {AppendBudget} from './append-budget.js';
+import {
+  ClaimLedger,
+  type ClaimBatch,
+  type LedgerDecision,
+  type LedgerEntry,
+} from './claim-ledger.js';
+
+/** Greatest number of entries of one record, about 100 KB. */
+const maxBatchEntries = 500;
+/** Time after which a claim is refused, in milliseconds. */
+const claimTimeoutMs = 3000;
+/** How long the log may wait for the record just appended, in milliseconds. */
+const readBackWaitMs = 500;
+/** First and greatest upper bound of the delay after a failure, in milliseconds. */
+const firstDelayMs = 50;
+const lastDelayMs = 2000;
+/** Appends to one stream that may follow each other at once after a quiet time. */
+const burst = 2;
+/** Keys of one stream; about 200 bytes each. Further claims are refused, none is forgotten early. */
+const maxKeys = 250_000;
+
+/** Parts and settings of a {@link ClaimWriter}. */
+export interface ClaimWriterParts {
+  readonly log: LogClient;
+  readonly clock: Clock;
+  /** Uniform random number in 0..1, for the jitter. */
+  readonly random: () => number;
+  /** Name of the stream. */
+  readonly stream: string;
+  /** Time for which keys are remembered, in milliseconds. */
+  readonly keepMs: number;
+  /** Share of the fleet's append rate that this stream may use, in appends per second. */
+  readonly appendsPerSecond: number;
+  readonly maxKeys?: number;
+}
+
+/** A claim could not be decided. */
+export class ClaimUndecided extends Error {
+  /**
+   * @param maybeAppended - Whether the claim may stand in the log, or may still arrive there.
+   */
+  constructor(readonly maybeAppended: boolean) {
+    super('the claim could not be read back from the log');
+  }
+}
+
+interface PendingEntry {
+  readonly entry: LedgerEntry;
+  sent: boolean;
+  resolve(decision: LedgerDecision): void;
+  reject(err: ClaimUndecided): void;
+  cancelTimeout: Cancel;
+}
+
+/**
+ * Writes claims and releases of one stream in batches and decides each one only after its record
+ * was read back in order. Several writers on one stream are safe: the log orders their records.
+ */
+export class ClaimWriter {
+  private readonly ledger = new ClaimLedger();
+  private readonly pending = new Map<string, PendingEntry>();
+  private readonly budget: AppendBudget;
+  private running = false;
+  private stopped = false;
+  /** Whether the ledger was read to the end of the log and no call has failed since. */
+  private current = false;
+  private failures = 0;
+
+  /** Records appended by this writer, for measurements. */
+  appends = 0;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: ClaimWriterParts) {
+    this.budget = new AppendBudget(parts.appendsPerSecond, burst);
+  }
+
+  /** Number of entries that are not decided. */
+  get backlog(): number {
+    return this.pending.size;
+  }
+
+  /**
+   * Writes one entry. A release is repeated until it was read back; a claim is given up after
+   * three seconds or when the log is unavailable.
+   *
+   * @param entry - Claim or release.
+   * @returns The decision of the log.
+   * @throws {@link ClaimUndecided}, for claims only.
+   */
+  submit(entry: LedgerEntry): Promise<LedgerDecision> {
+    const full = this.ledger.size >= (this.parts.maxKeys ?? maxKeys);
+    if (this.stopped || (entry.op === 'claim' && full)) {
+      this.expire();
+      return Promise.reject(new ClaimUndecided(false));
+    }
+    return new Promise((resolve, reject) => {
+      const key = entryKey(entry);
+      const cancelTimeout =
+        entry.op === 'claim'
+          ? this.parts.clock.after(claimTimeoutMs, () => this.giveUp(key))
+          : () => {};
+      const settle = {resolve, reject, cancelTimeout};
+      this.pending.set(key, {entry, sent: false, ...settle});
+      if (!this.running) void this.run();
+    });
+  }
+
+  /** Gives up all claims and stops; releases that were not read back are lost. */
+  stop(): void {
+    this.stopped = true;
+    this.giveUpClaims();
+  }
+
+  private async run(): Promise<void> {
+    this.running = true;
+    try {
+      while (this.pending.size > 0 && !this.stopped) {
+        if (await this.step()) this.failures = 0;
+        else await this.backOff();
+      }
+    } finally {
+      this.running = false;
+    }
+  }
+
+  /** Appends one batch and reads it back; false if the log did not answer as it should. */
+  private async step(): Promise<boolean> {
+    const {clock, log, stream} = this.parts;
+    // All retained records come before any decision, after a start as well as after a failure.
+    if (!this.current && !(await this.readToEnd())) {
+      this.giveUpClaims();
+      return false;
+    }
+    const waitMs = this.budget.waitMs(clock.nowMs());
+    if (waitMs > 0) await this.sleep(waitMs);
+    this.decideHeld();
+    const batch = [...this.pending.values()].slice(0, maxBatchEntries);
+    if (batch.length === 0 || this.stopped) return true;
+    this.budget.take(clock.nowMs());
+    this.appends++;
+    for (const item of batch) item.sent = true;
+    const content: ClaimBatch = {
+      format: 1,
+      entries: batch.map(({entry}) => entry),
+    };
+    try {
+      const offset = await log.append(stream, content);
+      while (this.ledger.offset <= offset) {
+        if (!(await this.read(readBackWaitMs))) return false;
+      }
+      return true;
+    } catch (err) {
+      if (!(err instanceof FailureError)) throw err;
+      const limited = err.failure.kind === 'log-rate-limited';
+      // A rate-limited append had no effect; after any other failure the log is read to its end
+      // before the entries that are not found there are appended again.
+      if (!limited) this.current = false;
+      return limited ? false : this.readToEnd();
+    }
+  }
+
+  private async readToEnd(): Promise<boolean> {
+    for (;;) {
+      const page = await this.read(0);
+      if (!page) return false;
+      if (this.ledger.offset >= page.next) {
+        this.current = true;
+        return true;
+      }
+    }
+  }
+
+  private async read(waitMs: number): Promise<{next: number} | undefined> {
+    const {log, stream} = this.parts;
+    const from = this.ledger.offset;
+    try {
+      const page = await log.read(stream, from, {waitMs});
+      for (const record of page.records) this.fold(record);
+      this.expire();
+      return page;
+    } catch (err) {
+      if (!(err instanceof FailureError)) throw err;
+      if (err.failure.kind === 'log-truncated' && err.failure.first > from) {
+        this.ledger.skipTo(err.failure.first);
+        return {next: Infinity};
+      }
+      this.current = false;
+      return undefined;
+    }
+  }
+
+  private fold(record: {offset: number; data: unknown}): void {
+    for (const {entry, decision} of this.ledger.apply(record)) {
+      this.settle(entryKey(entry), item => item.resolve(decision));
+    }
+  }
+
+  /** Decides claims of keys that already have a holder, without an append. */
+  private decideHeld(): void {
+    for (const [key, {entry, sent}] of this.pending) {
+      const holder = this.ledger.holder(entry.scopeHash);
+      if (entry.op !== 'claim' || sent || !holder) continue;
+      // A release that waits in the same queue frees the key before this claim is appended.
+      const freed = this.pending.has(`release ${holder.attempt}`);
+      if (!freed) {
+        this.settle(key, item => item.resolve({kind: 'lost', holder}));
+      }
+    }
+  }
+
+  private giveUpClaims(): void {
+    for (const [key, {entry}] of this.pending) {
+      if (entry.op === 'claim') this.giveUp(key);
+    }
+  }
+
+  private giveUp(key: string): void {
+    this.settle(key, item => item.reject(new ClaimUndecided(item.sent)));
+  }
+
+  private settle(key: string, fn: (item: PendingEntry) => void): void {
+    const item = this.pending.get(key);
+    if (!item) return;
+    this.pending.delete(key);
+    item.cancelTimeout();
+    fn(item);
+  }
+
+  private expire(): void {
+    this.ledger.expire(this.parts.clock.wallMs() - this.parts.keepMs);
+  }
+
+  private backOff(): Promise<void> {
+    const {random} = this.parts;
+    const bound = Math.min(lastDelayMs, firstDelayMs * 2 ** this.failures++);
+    return this.sleep(bound * random());
+  }
+
+  private sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      this.parts.clock.after(Math.max(1, ms), resolve);
+    });
+  }
+}
+
+function entryKey({op, attempt}: LedgerEntry): string {
+  return `${op} ${attempt}`;
+}
--- /dev/null
+++ b/src/version/claims/log-claim-gate.ts
@@ -0,0 +1,267 @@
+import {randomUUID} from 'node:crypto';
+import type {Clock} from '../../process/clock.js';
+import {FailureError} from '../../process/errors/catalogue.js';
+import {hashScope, isExpired, partitionOf} from './claim-key.js';
+import type {ClaimEntry, LedgerDecision} from './claim-ledger.js';
+import type {ClaimSubmitter} from './claim-submitter.js';
+import {ClaimUndecided} from './claim-writer.js';
+import type {
+  ClaimRequest,
+  ClaimResult,
+  ClaimToken,
+  RecordedAnswer,
+} from './claim-types.js';
+
+/** Finished claims and their answers that are kept, and the sum of their bodies, in bytes. */
+const maxFinished = 50_000;
+const maxAnswerBytes = 8_388_608;
+/** Claims whose release was not read back yet; no further claims are tried beyond. */
+const maxAbandoned = 10_000;
+/** Times that a claim is repeated after a release of this host made the key free. */
+const maxTries = 3;
+/** Greatest difference of two clocks that is allowed for, as a share of the retention. */
+const skewShare = 0.05;
+const maxSkewMs = 60_000;
+
+/** What a process knows of an attempt that it made. */
+export type AttemptAnswer =
+  | {kind: 'answered'; answer: RecordedAnswer}
+  | {kind: 'in-progress'}
+  /** Certainly not started; its release is on the way to the log. */
+  | {kind: 'not-started'}
+  | {kind: 'unknown'};
+
+/** Asks the process that holds a claim. */
+export abstract class AnswerSource {
+  /**
+   * Asks what became of an attempt.
+   *
+   * @param holder - Claim that holds the key.
+   * @returns What the process knows, or `unknown` if it cannot be asked.
+   */
+  abstract ask(holder: ClaimEntry): Promise<AttemptAnswer>;
+}
+
+/** Used while other hosts cannot be asked. */
+export class NoAnswerSource extends AnswerSource {
+  override async ask(): Promise<AttemptAnswer> {
+    return {kind: 'unknown'};
+  }
+}
+
+/** Parts that the gate uses. */
+export interface LogClaimGateParts {
+  /** Name of the host. */
+  readonly host: string;
+  readonly clock: Clock;
+  readonly submitter: ClaimSubmitter;
+  readonly answers: AnswerSource;
+  readonly partitions: number;
+  /** Time for which keys are protected, in milliseconds. */
+  readonly retentionMs: number;
+}
+
+interface Attempt {
+  readonly scopeHash: string;
+  readonly attempt: string;
+  state: 'claiming' | 'running' | 'finished' | 'abandoned';
+  answer?: RecordedAnswer;
+  released?: Promise<unknown>;
+}
+
+/**
+ * Claims keys in the log. A request is granted only after its claim was read back as the first one
+ * of its key; a claim that may stand in the log without being granted is released.
+ */
+export class LogClaimGate {
+  /** Differs after a restart, so that claims of an earlier process are never taken for own ones. */
+  private readonly process: string;
+  private readonly attempts = new Map<string, Attempt>();
+  private readonly granted = new Map<string, Attempt>();
+  private readonly finished = new Set<string>();
+  private answerBytes = 0;
+  private abandoned = 0;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: LogClaimGateParts) {
+    this.process = `${parts.host}/${randomUUID()}`;
+  }
+
+  /**
+   * Claims a key before dispatch.
+   *
+   * @param req - Key and request.
+   * @returns Whether the request may run, or what became of the first one.
+   * @throws {@link FailureError} of kind `refused` with reason `claim-unavailable`; the request
+   *   was not and will not be run under this claim.
+   */
+  async claim(req: ClaimRequest): Promise<ClaimResult> {
+    const {clock, retentionMs} = this.parts;
+    const skewMs = claimSkewMs(retentionMs);
+    if (isExpired(req.scopeKey, clock.wallMs(), retentionMs, skewMs)) {
+      return {kind: 'expired'};
+    }
+    if (this.abandoned >= maxAbandoned) throw unavailable();
+    const scopeHash = hashScope(req.scopeKey);
+    for (let tries = 0; tries < maxTries; tries++) {
+      const own: Attempt = {
+        scopeHash,
+        attempt: randomUUID(),
+        state: 'claiming',
+      };
+      const decision = await this.submitClaim(own, req.requestHash);
+      if (decision.kind === 'won') {
+        own.state = 'running';
+        this.granted.set(req.requestId, own);
+        const {scopeKey, requestId} = req;
+        return {kind: 'granted', token: {scopeKey, requestId}};
+      }
+      this.attempts.delete(own.attempt);
+      const holder = decision.kind === 'lost' ? decision.holder : undefined;
+      // Without a holder the key was released meanwhile, and the next try may win it.
+      const result = holder && (await this.explain(holder, req));
+      if (result) return result;
+    }
+    throw unavailable();
+  }
+
+  /**
+   * Records the end of a claimed request.
+   *
+   * @param token - Granted claim.
+   * @param answer - First answer; `undefined` if it is unknown or too long to record.
+   */
+  finish(token: ClaimToken, answer: RecordedAnswer | undefined): void {
+    const own = this.granted.get(token.requestId);
+    if (!own) return;
+    this.granted.delete(token.requestId);
+    own.state = 'finished';
+    own.answer = answer;
+    this.answerBytes += answer?.body.length ?? 0;
+    this.finished.add(own.attempt);
+    while (
+      this.finished.size > maxFinished ||
+      this.answerBytes > maxAnswerBytes
+    ) {
+      this.forgetOldest();
+    }
+  }
+
+  /**
+   * Gives a claim back. Only for a request that was certainly not started.
+   *
+   * @param token - Granted claim.
+   */
+  release(token: ClaimToken): void {
+    const own = this.granted.get(token.requestId);
+    if (!own) return;
+    this.granted.delete(token.requestId);
+    this.abandon(own);
+  }
+
+  /**
+   * Tells another host what became of an attempt of this process.
+   *
+   * @param holder - Claim that holds the key.
+   * @returns What is known here.
+   */
+  describe(holder: Pick<ClaimEntry, 'host' | 'attempt'>): AttemptAnswer {
+    const own = this.attempts.get(holder.attempt);
+    if (!own || holder.host !== this.process) return {kind: 'unknown'};
+    switch (own.state) {
+      case 'finished':
+        return own.answer
+          ? {kind: 'answered', answer: own.answer}
+          : {kind: 'unknown'};
+      case 'abandoned':
+        return {kind: 'not-started'};
+      default:
+        return {kind: 'in-progress'};
+    }
+  }
+
+  private async submitClaim(
+    own: Attempt,
+    requestHash: string,
+  ): Promise<LedgerDecision> {
+    const {clock, submitter, partitions} = this.parts;
+    const {scopeHash, attempt} = own;
+    this.attempts.set(attempt, own);
+    try {
+      return await submitter.submit(partitionOf(scopeHash, partitions), {
+        op: 'claim',
+        scopeHash,
+        requestHash,
+        attempt,
+        host: this.process,
+        time: clock.wallMs(),
+      });
+    } catch (err) {
+      if (!(err instanceof ClaimUndecided)) throw err;
+      if (err.maybeAppended) this.abandon(own);
+      else this.attempts.delete(attempt);
+      throw unavailable();
+    }
+  }
+
+  /** Answers from the holder of the key; `undefined` if the claim is worth another try. */
+  private async explain(
+    holder: ClaimEntry,
+    req: ClaimRequest,
+  ): Promise<ClaimResult | undefined> {
+    if (holder.requestHash !== req.requestHash) return {kind: 'mismatch'};
+    const isOwn = holder.host === this.process;
+    const known = isOwn
+      ? this.describe(holder)
+      : await this.parts.answers.ask(holder);
+    if (known.kind !== 'not-started') return known;
+    // Another host releases its claim by itself; until then this request is refused as not run.
+    if (!isOwn) throw unavailable();
+    await this.attempts.get(holder.attempt)?.released;
+    return undefined;
+  }
+
+  /** Makes an attempt that was not and will not be started free again. */
+  private abandon(own: Attempt): void {
+    const {clock, submitter, partitions} = this.parts;
+    const {scopeHash, attempt} = own;
+    own.state = 'abandoned';
+    this.abandoned++;
+    own.released = submitter
+      .submit(partitionOf(scopeHash, partitions), {
+        op: 'release',
+        scopeHash,
+        attempt,
+        time: clock.wallMs(),
+      })
+      .then(
+        () => this.attempts.delete(attempt),
+        // The writer was stopped: the claim stays, and a resend is answered as unknown.
+        () => {},
+      )
+      .finally(() => this.abandoned--);
+  }
+
+  private forgetOldest(): void {
+    const oldest = this.finished.values().next().value as string;
+    this.answerBytes -= this.attempts.get(oldest)?.answer?.body.length ?? 0;
+    this.finished.delete(oldest);
+    this.attempts.delete(oldest);
+  }
+}
+
+/**
+ * Chooses the clock difference that is allowed for.
+ *
+ * @param retentionMs - Time for which keys are protected, in milliseconds.
+ * @returns Greatest difference between two clocks, in milliseconds.
+ */
+export function claimSkewMs(retentionMs: number): number {
+  return Math.min(maxSkewMs, retentionMs * skewShare);
+}
+
+function unavailable(): FailureError {
+  return new FailureError({kind: 'refused', reason: 'claim-unavailable'});
+}
