--- a/src/version/claims/claim-writer.ts
+++ b/src/version/claims/claim-writer.ts
@@ -51,6 +51,8 @@
 interface PendingEntry {
   readonly entry: LedgerEntry;
   sent: boolean;
+  /** Monotonic time after which a claim is no longer appended or granted. */
+  readonly endMs: number;
   resolve(decision: LedgerDecision): void;
   reject(err: ClaimUndecided): void;
   cancelTimeout: Cancel;
@@ -105,8 +107,17 @@
         entry.op === 'claim'
           ? this.parts.clock.after(claimTimeoutMs, () => this.giveUp(key))
           : () => {};
-      const settle = {resolve, reject, cancelTimeout};
-      this.pending.set(key, {entry, sent: false, ...settle});
+      this.pending.set(key, {
+        entry,
+        sent: false,
+        endMs:
+          entry.op === 'claim'
+            ? this.parts.clock.nowMs() + claimTimeoutMs
+            : Infinity,
+        resolve,
+        reject,
+        cancelTimeout,
+      });
       if (!this.running) void this.run();
     });
   }
@@ -133,17 +144,20 @@
   private async step(): Promise<boolean> {
     const {clock, log, stream} = this.parts;
     // All retained records come before any decision, after a start as well as after a failure.
-    if (!this.current && !(await this.readToEnd())) {
-      this.giveUpClaims();
-      return false;
-    }
+    if (!this.current && !(await this.readToEnd())) return this.giveUpClaims();
     const waitMs = this.budget.waitMs(clock.nowMs());
     if (waitMs > 0) await this.sleep(waitMs);
-    this.decideHeld();
+    // The holder may have released the key since the last read.
+    if (this.findHeld().length > 0) {
+      if (!(await this.readToEnd())) return this.giveUpClaims();
+      this.decideHeld();
+    }
+    this.giveUpOverdue();
     const batch = [...this.pending.values()].slice(0, maxBatchEntries);
     if (batch.length === 0 || this.stopped) return true;
     this.budget.take(clock.nowMs());
     this.appends++;
+    const unsent = batch.filter(({sent}) => !sent);
     for (const item of batch) item.sent = true;
     const content: ClaimBatch = {
       format: 1,
@@ -158,10 +172,15 @@
     } catch (err) {
       if (!(err instanceof FailureError)) throw err;
       const limited = err.failure.kind === 'log-rate-limited';
-      // A rate-limited append had no effect; after any other failure the log is read to its end
-      // before the entries that are not found there are appended again.
-      if (!limited) this.current = false;
-      return limited ? false : this.readToEnd();
+      // After any other failure the log is read to its end before the entries that are not found
+      // there are appended again.
+      if (!limited) {
+        this.current = false;
+        return this.readToEnd();
+      }
+      // A rate-limited append had no effect.
+      for (const item of unsent) item.sent = false;
+      return false;
     }
   }
 
@@ -197,27 +216,51 @@
 
   private fold(record: {offset: number; data: unknown}): void {
     for (const {entry, decision} of this.ledger.apply(record)) {
-      this.settle(entryKey(entry), item => item.resolve(decision));
+      const key = entryKey(entry);
+      // A host that was paused meanwhile must not grant what it reads back too late.
+      if (this.isOverdue(this.pending.get(key))) this.giveUp(key);
+      else this.settle(key, item => item.resolve(decision));
     }
   }
 
+  /** Claims that were not sent and whose keys have a holder that is not about to be released. */
+  private findHeld(): PendingEntry[] {
+    return [...this.pending.values()].filter(({entry, sent}) => {
+      const holder = this.ledger.holder(entry.scopeHash);
+      return (
+        entry.op === 'claim' &&
+        !sent &&
+        holder !== undefined &&
+        !this.pending.has(`release ${holder.attempt}`)
+      );
+    });
+  }
+
   /** Decides claims of keys that already have a holder, without an append. */
   private decideHeld(): void {
-    for (const [key, {entry, sent}] of this.pending) {
+    for (const {entry} of this.findHeld()) {
       const holder = this.ledger.holder(entry.scopeHash);
-      if (entry.op !== 'claim' || sent || !holder) continue;
-      // A release that waits in the same queue frees the key before this claim is appended.
-      const freed = this.pending.has(`release ${holder.attempt}`);
-      if (!freed) {
-        this.settle(key, item => item.resolve({kind: 'lost', holder}));
-      }
+      this.settle(entryKey(entry), item =>
+        item.resolve({kind: 'lost', holder}),
+      );
     }
   }
 
-  private giveUpClaims(): void {
+  private giveUpClaims(): false {
     for (const [key, {entry}] of this.pending) {
       if (entry.op === 'claim') this.giveUp(key);
     }
+    return false;
+  }
+
+  private giveUpOverdue(): void {
+    for (const [key, item] of this.pending) {
+      if (this.isOverdue(item)) this.giveUp(key);
+    }
+  }
+
+  private isOverdue(item: PendingEntry | undefined): boolean {
+    return item !== undefined && this.parts.clock.nowMs() > item.endMs;
   }
 
   private giveUp(key: string): void {
--- a/src/version/claims/log-claim-gate.ts
+++ b/src/version/claims/log-claim-gate.ts
@@ -12,8 +12,8 @@
   RecordedAnswer,
 } from './claim-types.js';
 
-/** Finished claims and their answers that are kept, and the sum of their bodies, in bytes. */
-const maxFinished = 50_000;
+/** Ended claims that are kept with their answers, and the sum of their bodies, in bytes. */
+const maxEnded = 50_000;
 const maxAnswerBytes = 8_388_608;
 /** Claims whose release was not read back yet; no further claims are tried beyond. */
 const maxAbandoned = 10_000;
@@ -78,7 +78,7 @@
   private readonly process: string;
   private readonly attempts = new Map<string, Attempt>();
   private readonly granted = new Map<string, Attempt>();
-  private readonly finished = new Set<string>();
+  private readonly ended = new Set<string>();
   private answerBytes = 0;
   private abandoned = 0;
 
@@ -139,14 +139,7 @@
     this.granted.delete(token.requestId);
     own.state = 'finished';
     own.answer = answer;
-    this.answerBytes += answer?.body.length ?? 0;
-    this.finished.add(own.attempt);
-    while (
-      this.finished.size > maxFinished ||
-      this.answerBytes > maxAnswerBytes
-    ) {
-      this.forgetOldest();
-    }
+    this.remember(own);
   }
 
   /**
@@ -237,17 +230,30 @@
         time: clock.wallMs(),
       })
       .then(
-        () => this.attempts.delete(attempt),
+        // Other hosts may still ask, having read the log up to a record before the release.
+        () => this.remember(own),
         // The writer was stopped: the claim stays, and a resend is answered as unknown.
         () => {},
       )
       .finally(() => this.abandoned--);
   }
 
+  /** Keeps an ended attempt for later questions, and forgets the oldest ones beyond the bounds. */
+  private remember(own: Attempt): void {
+    this.ended.add(own.attempt);
+    this.answerBytes += own.answer?.body.length ?? 0;
+    while (
+      this.ended.size > maxEnded ||
+      this.answerBytes > maxAnswerBytes
+    ) {
+      this.forgetOldest();
+    }
+  }
+
   private forgetOldest(): void {
-    const oldest = this.finished.values().next().value as string;
+    const oldest = this.ended.values().next().value as string;
     this.answerBytes -= this.attempts.get(oldest)?.answer?.body.length ?? 0;
-    this.finished.delete(oldest);
+    this.ended.delete(oldest);
     this.attempts.delete(oldest);
   }
 }
--- /dev/null
+++ b/test/version/claims/log-claim-gate.test.ts
@@ -0,0 +1,255 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FailureError} from '../../../src/process/errors/catalogue.js';
+import type {ClaimEntry} from '../../../src/version/claims/claim-ledger.js';
+import {LocalClaimSubmitter} from '../../../src/version/claims/claim-submitter.js';
+import {
+  AnswerSource,
+  LogClaimGate,
+  type AttemptAnswer,
+} from '../../../src/version/claims/log-claim-gate.js';
+import {ManualClock} from '../../../stand-ins/manual-clock.js';
+import {runUntil, settle} from '../settle.js';
+import {SharedLog, TestLog, type AppendFault} from '../test-log.js';
+
+const retentionMs = 3_600_000;
+
+/** Asks the gates of the same test; a host that was killed does not answer. */
+class Neighbours extends AnswerSource {
+  readonly gates = new Map<string, LogClaimGate>();
+
+  override async ask(holder: ClaimEntry): Promise<AttemptAnswer> {
+    const gate = this.gates.get(holder.host.split('/')[0]);
+    return gate?.describe(holder) ?? {kind: 'unknown'};
+  }
+}
+
+function fleet(hosts: readonly string[], clock = new ManualClock()) {
+  const shared = new SharedLog();
+  const answers = new Neighbours();
+  const start = (host: string) => {
+    const log = new TestLog(shared);
+    const submitter = new LocalClaimSubmitter({
+      log,
+      clock,
+      random: () => 0.5,
+      keepMs: retentionMs,
+      partitions: 1,
+      fleetAppendsPerSecond: 200,
+    });
+    const parts = {host, clock, submitter, answers, partitions: 1, retentionMs};
+    const gate = new LogClaimGate(parts);
+    answers.gates.set(host, gate);
+    return {log, gate, submitter};
+  };
+  const started = hosts.map(start);
+  return {shared, clock, answers, start, hosts: started};
+}
+
+let requests = 0;
+function req(key = 'org service key', requestHash = 'r') {
+  return {scopeKey: key, requestHash, requestId: `q${++requests}`};
+}
+
+const isUnavailable = (err: unknown) =>
+  err instanceof FailureError &&
+  err.failure.kind === 'refused' &&
+  err.failure.reason === 'claim-unavailable';
+
+const answer = {status: 200, headers: {}, body: Buffer.from('done')};
+
+test('two hosts that race for one key: only the first in the log is granted', async () => {
+  const {clock, hosts} = fleet(['a', 'b']);
+  const both = Promise.all(hosts.map(({gate}) => gate.claim(req())));
+  const kinds = (await runUntil(clock, both)).map(({kind}) => kind);
+  assert.deepEqual(kinds.sort(), ['granted', 'in-progress']);
+});
+
+test('the first answer is replayed at its own host and at another one', async () => {
+  const {clock, hosts} = fleet(['a', 'b']);
+  const first = await runUntil(clock, hosts[0].gate.claim(req()));
+  assert.equal(first.kind, 'granted');
+  if (first.kind === 'granted') hosts[0].gate.finish(first.token, answer);
+  for (const {gate} of hosts) {
+    const again = await runUntil(clock, gate.claim(req()));
+    assert.deepEqual(again, {kind: 'answered', answer});
+  }
+  const other = hosts[1].gate.claim(req('org service key', 'other request'));
+  assert.equal((await runUntil(clock, other)).kind, 'mismatch');
+});
+
+test('a claim whose append lost its answer is found by reading and granted once', async () => {
+  const {clock, hosts, shared} = fleet(['a']);
+  const faults: AppendFault[] = ['lost'];
+  hosts[0].log.fault = () => faults.shift() ?? 'none';
+  const result = await runUntil(clock, hosts[0].gate.claim(req()));
+  assert.equal(result.kind, 'granted');
+  assert.equal(shared.stream('claims-00').records.length, 1);
+});
+
+test('log down: refused as not run, and the key is free afterwards', async () => {
+  const {clock, hosts, shared} = fleet(['a', 'b']);
+  hosts[0].log.down = true;
+  await assert.rejects(
+    runUntil(clock, hosts[0].gate.claim(req())),
+    isUnavailable,
+  );
+  assert.equal(shared.appends, 0);
+  hosts[0].log.down = false;
+  assert.equal(
+    (await runUntil(clock, hosts[1].gate.claim(req()))).kind,
+    'granted',
+  );
+});
+
+test('a claim that took effect while the log went down is released when it returns', async () => {
+  const {clock, hosts} = fleet(['a', 'b']);
+  const [a, b] = hosts;
+  a.log.fault = () => {
+    a.log.down = true;
+    return 'lost';
+  };
+  await assert.rejects(runUntil(clock, a.gate.claim(req())), isUnavailable);
+  // The holder lives and knows that it did not start: not run, and not granted either.
+  await assert.rejects(runUntil(clock, b.gate.claim(req())), isUnavailable);
+  a.log.fault = () => 'none';
+  a.log.down = false;
+  for (let i = 0; i < 500; i++) {
+    await settle();
+    clock.advance(10);
+  }
+  assert.equal((await runUntil(clock, b.gate.claim(req()))).kind, 'granted');
+});
+
+test('a claim that arrives after its release never becomes a holder', async () => {
+  const {clock, hosts, shared} = fleet(['a', 'b']);
+  const [a, b] = hosts;
+  const faults: AppendFault[] = ['delayed', 'dropped', 'dropped', 'dropped'];
+  a.log.fault = () => {
+    const fault = faults.shift() ?? 'none';
+    if (fault === 'dropped') a.log.down = true;
+    return fault;
+  };
+  await assert.rejects(runUntil(clock, a.gate.claim(req())), isUnavailable);
+  a.log.down = false;
+  faults.length = 0;
+  for (let i = 0; i < 500; i++) {
+    await settle();
+    clock.advance(10);
+  }
+  const records = shared.stream('claims-00').records;
+  assert.equal(
+    records.length,
+    1,
+    'the release is in the log, without its claim',
+  );
+  shared.releaseDelayed();
+  assert.equal(records.length, 2);
+  assert.equal((await runUntil(clock, b.gate.claim(req()))).kind, 'granted');
+});
+
+test('a host killed between claim and dispatch: a resend is unknown, never granted', async () => {
+  const {clock, hosts, answers, start} = fleet(['a', 'b']);
+  await runUntil(clock, hosts[0].gate.claim(req()));
+  answers.gates.delete('a');
+  assert.equal(
+    (await runUntil(clock, hosts[1].gate.claim(req()))).kind,
+    'unknown',
+  );
+  // The restarted host has the same name and must not take the claim for its own.
+  const again = start('a');
+  assert.equal(
+    (await runUntil(clock, again.gate.claim(req()))).kind,
+    'unknown',
+  );
+});
+
+test('a released key can be claimed again, by any host and again by the same one', async () => {
+  const {clock, hosts} = fleet(['a', 'b']);
+  for (const {gate} of [hosts[0], hosts[0], hosts[1], hosts[0]]) {
+    const result = await runUntil(clock, gate.claim(req()));
+    assert.equal(result.kind, 'granted');
+    if (result.kind === 'granted') gate.release(result.token);
+    await settle();
+    clock.advance(1000);
+    await settle();
+  }
+});
+
+test('a fresh host reads the retained records before it grants', async () => {
+  const {clock, hosts, start, answers} = fleet(['a']);
+  for (let i = 0; i < 700; i++) {
+    await runUntil(clock, hosts[0].gate.claim(req(`org service k${i}`)));
+  }
+  answers.gates.delete('a');
+  const fresh = start('c');
+  const results = [0, 350, 699].map(i =>
+    fresh.gate.claim(req(`org service k${i}`)),
+  );
+  for (const result of results) {
+    assert.equal((await runUntil(clock, result)).kind, 'unknown');
+  }
+});
+
+test('records dropped by the log do not stop a fresh host', async () => {
+  const {clock, hosts, shared, start} = fleet(['a']);
+  for (const key of ['o s 1', 'o s 2', 'o s 3']) {
+    await runUntil(clock, hosts[0].gate.claim(req(key)));
+  }
+  shared.truncate('claims-00', 2);
+  const {gate} = start('c');
+  assert.equal(
+    (await runUntil(clock, gate.claim(req('o s 3')))).kind,
+    'in-progress',
+  );
+});
+
+test('claims end with the retention; UUIDv7 keys stay protected by their time', async () => {
+  const {clock, hosts} = fleet(['a']);
+  const {gate} = hosts[0];
+  const uuid = (ms: number) => {
+    const hex = Math.floor(ms).toString(16).padStart(12, '0');
+    return `o s ${hex.slice(0, 8)}-${hex.slice(8)}-7abc-8def-0123456789ab`;
+  };
+  const timed = uuid(clock.wallMs());
+  for (const key of ['o s plain', timed]) {
+    assert.equal((await runUntil(clock, gate.claim(req(key)))).kind, 'granted');
+  }
+  clock.advance(retentionMs + 1000);
+  assert.equal(
+    (await runUntil(clock, gate.claim(req('o s plain')))).kind,
+    'granted',
+  );
+  assert.equal((await gate.claim(req(timed))).kind, 'expired');
+  // Its claim would be forgotten while the key still looks young.
+  const future = uuid(clock.wallMs() + retentionMs);
+  assert.equal((await gate.claim(req(future))).kind, 'expired');
+});
+
+test('a host that was paused beyond the claim time does not grant what it reads back', async () => {
+  const {clock, hosts, shared} = fleet(['a', 'b']);
+  const [a, b] = hosts;
+  const read = a.log.read.bind(a.log);
+  let paused = false;
+  a.log.read = async (...args) => {
+    const page = await read(...args);
+    if (page.records.length > 0 && !paused) {
+      paused = true;
+      // The timers of a paused process run only after the answers that waited in its sockets.
+      Object.defineProperty(clock, 'nowMs', {
+        value: () => 60_000,
+        configurable: true,
+      });
+    }
+    return page;
+  };
+  await assert.rejects(a.gate.claim(req()), isUnavailable);
+  Reflect.deleteProperty(clock, 'nowMs');
+  for (let i = 0; i < 100; i++) {
+    await settle();
+    clock.advance(10);
+  }
+  assert.equal(shared.stream('claims-00').records.length, 2, 'claim, release');
+  const result = await runUntil(clock, b.gate.claim(req()));
+  assert.equal(result.kind, 'granted');
+});
--- /dev/null
+++ b/test/version/test-log.ts
@@ -0,0 +1,112 @@
+import {
+  LogClient,
+  type LogPage,
+} from '../../src/connection/platform/log-client.js';
+import {FailureError} from '../../src/process/errors/catalogue.js';
+
+/** What happens to one append. */
+export type AppendFault =
+  | 'none'
+  /** Takes effect, but the answer is an error. */
+  | 'lost'
+  /** Has no effect, and the answer is an error. */
+  | 'dropped'
+  /** The answer is an error, and the record arrives when `releaseDelayed` is called. */
+  | 'delayed'
+  | 'limited';
+
+/** Streams shared by several clients. */
+export class SharedLog {
+  readonly streams = new Map<string, {first: number; records: unknown[]}>();
+  private delayed: (() => void)[] = [];
+  appends = 0;
+
+  /** Records of a stream that are kept. */
+  stream(name: string) {
+    let stream = this.streams.get(name);
+    if (!stream) this.streams.set(name, (stream = {first: 0, records: []}));
+    return stream;
+  }
+
+  /** Adds a record at once. */
+  put(name: string, data: unknown): number {
+    const stream = this.stream(name);
+    stream.records.push(structuredClone(data));
+    this.appends++;
+    return stream.first + stream.records.length - 1;
+  }
+
+  /** Adds a record later. */
+  delay(name: string, data: unknown): void {
+    const copy: unknown = structuredClone(data);
+    this.delayed.push(() => this.put(name, copy));
+  }
+
+  /** Lets all delayed records arrive. */
+  releaseDelayed(): void {
+    for (const arrive of this.delayed.splice(0)) arrive();
+  }
+
+  /** Forgets records below an offset. */
+  truncate(name: string, first: number): void {
+    const stream = this.stream(name);
+    stream.records.splice(0, first - stream.first);
+    stream.first = first;
+  }
+}
+
+/** Client of a {@link SharedLog} with its own faults. */
+export class TestLog extends LogClient {
+  down = false;
+  /** Chooses the fault of each append. */
+  fault: () => AppendFault = () => 'none';
+
+  constructor(readonly shared = new SharedLog()) {
+    super();
+  }
+
+  override async append(stream: string, data: unknown): Promise<number> {
+    const fault = this.down ? 'dropped' : this.fault();
+    await Promise.resolve();
+    if (fault === 'limited') {
+      throw new FailureError({
+        kind: 'log-rate-limited',
+        stream,
+        retryAfterMs: 10,
+      });
+    }
+    if (fault === 'delayed') this.shared.delay(stream, data);
+    if (fault === 'lost') this.shared.put(stream, data);
+    if (fault !== 'none') throw this.unavailable(stream);
+    return this.shared.put(stream, data);
+  }
+
+  override async read(
+    name: string,
+    from: number,
+    {limit = 500}: {limit?: number} = {},
+  ): Promise<LogPage> {
+    await Promise.resolve();
+    if (this.down) throw this.unavailable(name);
+    const {first, records} = this.shared.stream(name);
+    if (from < first) {
+      throw new FailureError({
+        kind: 'log-truncated',
+        stream: name,
+        from,
+        first,
+      });
+    }
+    return {
+      records: records
+        .slice(from - first, from - first + limit)
+        .map((data, index) => ({offset: from + index, data})),
+      first,
+      next: first + records.length,
+    };
+  }
+
+  private unavailable(stream: string) {
+    return new FailureError({kind: 'log-unavailable', stream, reason: 'test'});
+  }
+}
