--- a/test/version/test-log.ts
+++ b/test/version/test-log.ts
@@ -19,6 +19,7 @@
 export class SharedLog {
   readonly streams = new Map<string, {first: number; records: unknown[]}>();
   private delayed: (() => void)[] = [];
+  private waiters: (() => void)[] = [];
   appends = 0;
 
   /** Records of a stream that are kept. */
@@ -33,9 +34,20 @@
     const stream = this.stream(name);
     stream.records.push(structuredClone(data));
     this.appends++;
+    this.wake();
     return stream.first + stream.records.length - 1;
   }
 
+  /** Ends all waiting reads. */
+  wake(): void {
+    for (const resume of this.waiters.splice(0)) resume();
+  }
+
+  /** Waits for the next record or for {@link wake}. */
+  wait(): Promise<void> {
+    return new Promise(resolve => this.waiters.push(resolve));
+  }
+
   /** Adds a record later. */
   delay(name: string, data: unknown): void {
     const copy: unknown = structuredClone(data);
@@ -58,6 +70,8 @@
 /** Client of a {@link SharedLog} with its own faults. */
 export class TestLog extends LogClient {
   down = false;
+  /** Whether a read at the end waits for the next record, as a follower needs it. */
+  blocking = false;
   /** Chooses the fault of each append. */
   fault: () => AppendFault = () => 'none';
 
@@ -84,11 +98,15 @@
   override async read(
     name: string,
     from: number,
-    {limit = 500}: {limit?: number} = {},
+    {limit = 500, waitMs = 0}: {limit?: number; waitMs?: number} = {},
   ): Promise<LogPage> {
     await Promise.resolve();
     if (this.down) throw this.unavailable(name);
     const {first, records} = this.shared.stream(name);
+    if (this.blocking && waitMs > 0 && from >= first + records.length) {
+      await this.shared.wait();
+      if (this.down) throw this.unavailable(name);
+    }
     if (from < first) {
       throw new FailureError({
         kind: 'log-truncated',
