--- a/src/commands/check.ts
+++ b/src/commands/check.ts
@@ -1,4 +1,4 @@
-import {Command, Option, UsageError} from 'clipanion';
+import {Command, Option} from 'clipanion';
 import {FailureError} from '../process/errors/catalogue.js';
 import {loadSettings} from '../process/settings.js';
 import {readResourceFiles} from '../version/client/resource-files.js';
@@ -25,7 +25,8 @@
 
   async execute(): Promise<number> {
     if ((this.settings === undefined) === (this.files === undefined)) {
-      throw new UsageError('give either SETTINGS or -f');
+      this.context.stderr.write('error: give either SETTINGS or -f\n');
+      return exitCodes.usage;
     }
     try {
       if (this.settings !== undefined) {
--- a/src/version/claims/append-budget.ts
+++ b/src/version/claims/append-budget.ts
@@ -1,44 +1,32 @@
-/** Token bucket that spaces the appends to one claim stream. */
+/** Share of a second's appends that may follow each other at once after a quiet time. */
+const burstSeconds = 0.25;
+
+/**
+ * Token bucket that spaces the appends of all claim streams written by this process. Entries that
+ * arrive while an append waits for its turn share it, so batches grow with the load.
+ */
 export class AppendBudget {
-  private tokens: number;
-  private updatedMs: number | undefined;
+  private tokens: number | undefined;
+  private updatedMs = 0;
 
   /**
-   * @param perSecond - Sustained appends per second.
-   * @param burst - Appends that may follow each other at once after a quiet time.
+   * @param perSecond - Reads this process's present share of the fleet's append rate.
    */
-  constructor(
-    private readonly perSecond: number,
-    private readonly burst: number,
-  ) {
-    this.tokens = burst;
-  }
+  constructor(private readonly perSecond: () => number) {}
 
   /**
-   * Tells how long the next append has to wait. Entries that arrive meanwhile share the append, so
-   * batches grow with the load.
+   * Takes the next free turn.
    *
    * @param nowMs - Monotonic time, in milliseconds.
-   * @returns Delay in milliseconds; 0 if the append may be sent now.
+   * @returns Delay until the turn, in milliseconds.
    */
-  waitMs(nowMs: number): number {
-    this.refill(nowMs);
-    if (this.tokens >= 1) return 0;
-    return Math.ceil(((1 - this.tokens) * 1000) / this.perSecond);
-  }
-
-  /** Counts one append. */
-  take(nowMs: number): void {
-    this.refill(nowMs);
-    this.tokens -= 1;
-  }
-
-  private refill(nowMs: number): void {
-    const passedMs = nowMs - (this.updatedMs ?? nowMs);
+  reserve(nowMs: number): number {
+    const rate = this.perSecond();
+    const burst = Math.max(1, rate * burstSeconds);
+    const passedMs = nowMs - this.updatedMs;
     this.updatedMs = nowMs;
-    this.tokens = Math.min(
-      this.burst,
-      this.tokens + (passedMs * this.perSecond) / 1000,
-    );
+    const refilled = (this.tokens ?? burst) + (passedMs * rate) / 1000;
+    this.tokens = Math.min(burst, refilled) - 1;
+    return this.tokens >= 0 ? 0 : Math.ceil((-this.tokens * 1000) / rate);
   }
 }
--- a/src/version/claims/claim-submitter.ts
+++ b/src/version/claims/claim-submitter.ts
@@ -1,3 +1,4 @@
+import {AppendBudget} from './append-budget.js';
 import {ClaimWriter, type ClaimWriterParts} from './claim-writer.js';
 import type {LedgerDecision, LedgerEntry} from './claim-ledger.js';
 
@@ -21,23 +22,23 @@
 /** Settings of the writers of all partitions. */
 export interface LocalClaimOptions extends Omit<
   ClaimWriterParts,
-  'stream' | 'appendsPerSecond'
+  'stream' | 'budget'
 > {
-  /** Number of partitions; the same in the whole fleet. */
-  readonly partitions: number;
-  /** Appends per second over all partitions that the fleet must not exceed for long. */
-  readonly fleetAppendsPerSecond: number;
+  /** Reads this process's present share of the fleet's append rate, in appends per second. */
+  readonly appendsPerSecond: () => number;
 }
 
 /** Writes all partitions from this process. */
 export class LocalClaimSubmitter extends ClaimSubmitter {
   private readonly writers = new Map<number, ClaimWriter>();
+  private readonly budget: AppendBudget;
 
   /**
    * @param options - Parts and settings of the writers.
    */
   constructor(private readonly options: LocalClaimOptions) {
     super();
+    this.budget = new AppendBudget(options.appendsPerSecond);
   }
 
   /** Records appended so far. */
@@ -62,11 +63,10 @@
   private writer(partition: number): ClaimWriter {
     let writer = this.writers.get(partition);
     if (!writer) {
-      const {partitions, fleetAppendsPerSecond, ...parts} = this.options;
       writer = new ClaimWriter({
-        ...parts,
+        ...this.options,
         stream: claimStream(partition),
-        appendsPerSecond: fleetAppendsPerSecond / partitions,
+        budget: this.budget,
       });
       this.writers.set(partition, writer);
     }
--- a/src/version/claims/claim-writer.ts
+++ b/src/version/claims/claim-writer.ts
@@ -1,7 +1,7 @@
 import type {LogClient} from '../../connection/platform/log-client.js';
 import type {Cancel, Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
-import {AppendBudget} from './append-budget.js';
+import type {AppendBudget} from './append-budget.js';
 import {
   ClaimLedger,
   type ClaimBatch,
@@ -18,8 +18,6 @@
 /** First and greatest upper bound of the delay after a failure, in milliseconds. */
 const firstDelayMs = 50;
 const lastDelayMs = 2000;
-/** Appends to one stream that may follow each other at once after a quiet time. */
-const burst = 2;
 /** Keys of one stream; about 200 bytes each. Further claims are refused, none is forgotten early. */
 const maxKeys = 250_000;
 
@@ -33,8 +31,8 @@
   readonly stream: string;
   /** Time for which keys are remembered, in milliseconds. */
   readonly keepMs: number;
-  /** Share of the fleet's append rate that this stream may use, in appends per second. */
-  readonly appendsPerSecond: number;
+  /** Appends that this process may make, over all streams. */
+  readonly budget: AppendBudget;
   readonly maxKeys?: number;
 }
 
@@ -65,7 +63,6 @@
 export class ClaimWriter {
   private readonly ledger = new ClaimLedger();
   private readonly pending = new Map<string, PendingEntry>();
-  private readonly budget: AppendBudget;
   private running = false;
   private stopped = false;
   /** Whether the ledger was read to the end of the log and no call has failed since. */
@@ -78,9 +75,7 @@
   /**
    * @param parts - Parts of the process.
    */
-  constructor(private readonly parts: ClaimWriterParts) {
-    this.budget = new AppendBudget(parts.appendsPerSecond, burst);
-  }
+  constructor(private readonly parts: ClaimWriterParts) {}
 
   /** Number of entries that are not decided. */
   get backlog(): number {
@@ -142,20 +137,20 @@
 
   /** Appends one batch and reads it back; false if the log did not answer as it should. */
   private async step(): Promise<boolean> {
-    const {clock, log, stream} = this.parts;
+    const {budget, clock, log, stream} = this.parts;
     // All retained records come before any decision, after a start as well as after a failure.
     if (!this.current && !(await this.readToEnd())) return this.giveUpClaims();
-    const waitMs = this.budget.waitMs(clock.nowMs());
-    if (waitMs > 0) await this.sleep(waitMs);
     // The holder may have released the key since the last read.
     if (this.findHeld().length > 0) {
       if (!(await this.readToEnd())) return this.giveUpClaims();
       this.decideHeld();
     }
+    if (this.pending.size === 0) return true;
+    const waitMs = budget.reserve(clock.nowMs());
+    if (waitMs > 0) await this.sleep(waitMs);
     this.giveUpOverdue();
     const batch = [...this.pending.values()].slice(0, maxBatchEntries);
     if (batch.length === 0 || this.stopped) return true;
-    this.budget.take(clock.nowMs());
     this.appends++;
     const unsent = batch.filter(({sent}) => !sent);
     for (const item of batch) item.sent = true;
--- a/src/version/claims/log-claim-gate.ts
+++ b/src/version/claims/log-claim-gate.ts
@@ -242,10 +242,7 @@
   private remember(own: Attempt): void {
     this.ended.add(own.attempt);
     this.answerBytes += own.answer?.body.length ?? 0;
-    while (
-      this.ended.size > maxEnded ||
-      this.answerBytes > maxAnswerBytes
-    ) {
+    while (this.ended.size > maxEnded || this.answerBytes > maxAnswerBytes) {
       this.forgetOldest();
     }
   }
--- a/test/commands/resource-commands.test.ts
+++ b/test/commands/resource-commands.test.ts
@@ -144,7 +144,7 @@
   assert.equal(shared.appends, 0);
   await declare(all);
   assert.equal((await run('check', '-f', files)).code, 0);
-  assert.equal((await run('check')).code, 1);
+  assert.equal((await run('check')).code, 2);
   assert.equal((await run('get', 'zone', 'none', ...online)).code, 1);
   await writeFile(tokenFile, callerKey);
   assert.equal((await run('status', ...online)).code, 5);
--- a/test/version/claims/claim-race.test.ts
+++ b/test/version/claims/claim-race.test.ts
@@ -69,8 +69,7 @@
       clock,
       random,
       keepMs: retentionMs,
-      partitions: 2,
-      fleetAppendsPerSecond: 100,
+      appendsPerSecond: () => 100,
     });
     gates.set(
       `h${index}`,
--- a/test/version/claims/log-claim-gate.test.ts
+++ b/test/version/claims/log-claim-gate.test.ts
@@ -34,8 +34,7 @@
       clock,
       random: () => 0.5,
       keepMs: retentionMs,
-      partitions: 1,
-      fleetAppendsPerSecond: 200,
+      appendsPerSecond: () => 200,
     });
     const parts = {host, clock, submitter, answers, partitions: 1, retentionMs};
     const gate = new LogClaimGate(parts);
@@ -253,3 +252,33 @@
   const result = await runUntil(clock, b.gate.claim(req()));
   assert.equal(result.kind, 'granted');
 });
+
+test('a process stays within its append rate, and its batches grow instead', async () => {
+  const clock = new ManualClock();
+  const log = new TestLog();
+  const submitter = new LocalClaimSubmitter({
+    log,
+    clock,
+    random: () => 0.5,
+    keepMs: retentionMs,
+    appendsPerSecond: () => 10,
+  });
+  const gate = new LogClaimGate({
+    host: 'a',
+    clock,
+    submitter,
+    answers: new Neighbours(),
+    partitions: 8,
+    retentionMs,
+  });
+  const results: Promise<unknown>[] = [];
+  for (let i = 0; i < 500; i++) {
+    results.push(gate.claim(req(`o s k${i}`)));
+    await settle();
+    clock.advance(10);
+  }
+  const all = (await runUntil(clock, Promise.all(results))) as {kind: string}[];
+  assert.ok(all.every(({kind}) => kind === 'granted'));
+  // Five seconds at ten a second, the burst of a quarter second and the last round.
+  assert.ok(submitter.appends <= 62, `${submitter.appends} appends`);
+});
