--- a/src/process/events/version-events.ts
+++ b/src/process/events/version-events.ts
@@ -35,9 +35,4 @@
     level: 'warn',
     message: 'resource API refused a credential',
   },
-  claimsUnavailable: {
-    id: 5008,
-    level: 'warn',
-    message: 'at-most-once claims cannot be recorded',
-  },
 } as const;
--- a/src/version/claims/claim-submitter.ts
+++ b/src/version/claims/claim-submitter.ts
@@ -54,6 +54,13 @@
     return sum;
   }
 
+  /** Keys remembered in all ledgers. */
+  get keys(): number {
+    let sum = 0;
+    for (const writer of this.writers.values()) sum += writer.keys;
+    return sum;
+  }
+
   override submit(
     partition: number,
     entry: LedgerEntry,
--- a/src/version/claims/claim-writer.ts
+++ b/src/version/claims/claim-writer.ts
@@ -77,9 +77,9 @@
    */
   constructor(private readonly parts: ClaimWriterParts) {}
 
-  /** Number of entries that are not decided. */
-  get backlog(): number {
-    return this.pending.size;
+  /** Number of keys that are remembered. */
+  get keys(): number {
+    return this.ledger.size;
   }
 
   /**
--- a/src/version/snapshots/snapshot-writer.ts
+++ b/src/version/snapshots/snapshot-writer.ts
@@ -2,6 +2,7 @@
 import type {LogClient} from '../../connection/platform/log-client.js';
 import {every, type Cancel, type Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
+import type {Logger} from '../../process/logger.js';
 import type {MemberView} from '../../process/member-view.js';
 import {findOwner} from '../../process/ownership.js';
 import type {ConfigStore} from '../config-store.js';
@@ -16,8 +17,8 @@
   readonly log: LogClient;
   readonly store: ConfigStore;
   readonly clock: Clock;
-  /** Absent for a host without peers, which then always writes. */
-  readonly members?: MemberView;
+  readonly logger: Logger;
+  readonly members: MemberView;
   /** Least time for which the log keeps records, in milliseconds. */
   readonly retentionMs: number;
 }
@@ -69,7 +70,6 @@
 
   private chosen(): boolean {
     const {members} = this.parts;
-    if (!members) return true;
     const ids = members.live().map(member => member.id);
     return findOwner(snapshotStream, ids) === members.self.id;
   }
@@ -86,9 +86,12 @@
     // A snapshot is repeated even without new records, since the log drops old snapshots too.
     if (newRecords < recordsBetween && ageMs < retentionMs / 4) return false;
     const time = new Date(clock.wallMs()).toISOString();
-    for (const part of encodeSnapshot(state, randomUUID(), time)) {
-      await log.append(snapshotStream, part);
-    }
+    const encoded = encodeSnapshot(state, randomUUID(), time);
+    for (const part of encoded) await log.append(snapshotStream, part);
+    this.parts.logger.event('configSnapshotWritten', {
+      offset: state.offset,
+      records: encoded.length,
+    });
     return true;
   }
 }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -96,6 +96,7 @@
     log,
     store,
     clock,
+    logger,
     members,
     retentionMs: settings.claims.retentionMs,
   });
@@ -121,6 +122,21 @@
     keepMs: claimKeepMs(settings.claims.retentionMs),
     appendsPerSecond: () => claimAppendsPerSecond / members.live().length,
   });
+  metrics.gauge(
+    'guavaseam_config_offset',
+    'Offset of the configuration in effect',
+    () => store.state.offset,
+  );
+  metrics.gauge(
+    'guavaseam_claim_appends_total',
+    'Records appended to claim streams by this host',
+    () => submitter.appends,
+  );
+  metrics.gauge(
+    'guavaseam_claim_keys',
+    'Idempotency keys remembered by this host',
+    () => submitter.keys,
+  );
   const targets = new TargetClients();
   let prefixHasher: PrefixHasher | undefined;
   const dispatcher = new LocalDispatcher(() => store.state, clock);
@@ -162,9 +178,12 @@
     targets.retain(new Set(declared.map(({spec}) => spec.address)));
   };
   const unsubscribe = [
-    subscribe(store.changes, ({record}) => {
+    subscribe(store.changes, ({record, offset, outcome}) => {
       if (record.kind === 'target') retainTargets();
       zones.refresh();
+      if (outcome.kind === 'invalid') {
+        logger.event('configInvalid', {offset, errors: outcome.errors});
+      }
     }),
     subscribe(store.installed, () => {
       retainTargets();
--- a/test/version/config-feed.test.ts
+++ b/test/version/config-feed.test.ts
@@ -14,6 +14,7 @@
 import {PeerSnapshots} from '../../src/version/snapshots/snapshot-loader.js';
 import {SnapshotWriter} from '../../src/version/snapshots/snapshot-writer.js';
 import {subscribe} from '../../src/process/subject.js';
+import {SelfMemberView} from '../../src/version/status/self-member-view.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {runUntil, settle} from './settle.js';
 import {SharedLog, TestLog, type AppendFault} from './test-log.js';
@@ -30,6 +31,8 @@
   }
 }
 
+let hostCount = 0;
+
 function host(shared: SharedLog, clock: ManualClock, peer?: PeerSnapshots) {
   const log = new TestLog(shared);
   log.blocking = true;
@@ -44,7 +47,16 @@
     random: () => 0.5,
     logUp: () => feed.logUp,
   });
-  const snapshots = new SnapshotWriter({log, store, clock, retentionMs});
+  const place = {host: `h${++hostCount}`, zone: 'a', region: 'r'};
+  const members = new SelfMemberView(place, () => store.state.offset);
+  const snapshots = new SnapshotWriter({
+    log,
+    store,
+    clock,
+    logger,
+    members,
+    retentionMs,
+  });
   const offsets: number[] = [];
   subscribe(store.changes, ({state}) => offsets.push(state.offset));
   subscribe(store.installed, ({offset}) => offsets.push(offset));
