--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 const benches: Record<string, () => Promise<{run(): Promise<void>}>> = {
   // One line for each bench: 'name': () => import('./name.js'),
   'request-overhead': () => import('./request-overhead.js'),
+  config: () => import('./config.js'),
 };
 
 const [name] = process.argv.slice(2);
