Wait briefly before preempting and prefer requests whose prefix a free target holds

Cause: at load 1.0 every momentary shortage of slots led to a preemption, and a freed slot went to the head of the queue whatever its prefix. A new owner also kept cold limits after it knew that its targets ran many adopted permits.

--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -16,6 +16,7 @@
 import {newPermitState, PermitTable, type Permit} from './permit.js';
 import {preemptFor} from './preemption.js';
 import {PrefixIndex} from './prefix-index.js';
+import {ReleaseRate} from './release-rate.js';
 import {RequestQueue} from './request-queue.js';
 import {
   defaultSchedulerConfig,
@@ -38,8 +39,16 @@
 import {VersionCaps} from './version-caps.js';
 import type {WaitingRequest} from './waiting-request.js';
 
-/** Requests passed over in one decision because no free target may run them. */
+/** Requests passed over in one decision because the free targets do not suit them. */
 const maxPassedOver = 8;
+/** Times that a request is passed over because a busy target holds its prefix. */
+const maxPasses = 16;
+/** Cached prompt tokens for which a request is passed over; about one block. */
+const minLostTokens = 256;
+/** Part of the first-token target that the top tier waits for a slot to come back by itself. */
+const topTierPatience = 0.1;
+/** Part of the deadline that other tiers wait before they preempt. */
+const lowerTierPatience = 0.25;
 
 /**
  * Decides which request of a target group runs where and when. Pure: it has no clock, timers or
@@ -55,6 +64,7 @@
   private readonly organisations = new OrganisationLimits();
   private readonly lengths = new LengthEstimates();
   private readonly rate = new ServiceRate();
+  private readonly releases = new ReleaseRate();
   private readonly learner: OutcomeLearner;
   private readonly deadlines: DeadlineEstimate;
   private sequence = 0;
@@ -122,6 +132,12 @@
 
   /** Lifts the cold limits of a new owner: all outstanding permits are known. */
   recovered(nowMs: number): Decision[] {
+    // Targets that generate tokens for adopted permits are proven to bear that many.
+    const proven = new Map<TargetState, number>();
+    for (const {target, tokens} of this.permits.values()) {
+      if (tokens > 0) proven.set(target, (proven.get(target) ?? 0) + 1);
+    }
+    for (const [target, count] of proven) target.limit.proven(count);
     this.targets.recovered(nowMs);
     return this.decide(nowMs);
   }
@@ -149,6 +165,7 @@
     const item: WaitingRequest = {
       request: req,
       offeredMs: nowMs,
+      passes: 0,
       deadlineMs: nowMs + req.timeoutMs,
       expectedTokens,
       cost: req.promptTokens + expectedTokens,
@@ -202,6 +219,7 @@
     const {request, target} = permit;
     this.learner.completed(permit, outcome, nowMs);
     this.permits.remove(permit);
+    this.releases.released(nowMs);
     target.inFlight--;
     if (permit.preempted) target.preempting--;
     this.caps.released(target.view.version);
@@ -286,41 +304,93 @@
     return this.decisions.take();
   }
 
-  /** Grants permits to a tier as long as free targets can run its requests. */
+  /** Grants permits to a tier as long as free targets can run its requests, then preempts. */
   private serve(tier: number, nowMs: number): void {
+    const queue = this.queue.tiers[tier];
+    while (this.targets.free.size > 0 && queue.size > 0) {
+      if (!this.serveBatch(tier, nowMs)) break;
+    }
+    if (queue.size === 0) return;
+    const victims = preemptFor(this.permits, {
+      tier,
+      waiting: this.needingPreemption(tier, nowMs),
+      useful: permit => this.isUseful(permit.target, nowMs),
+    });
+    for (const victim of victims) this.notifyPreempted(victim);
+  }
+
+  /** Considers the next requests of a tier; returns whether one got a permit. */
+  private serveBatch(tier: number, nowMs: number): boolean {
     const queue = this.queue.tiers[tier];
     const passedOver: WaitingRequest[] = [];
+    const elsewhere: {item: WaitingRequest; lostTokens: number}[] = [];
+    let granted = false;
     while (this.targets.free.size > 0 && passedOver.length < maxPassedOver) {
       const item = queue.peek();
       if (!item) break;
       const choice = this.choose(item, nowMs);
       const leftMs = item.deadlineMs - nowMs;
       if (choice && choice.completionMs <= leftMs) {
-        this.queue.take(item);
-        this.grant(item, choice, nowMs);
+        const {lostTokens} = choice;
+        if (lostTokens < minLostTokens || item.passes >= maxPasses) {
+          this.queue.take(item);
+          this.grant(item, choice, nowMs);
+          granted = true;
+          continue;
+        }
+        elsewhere.push({item, lostTokens});
       } else if (choice && this.deadlines.typicalMs(item) > leftMs) {
         this.queue.remove(item);
         this.refuse(item, 'deadline-unreachable');
-      } else {
-        // A target that is busy now may still meet the deadline.
-        queue.remove(item);
-        passedOver.push(item);
+        continue;
       }
+      // A target that is busy now may meet the deadline, or hold the prompt's prefix.
+      queue.remove(item);
+      passedOver.push(item);
     }
     for (const item of passedOver) queue.push(item);
-    if (queue.size === 0) return;
-    const victims = preemptFor(this.permits, {
-      tier,
-      waiting: this.queue.sizeUpTo(tier),
-      useful: permit => this.isUseful(permit.target, nowMs),
-    });
-    for (const victim of victims) this.notifyPreempted(victim);
+    return this.placeElsewhere(elsewhere, nowMs) || granted;
+  }
+
+  /** No slot stays idle for a prefix: the requests that lose least are granted it. */
+  private placeElsewhere(
+    candidates: {item: WaitingRequest; lostTokens: number}[],
+    nowMs: number,
+  ): boolean {
+    candidates.sort((a, b) => a.lostTokens - b.lostTokens);
+    let granted = false;
+    for (const {item} of candidates) {
+      const choice =
+        this.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
+      if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
+        this.queue.take(item);
+        this.grant(item, choice, nowMs);
+        granted = true;
+      } else {
+        item.passes++;
+      }
+    }
+    return granted;
+  }
+
+  /** Counts the waiting requests for which too few permits come back by themselves in time. */
+  private needingPreemption(tier: number, nowMs: number): number {
+    const head = this.queue.tiers[tier].peek();
+    if (!head) return 0;
+    const patienceMs =
+      tier === 0
+        ? topTierPatience * this.cfg.firstTokenTargetMs
+        : lowerTierPatience * head.request.timeoutMs;
+    const leftMs = patienceMs - (nowMs - head.offeredMs);
+    const expected =
+      leftMs > 0 ? this.releases.expectedWithin(leftMs, nowMs) : 0;
+    return this.queue.sizeUpTo(tier) - expected;
   }
 
   private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
     const req = item.request;
     return chooseTarget(req, {
-      targets: this.targets.free,
+      targets: this.targets,
       prefixes: this.prefixes,
       caps: this.caps,
       outputTokens: this.lengths.typical(req),
--- a/src/request/scheduler/target-choice.ts
+++ b/src/request/scheduler/target-choice.ts
@@ -1,5 +1,6 @@
 import type {PrefixIndex} from './prefix-index.js';
 import type {TargetState} from './target-state.js';
+import type {TargetTable} from './target-table.js';
 import type {QueuedRequest} from './types.js';
 import type {VersionCaps} from './version-caps.js';
 
@@ -10,11 +11,13 @@
   readonly completionMs: number;
   /** Prompt tokens expected in the target's cache. */
   readonly cachedTokens: number;
+  /** Prompt tokens that a busy target holds in addition. */
+  readonly lostTokens: number;
 }
 
 /** What a choice depends on besides the request. */
 export interface ChoiceInput {
-  readonly targets: Iterable<TargetState>;
+  readonly targets: TargetTable;
   readonly prefixes: PrefixIndex;
   readonly caps: VersionCaps;
   /** Typical output length of the request, in tokens. */
@@ -38,21 +41,20 @@
 ): Choice | undefined {
   const {outputTokens, nowMs} = input;
   const {promptTokens, route, avoid} = req;
-  const cached =
-    req.prefixes.length > 0 ? input.prefixes.lookup(req.prefixes) : undefined;
+  const {free} = input.targets;
+  const holders = req.prefixes.length > 0 ? markHolders(req, input) : undefined;
   const blocked = input.caps.exhausted();
   let best: TargetState | undefined;
   let bestScore = Infinity;
   let bestCompletion = 0;
   let bestCached = 0;
   // Plain arithmetic without allocation: this loop is most of the time of a decision.
-  for (const target of input.targets) {
+  for (const target of free) {
     const {view, rates, breaker, inFlight} = target;
     if (blocked !== undefined && blocked.has(view.version)) continue;
     if (!target.admits(route, nowMs)) continue;
     if (input.othersExist && avoid.includes(view.name)) continue;
-    const share = cached?.get(view.name) ?? 0;
-    const cachedTokens = Math.floor(promptTokens * share);
+    const cachedTokens = Math.floor(promptTokens * target.cachedShare);
     const uncached = promptTokens - cachedTokens;
     const slotMs = rates.perBatchSlot;
     const completionMs =
@@ -71,7 +73,33 @@
       bestCached = cachedTokens;
     }
   }
-  return best
-    ? {target: best, completionMs: bestCompletion, cachedTokens: bestCached}
-    : undefined;
+  let busyCached = 0;
+  if (holders) {
+    for (const holder of holders) {
+      if (!free.has(holder) && holder.view.usable) {
+        const tokens = Math.floor(promptTokens * holder.cachedShare);
+        busyCached = Math.max(busyCached, tokens);
+      }
+      holder.cachedShare = 0;
+    }
+  }
+  if (!best) return undefined;
+  return {
+    target: best,
+    completionMs: bestCompletion,
+    cachedTokens: bestCached,
+    lostTokens: Math.max(0, busyCached - bestCached),
+  };
+}
+
+/** Notes at the targets what they hold of the prompt; a field is faster to read than a map. */
+function markHolders(req: QueuedRequest, input: ChoiceInput): TargetState[] {
+  const holders: TargetState[] = [];
+  for (const [name, share] of input.prefixes.lookup(req.prefixes)) {
+    const target = input.targets.get(name);
+    if (!target) continue;
+    target.cachedShare = share;
+    holders.push(target);
+  }
+  return holders;
 }
--- a/src/request/scheduler/target-limit.ts
+++ b/src/request/scheduler/target-limit.ts
@@ -73,6 +73,11 @@
     this.windowTokenMs = 0;
   }
 
+  /** Raises the limit to a number of requests that the target is known to run. */
+  proven(requests: number): void {
+    this.value = Math.max(this.value, Math.min(requests, this.maxLimit));
+  }
+
   /** Lowers the limit after a sign of congestion. */
   congested(nowMs: number): void {
     if (nowMs - this.lastDecreaseMs < decreasePauseMs) return;
--- a/src/request/scheduler/target-state.ts
+++ b/src/request/scheduler/target-state.ts
@@ -16,6 +16,8 @@
   preempting = 0;
   /** Prompt tokens of permits that have no first token yet. */
   pendingPrompt = 0;
+  /** Part of the prompt in the cache during a choice, 0 to 1. */
+  cachedShare = 0;
   /** Requests that may run at once under this owner, for the running total. */
   counted = 0;
   private readonly routes = new Map<string, CircuitBreaker>();
--- a/src/request/scheduler/waiting-request.ts
+++ b/src/request/scheduler/waiting-request.ts
@@ -9,6 +9,8 @@
   readonly deadlineMs: number;
   /** Output length expected for fair queueing, in tokens. */
   readonly expectedTokens: number;
+  /** Times that it was passed over for a better target. */
+  passes: number;
   /** Prompt and expected output, in tokens. */
   readonly cost: number;
 }
