--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -23,9 +23,10 @@
   type SchedulerConfig,
 } from './scheduler-config.js';
 import {ServiceRate} from './service-rate.js';
-import {chooseTarget, type Choice} from './target-choice.js';
+import type {Choice} from './target-choice.js';
 import type {TargetState} from './target-state.js';
 import {TargetTable} from './target-table.js';
+import {TierPlacement} from './tier-placement.js';
 import type {
   AttemptOutcome,
   CacheEvent,
@@ -39,17 +40,6 @@
 import {VersionCaps} from './version-caps.js';
 import type {WaitingRequest} from './waiting-request.js';
 
-/** Requests passed over in one decision because the free targets do not suit them. */
-const maxPassedOver = 8;
-/** Times that a request is passed over because a busy target holds its prefix. */
-const maxPasses = 16;
-/** Cached prompt tokens for which a request is passed over; about one block. */
-const minLostTokens = 256;
-/** Part of the first-token target that the top tier waits for a slot to come back by itself. */
-const topTierPatience = 0.1;
-/** Part of the deadline that other tiers wait before they preempt. */
-const lowerTierPatience = 0.25;
-
 /**
  * Decides which request of a target group runs where and when. Pure: it has no clock, timers or
  * random numbers of its own, and every method returns the decisions that follow from its input.
@@ -67,6 +57,7 @@
   private readonly releases = new ReleaseRate();
   private readonly learner: OutcomeLearner;
   private readonly deadlines: DeadlineEstimate;
+  private readonly placement: TierPlacement;
   private sequence = 0;
   private readonly decisions = new DecisionList();
 
@@ -91,6 +82,16 @@
       this.rate,
       this.lengths,
     );
+    this.placement = new TierPlacement({
+      queue: this.queue,
+      targets: this.targets,
+      prefixes: this.prefixes,
+      caps: this.caps,
+      lengths: this.lengths,
+      deadlines: this.deadlines,
+      grant: (item, choice, nowMs) => this.grant(item, choice, nowMs),
+      refuse: item => this.refuse(item, 'deadline-unreachable'),
+    });
     this.learner = new OutcomeLearner(this.cfg, this.prefixes);
   }
 
@@ -306,99 +307,23 @@
 
   /** Grants permits to a tier as long as free targets can run its requests, then preempts. */
   private serve(tier: number, nowMs: number): void {
+    this.placement.serve(tier, nowMs);
     const queue = this.queue.tiers[tier];
-    while (this.targets.free.size > 0 && queue.size > 0) {
-      if (!this.serveBatch(tier, nowMs)) break;
-    }
-    if (queue.size === 0) return;
+    const head = queue.peek();
+    if (!head) return;
+    const expected = this.releases.expectedBeforeImpatience(
+      head,
+      this.cfg.firstTokenTargetMs,
+      nowMs,
+    );
     const victims = preemptFor(this.permits, {
       tier,
-      waiting: this.needingPreemption(tier, nowMs),
+      waiting: this.queue.sizeUpTo(tier) - expected,
       useful: permit => this.isUseful(permit.target, nowMs),
     });
     for (const victim of victims) this.notifyPreempted(victim);
   }
 
-  /** Considers the next requests of a tier; returns whether one got a permit. */
-  private serveBatch(tier: number, nowMs: number): boolean {
-    const queue = this.queue.tiers[tier];
-    const passedOver: WaitingRequest[] = [];
-    const elsewhere: {item: WaitingRequest; lostTokens: number}[] = [];
-    let granted = false;
-    while (this.targets.free.size > 0 && passedOver.length < maxPassedOver) {
-      const item = queue.peek();
-      if (!item) break;
-      const choice = this.choose(item, nowMs);
-      const leftMs = item.deadlineMs - nowMs;
-      if (choice && choice.completionMs <= leftMs) {
-        const {lostTokens} = choice;
-        if (lostTokens < minLostTokens || item.passes >= maxPasses) {
-          this.queue.take(item);
-          this.grant(item, choice, nowMs);
-          granted = true;
-          continue;
-        }
-        elsewhere.push({item, lostTokens});
-      } else if (choice && this.deadlines.typicalMs(item) > leftMs) {
-        this.queue.remove(item);
-        this.refuse(item, 'deadline-unreachable');
-        continue;
-      }
-      // A target that is busy now may meet the deadline, or hold the prompt's prefix.
-      queue.remove(item);
-      passedOver.push(item);
-    }
-    for (const item of passedOver) queue.push(item);
-    return this.placeElsewhere(elsewhere, nowMs) || granted;
-  }
-
-  /** No slot stays idle for a prefix: the requests that lose least are granted it. */
-  private placeElsewhere(
-    candidates: {item: WaitingRequest; lostTokens: number}[],
-    nowMs: number,
-  ): boolean {
-    candidates.sort((a, b) => a.lostTokens - b.lostTokens);
-    let granted = false;
-    for (const {item} of candidates) {
-      const choice =
-        this.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
-      if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
-        this.queue.take(item);
-        this.grant(item, choice, nowMs);
-        granted = true;
-      } else {
-        item.passes++;
-      }
-    }
-    return granted;
-  }
-
-  /** Counts the waiting requests for which too few permits come back by themselves in time. */
-  private needingPreemption(tier: number, nowMs: number): number {
-    const head = this.queue.tiers[tier].peek();
-    if (!head) return 0;
-    const patienceMs =
-      tier === 0
-        ? topTierPatience * this.cfg.firstTokenTargetMs
-        : lowerTierPatience * head.request.timeoutMs;
-    const leftMs = patienceMs - (nowMs - head.offeredMs);
-    const expected =
-      leftMs > 0 ? this.releases.expectedWithin(leftMs, nowMs) : 0;
-    return this.queue.sizeUpTo(tier) - expected;
-  }
-
-  private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
-    const req = item.request;
-    return chooseTarget(req, {
-      targets: this.targets,
-      prefixes: this.prefixes,
-      caps: this.caps,
-      outputTokens: this.lengths.typical(req),
-      othersExist: req.avoid.length > 0 && this.targets.anyUsableBut(req.avoid),
-      nowMs,
-    });
-  }
-
   private grant(item: WaitingRequest, choice: Choice, nowMs: number): void {
     const {request} = item;
     const {target, cachedTokens} = choice;
--- a/src/request/scheduler/release-rate.ts
+++ b/src/request/scheduler/release-rate.ts
@@ -1,3 +1,9 @@
+import type {WaitingRequest} from './waiting-request.js';
+
+/** Part of the first-token target that the top tier waits for a slot to come back by itself. */
+const topTierPatience = 0.1;
+/** Part of the deadline that other tiers wait before they preempt. */
+const lowerTierPatience = 0.25;
 /** Weight of a new interval. */
 const gain = 0.05;
 
@@ -31,4 +37,25 @@
     const interval = Math.max(this.intervalMs, nowMs - this.lastMs, 0.001);
     return Math.max(0, Math.floor(ms / interval));
   }
+
+  /**
+   * Estimates how many permits come back before a request has waited long enough to preempt.
+   *
+   * @param head - Request that waits.
+   * @param firstTokenTargetMs - Wanted time to first token, in milliseconds.
+   * @param nowMs - Current time.
+   * @returns Number of permits.
+   */
+  expectedBeforeImpatience(
+    head: WaitingRequest,
+    firstTokenTargetMs: number,
+    nowMs: number,
+  ): number {
+    const patienceMs =
+      head.request.tier === 0
+        ? topTierPatience * firstTokenTargetMs
+        : lowerTierPatience * head.request.timeoutMs;
+    const leftMs = patienceMs - (nowMs - head.offeredMs);
+    return leftMs > 0 ? this.expectedWithin(leftMs, nowMs) : 0;
+  }
 }
--- /dev/null
+++ b/src/request/scheduler/tier-placement.ts
@@ -0,0 +1,115 @@
+import type {DeadlineEstimate} from './deadline-estimate.js';
+import type {LengthEstimates} from './length-estimates.js';
+import type {PrefixIndex} from './prefix-index.js';
+import type {RequestQueue} from './request-queue.js';
+import {chooseTarget, type Choice} from './target-choice.js';
+import type {TargetTable} from './target-table.js';
+import type {VersionCaps} from './version-caps.js';
+import type {WaitingRequest} from './waiting-request.js';
+
+/** Requests passed over in one decision; 24 gave no more prefix hits at three times the work. */
+const maxPassedOver = 8;
+/** Times that a request is passed over because a busy target holds its prefix. */
+const maxPasses = 16;
+/** Cached prompt tokens for which a request is passed over; about one block. */
+const minLostTokens = 256;
+
+/** What placement needs of the scheduler. */
+export interface PlacementParts {
+  readonly queue: RequestQueue;
+  readonly targets: TargetTable;
+  readonly prefixes: PrefixIndex;
+  readonly caps: VersionCaps;
+  readonly lengths: LengthEstimates;
+  readonly deadlines: DeadlineEstimate;
+  /** Grants a permit to a request that was taken from the queue. */
+  readonly grant: (item: WaitingRequest, choice: Choice, nowMs: number) => void;
+  /** Refuses a request that was removed because its deadline cannot be met. */
+  readonly refuse: (item: WaitingRequest) => void;
+}
+
+/** Gives the free slots to the waiting requests of one tier. */
+export class TierPlacement {
+  /**
+   * @param parts - Parts of the scheduler.
+   */
+  constructor(private readonly parts: PlacementParts) {}
+
+  /** Grants permits as long as free targets can run the tier's requests. */
+  serve(tier: number, nowMs: number): void {
+    const queue = this.parts.queue.tiers[tier];
+    while (this.parts.targets.free.size > 0 && queue.size > 0) {
+      if (!this.serveBatch(tier, nowMs)) return;
+    }
+  }
+
+  /** Considers the next requests of a tier; returns whether one got a permit. */
+  private serveBatch(tier: number, nowMs: number): boolean {
+    const queue = this.parts.queue.tiers[tier];
+    const passedOver: WaitingRequest[] = [];
+    const elsewhere: {item: WaitingRequest; lostTokens: number}[] = [];
+    let granted = false;
+    while (
+      this.parts.targets.free.size > 0 &&
+      passedOver.length < maxPassedOver
+    ) {
+      const item = queue.peek();
+      if (!item) break;
+      const choice = this.choose(item, nowMs);
+      const leftMs = item.deadlineMs - nowMs;
+      if (choice && choice.completionMs <= leftMs) {
+        const {lostTokens} = choice;
+        if (lostTokens < minLostTokens || item.passes >= maxPasses) {
+          this.parts.queue.take(item);
+          this.parts.grant(item, choice, nowMs);
+          granted = true;
+          continue;
+        }
+        elsewhere.push({item, lostTokens});
+      } else if (choice && this.parts.deadlines.typicalMs(item) > leftMs) {
+        this.parts.queue.remove(item);
+        this.parts.refuse(item);
+        continue;
+      }
+      // A target that is busy now may meet the deadline, or hold the prompt's prefix.
+      queue.remove(item);
+      passedOver.push(item);
+    }
+    for (const item of passedOver) queue.push(item);
+    return this.placeElsewhere(elsewhere, nowMs) || granted;
+  }
+
+  /** No slot stays idle for a prefix: the requests that lose least are granted it. */
+  private placeElsewhere(
+    candidates: {item: WaitingRequest; lostTokens: number}[],
+    nowMs: number,
+  ): boolean {
+    candidates.sort((a, b) => a.lostTokens - b.lostTokens);
+    let granted = false;
+    for (const {item} of candidates) {
+      const choice =
+        this.parts.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
+      if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
+        this.parts.queue.take(item);
+        this.parts.grant(item, choice, nowMs);
+        granted = true;
+      } else {
+        item.passes++;
+      }
+    }
+    return granted;
+  }
+
+  private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
+    const req = item.request;
+    return chooseTarget(req, {
+      targets: this.parts.targets,
+      prefixes: this.parts.prefixes,
+      caps: this.parts.caps,
+      outputTokens: this.parts.lengths.typical(req),
+      othersExist:
+        req.avoid.length > 0 && this.parts.targets.anyUsableBut(req.avoid),
+      nowMs,
+    });
+  }
+}
