--- a/src/version/persistent-map.ts
+++ b/src/version/persistent-map.ts
@@ -2,8 +2,8 @@
 
 const {h32} = await xxhash();
 
-/** Number of parts of a map; at 2,600 entries a change copies about 40 of them. */
-const partCount = 64;
+/** Number of parts of a map; at 2,600 entries a change copies about ten of them. */
+const partCount = 256;
 
 /** Immutable map. A change copies one small part and shares the others with its predecessor. */
 export class PersistentMap<V> implements Iterable<[string, V]> {
