Deliver a large watch backlog in resumed streams

A backlog above 1 MB overflowed the limit for unsent bytes and broke the stream before anything was delivered, at every retry. Follow-up work over all resources is done once for each page of records.

--- a/src/commands/watch.ts
+++ b/src/commands/watch.ts
@@ -25,7 +25,7 @@
   });
 
   protected override async work(client: ResourceClient): Promise<number> {
-    const from =
+    let from =
       this.from === undefined
         ? this.unwrap(await client.list(this.kind)).offset
         : Number(this.from);
@@ -37,6 +37,7 @@
       interrupted.signal,
     )) {
       const {type, offset, name, generation} = line;
+      from = Number(line['next'] ?? offset);
       if (this.output === 'json') {
         this.context.stdout.write(`${JSON.stringify(line)}\n`);
       } else if (type !== 'heartbeat') {
@@ -45,6 +46,7 @@
         );
       }
     }
+    this.context.stderr.write(`resume with --from ${from}\n`);
     return exitCodes.ok;
   }
 }
--- a/src/connection/caller/resource-watch.ts
+++ b/src/connection/caller/resource-watch.ts
@@ -14,6 +14,8 @@
 const heartbeatMs = 5000;
 /** Unsent bytes after which a watch is broken off; its reader resumes from an offset. */
 const maxUnsentBytes = 1_048_576;
+/** Unsent bytes after which the answer to an old offset ends early. */
+const maxBacklogBytes = 524_288;
 /** Greatest number of watches at one host. */
 const maxWatches = 256;
 
@@ -71,15 +73,17 @@
       const line = toLine(change, from, filter);
       if (line) send(line);
     };
-    for (const {offset, data} of store.source.recordsFrom(
-      configStream,
-      from,
-      Infinity,
-    )) {
+    const backlog = store.source.recordsFrom(configStream, from, Infinity);
+    for (const {offset, data} of backlog) {
       const record = data as ConfigRecord;
       const known = store.state.recentWrites.get(record?.writeId);
-      if (known?.offset === offset) {
-        sendChange({record, offset, outcome: known.outcome});
+      if (known?.offset !== offset) continue;
+      sendChange({record, offset, outcome: known.outcome});
+      // What was written is still delivered; the reader resumes after it.
+      if (res.writableLength > maxBacklogBytes) {
+        this.open.delete(res);
+        res.end();
+        return;
       }
     }
     heartbeat();
--- a/src/version/claims/claim-writer.ts
+++ b/src/version/claims/claim-writer.ts
@@ -161,7 +161,10 @@
     try {
       const offset = await log.append(stream, content);
       while (this.ledger.offset <= offset) {
-        if (!(await this.read(readBackWaitMs))) return false;
+        const page = await this.read(readBackWaitMs);
+        if (!page) return false;
+        // A log that answers before it shows the record would otherwise be asked in a tight loop.
+        if (page.next <= offset) await this.sleep(firstDelayMs);
       }
       return true;
     } catch (err) {
--- a/src/version/snapshots/snapshot-format.ts
+++ b/src/version/snapshots/snapshot-format.ts
@@ -14,6 +14,9 @@
 /** Greatest size of one snapshot record, in bytes, apart from its last entry. */
 const partBytes = 262_144;
 
+/** Incomplete snapshots that are kept; more than two writers at once are not expected. */
+const maxOpen = 4;
+
 /** One entry of a snapshot. */
 type SnapshotEntry =
   | {resource: Resource}
@@ -129,6 +132,9 @@
     if (parts.some(other => other.part === part.part)) return;
     parts.push(part);
     this.open.set(part.id, parts);
+    if (this.open.size > maxOpen) {
+      this.open.delete(this.open.keys().next().value as string);
+    }
     if (parts.length < part.parts) return;
     this.open.delete(part.id);
     if (!this.best || part.offset >= this.best[0].offset) this.best = parts;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -173,22 +173,26 @@
     new UnknownPathHandler(metrics),
   );
 
-  const retainTargets = () => {
-    const declared = listResources(store.state, 'target');
-    targets.retain(new Set(declared.map(({spec}) => spec.address)));
+  // Records arrive in pages of up to 500; work over all resources is done once for each page.
+  let followUpDue = false;
+  const followUp = () => {
+    if (followUpDue) return;
+    followUpDue = true;
+    queueMicrotask(() => {
+      followUpDue = false;
+      const declared = listResources(store.state, 'target');
+      targets.retain(new Set(declared.map(({spec}) => spec.address)));
+      zones.refresh();
+    });
   };
   const unsubscribe = [
-    subscribe(store.changes, ({record, offset, outcome}) => {
-      if (record.kind === 'target') retainTargets();
-      zones.refresh();
+    subscribe(store.changes, ({offset, outcome}) => {
+      followUp();
       if (outcome.kind === 'invalid') {
         logger.event('configInvalid', {offset, errors: outcome.errors});
       }
     }),
-    subscribe(store.installed, () => {
-      retainTargets();
-      zones.refresh();
-    }),
+    subscribe(store.installed, followUp),
     subscribe(members.changes, () => zones.refresh()),
   ];
 
--- a/test/connection/caller/resource-handler.test.ts
+++ b/test/connection/caller/resource-handler.test.ts
@@ -273,6 +273,53 @@
   assert.ok(problem['first'] > 1);
 });
 
+test('a large backlog reaches a watch whole, in resumed streams', async t => {
+  const {origin, shared} = await startApiHost(t);
+  const keys = Array.from({length: 256}, (_, i) => ({
+    ...organisation.keys[0],
+    id: `k${i}`,
+  }));
+  for (let i = 0; i < 60; i++) {
+    shared.put('config', {
+      writeId: `w${i}`,
+      actor: 'op',
+      time: 't',
+      op: 'put',
+      kind: 'organisation',
+      name: `o${i}`,
+      baseGeneration: 0,
+      spec: {keys, weight: 1},
+    });
+  }
+  await settle();
+  const headers = {authorization: `Bearer ${operatorToken}`};
+  const seen: string[] = [];
+  let from = 0;
+  let streams = 0;
+  while (from < 60 && streams < 60) {
+    streams++;
+    const url = `${origin}/api/v1/organisation?watch=${from}`;
+    const res = await request(url, {headers});
+    let rest = '';
+    for await (const chunk of res.body) {
+      const lines = (rest + String(chunk)).split('\n');
+      rest = lines.pop() as string;
+      for (const line of lines) {
+        const {type, name, next} = JSON.parse(line) as Record<string, unknown>;
+        if (type !== 'put') continue;
+        seen.push(String(name));
+        from = Number(next);
+      }
+      if (from === 60) break;
+    }
+  }
+  assert.deepEqual(
+    seen,
+    Array.from({length: 60}, (_, i) => `o${i}`),
+  );
+  assert.ok(streams > 1);
+});
+
 test('a zone of which no host can be heard is Unknown, not done', async t => {
   const {call} = await startApiHost(t);
   await call('PUT', 'zone/a', {body: zone});
