--- /dev/null
+++ b/test/request/scheduler/choice.test.ts
@@ -0,0 +1,168 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {GroupScheduler} from '../../../src/request/scheduler/group-scheduler.js';
+import type {QueuedRequest} from '../../../src/request/scheduler/types.js';
+import {
+  grants,
+  outcome,
+  refusals,
+  request,
+  schedulerWith,
+  view,
+} from './helpers.js';
+
+const two = ['a', 'b'].map(name => view(name, {maxConcurrency: 8}));
+let number = 0;
+
+function place(
+  scheduler: GroupScheduler,
+  other: Partial<QueuedRequest> = {},
+  nowMs = 0,
+) {
+  return grants(scheduler.offer(request(`p${number++}`, other), nowMs))[0];
+}
+
+function fail(
+  scheduler: GroupScheduler,
+  count: number,
+  other: Partial<QueuedRequest>,
+  nowMs = 0,
+): void {
+  for (let i = 0; i < count; i++) {
+    const {permitId} = place(scheduler, other, nowMs);
+    scheduler.complete(permitId, outcome('failed', {tokens: 0}), nowMs);
+  }
+}
+
+test('a request does not go past the target that holds its prefix', () => {
+  const scheduler = schedulerWith(two);
+  const prefixes = ['p1', 'p2'];
+  scheduler.cacheEvent('b', {op: 'stored', prefixes, sequence: 1}, 0);
+  const grant = place(scheduler, {prefixes, promptTokens: 2000});
+  assert.equal(grant.target.name, 'b');
+  assert.equal(grant.cachedTokens, 2000);
+});
+
+test('a hot prefix spreads when its target is busy', () => {
+  const scheduler = schedulerWith(two);
+  const prefixes = ['p'];
+  const names = Array.from(
+    {length: 12},
+    () => place(scheduler, {prefixes, promptTokens: 500}).target.name,
+  );
+  assert.equal(new Set(names).size, 2);
+});
+
+test('lost cache events make what is known less certain, and a cleared cache unknown', () => {
+  const scheduler = schedulerWith(two);
+  const stored = {op: 'stored', prefixes: ['p']} as const;
+  const cached = () => {
+    const grant = place(scheduler, {prefixes: ['p'], promptTokens: 4000});
+    scheduler.complete(grant.permitId, outcome('cancelled', {tokens: 0}), 0);
+    return grant.cachedTokens;
+  };
+  scheduler.cacheEvent('a', {...stored, sequence: 1}, 0);
+  scheduler.cacheEvent('a', {...stored, prefixes: ['q'], sequence: 3}, 0);
+  assert.equal(cached(), 2000);
+  scheduler.cacheEvent('a', {op: 'cleared', prefixes: [], sequence: 4}, 0);
+  assert.equal(cached(), 0);
+});
+
+test('a freed slot goes to a request whose prefix its target holds', () => {
+  const one = ['a', 'b'].map(name => view(name));
+  const scheduler = schedulerWith(one);
+  const put = (name: string, prefix: string) =>
+    scheduler.cacheEvent(
+      name,
+      {op: 'stored', prefixes: [prefix], sequence: 1},
+      0,
+    );
+  put('a', 'pa');
+  put('b', 'pb');
+  const long = {promptTokens: 2000, idempotent: false};
+  place(scheduler, {prefixes: ['pa'], ...long});
+  const {permitId} = place(scheduler, {prefixes: ['pb'], ...long});
+  scheduler.offer(request('wants-a', {prefixes: ['pa'], ...long}), 0);
+  scheduler.offer(request('wants-b', {prefixes: ['pb'], ...long}), 1);
+  const [grant] = grants(scheduler.complete(permitId, outcome('ok'), 2));
+  assert.equal(grant.requestId, 'wants-b');
+});
+
+test('a slow target does not get as much as a fast one', () => {
+  const scheduler = schedulerWith(two);
+  const counts = {a: 0, b: 0};
+  for (let i = 0; i < 40; i++) {
+    const grant = place(scheduler, {}, i);
+    const slow = grant.target.name === 'a';
+    const times = slow
+      ? {firstTokenMs: 400, totalMs: 800}
+      : {firstTokenMs: 50, totalMs: 100};
+    scheduler.complete(grant.permitId, outcome('ok', times), i);
+    counts[grant.target.name as 'a' | 'b']++;
+  }
+  assert.ok(counts.a <= 4, `${counts.a} of 40 went to the slow target`);
+});
+
+test('a request does not return to a target that failed it while another is left', () => {
+  const scheduler = schedulerWith(two);
+  for (let i = 0; i < 5; i++) {
+    assert.equal(place(scheduler, {avoid: ['a']}).target.name, 'b');
+  }
+  scheduler.setTargets([two[0], view('b', {usable: false})], 1);
+  assert.equal(place(scheduler, {avoid: ['a']}).target.name, 'a');
+});
+
+test('a target that fails fast does not attract load', () => {
+  const scheduler = schedulerWith(two);
+  fail(scheduler, 3, {avoid: ['b']});
+  for (let i = 0; i < 8; i++) {
+    assert.equal(place(scheduler, {}, 10).target.name, 'b');
+  }
+  assert.equal(place(scheduler, {}, 999), undefined);
+  // One probe after the pause, and no more until it has succeeded.
+  const probe = place(scheduler, {}, 1001) ?? grants(scheduler.tick(1001))[0];
+  assert.equal(probe.target.name, 'a');
+  assert.equal(place(scheduler, {}, 1002), undefined);
+  scheduler.complete(probe.permitId, outcome('ok'), 1100);
+  assert.equal(scheduler.freeSlots > 0, true);
+});
+
+test('a target that fails on one route still serves the others', () => {
+  const scheduler = schedulerWith([two[0]]);
+  for (let i = 0; i < 3; i++) {
+    fail(scheduler, 1, {route: '/bad'});
+    const {permitId} = place(scheduler, {route: '/good'});
+    scheduler.complete(permitId, outcome('ok'), 0);
+  }
+  assert.equal(place(scheduler, {route: '/bad'}, 10), undefined);
+  assert.equal(place(scheduler, {route: '/good'}, 10).target.name, 'a');
+});
+
+test('a new version gets no more than its share of new grants and in flight', () => {
+  const scheduler = schedulerWith([
+    view('old', {maxConcurrency: 500}),
+    view('new', {maxConcurrency: 500, version: 'v2'}),
+  ]);
+  const count = (cap: {share: number; inFlight: number}) => {
+    scheduler.setVersionCaps([{version: 'v2', ...cap}], 0);
+    return Array.from(
+      {length: 100},
+      () => place(scheduler).target.version,
+    ).filter(version => version === 'v2').length;
+  };
+  assert.equal(count({share: 0, inFlight: 9}), 0);
+  // The first one comes only after twenty requests to the old version.
+  assert.equal(count({share: 0.05, inFlight: 99}), 4);
+  assert.equal(count({share: 0.05, inFlight: 6}), 2);
+  assert.equal(count({share: 0, inFlight: 99}), 0);
+});
+
+test('a request waits when every version that is left is stopped', () => {
+  const scheduler = schedulerWith([two[0]]);
+  scheduler.setVersionCaps([{version: 'v1', share: 0, inFlight: 9}], 0);
+  const decisions = scheduler.offer(request('w', {timeoutMs: 2000}), 0);
+  assert.deepEqual(grants(decisions), []);
+  assert.deepEqual(refusals(scheduler.tick(2000)), [
+    'w deadline-exceeded-waiting',
+  ]);
+});
--- /dev/null
+++ b/test/request/scheduler/ordering.test.ts
@@ -0,0 +1,87 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  drain,
+  grants,
+  outcome,
+  request,
+  schedulerWith,
+  view,
+} from './helpers.js';
+
+function busy() {
+  const scheduler = schedulerWith([view('t')]);
+  const [{permitId}] = grants(
+    scheduler.offer(request('first', {idempotent: false}), 0),
+  );
+  return {scheduler, permitId};
+}
+
+test('a lower tier is not served before a higher one that arrived later', () => {
+  const {scheduler, permitId} = busy();
+  for (const tier of [3, 1, 2, 0] as const) {
+    scheduler.offer(request(`t${tier}`, {tier}), 0);
+  }
+  assert.deepEqual(drain(scheduler, permitId, 1), ['t0', 't1', 't2', 't3']);
+});
+
+test('an organisation with many requests does not delay one with few', () => {
+  const {scheduler, permitId} = busy();
+  for (let i = 0; i < 6; i++) {
+    scheduler.offer(request(`a${i}`, {organisation: 'a'}), 0);
+  }
+  scheduler.offer(request('b0', {organisation: 'b'}), 0);
+  scheduler.offer(request('b1', {organisation: 'b'}), 0);
+  const order = drain(scheduler, permitId, 1);
+  assert.ok(order.indexOf('b1') <= 3, order.join());
+});
+
+test('an organisation with twice the weight does not get the same share', () => {
+  const {scheduler, permitId} = busy();
+  for (let i = 0; i < 8; i++) {
+    scheduler.offer(request(`a${i}`, {organisation: 'a', weight: 2}), 0);
+    scheduler.offer(request(`b${i}`, {organisation: 'b', weight: 1}), 0);
+  }
+  const six = drain(scheduler, permitId, 1).slice(0, 6);
+  assert.equal(six.filter(id => id.startsWith('a')).length, 4, six.join());
+});
+
+test('an organisation whose answers are longer than expected is charged for them', () => {
+  const {scheduler, permitId} = busy();
+  for (let i = 0; i < 4; i++) {
+    for (const organisation of ['a', 'b']) {
+      scheduler.offer(
+        request(`${organisation}${i}`, {organisation, maxTokens: undefined}),
+        0,
+      );
+    }
+  }
+  const order: string[] = [];
+  let next = permitId;
+  for (let i = 0; i < 6; i++) {
+    const long = order.at(-1)?.startsWith('a');
+    const tokens = long ? 1000 : 10;
+    const [grant] = grants(
+      scheduler.complete(next, outcome('ok', {tokens}), 1 + i),
+    );
+    order.push(grant.requestId);
+    next = grant.permitId;
+  }
+  assert.deepEqual(order, ['a0', 'b0', 'b1', 'b2', 'b3', 'a1']);
+});
+
+test('a request with a late deadline does not go before an urgent one', () => {
+  const {scheduler, permitId} = busy();
+  scheduler.offer(request('late', {timeoutMs: 50_000}), 0);
+  scheduler.offer(request('soon', {timeoutMs: 20_000}), 0);
+  assert.deepEqual(drain(scheduler, permitId, 1), ['soon', 'late']);
+});
+
+test('a retry does not take the slot of a first try of its tier', () => {
+  const {scheduler, permitId} = busy();
+  scheduler.offer(request('retry', {attempt: 1, timeoutMs: 20_000}), 0);
+  scheduler.offer(request('lower', {tier: 2}), 0);
+  scheduler.offer(request('first-try', {organisation: 'b'}), 0);
+  const order = drain(scheduler, permitId, 1);
+  assert.deepEqual(order, ['first-try', 'retry', 'lower']);
+});
--- /dev/null
+++ b/test/request/scheduler/refusals.test.ts
@@ -0,0 +1,120 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  grants,
+  outcome,
+  refusals,
+  request,
+  schedulerWith,
+  view,
+} from './helpers.js';
+
+const bounds = {queueLimits: [2, 2, 2, 2], queueTotal: 3};
+
+function full() {
+  const scheduler = schedulerWith([view('t')], bounds);
+  scheduler.offer(request('running', {tier: 0, idempotent: false}), 0);
+  return scheduler;
+}
+
+test('a request whose deadline passes in the queue is not left waiting', () => {
+  const scheduler = full();
+  scheduler.offer(request('a', {timeoutMs: 5000}), 0);
+  assert.deepEqual(refusals(scheduler.tick(4999)), []);
+  assert.deepEqual(refusals(scheduler.tick(5000)), [
+    'a deadline-exceeded-waiting',
+  ]);
+});
+
+test('a request that cannot be answered in time behind the queue is refused at once', () => {
+  const scheduler = schedulerWith([view('t')]);
+  let [{permitId}] = grants(scheduler.offer(request('r'), 0));
+  for (let i = 1; i <= 5; i++) {
+    scheduler.offer(request(`q${i}`, {timeoutMs: 90_000}), i);
+    const done = outcome('ok', {totalMs: 10_000, tokens: 10});
+    [{permitId}] = grants(scheduler.complete(permitId, done, i));
+  }
+  scheduler.offer(request('ahead', {timeoutMs: 25_000}), 10);
+  const late = scheduler.offer(request('late', {timeoutMs: 25_001}), 10);
+  assert.deepEqual(refusals(late), []);
+  const decisions = scheduler.offer(request('x', {timeoutMs: 25_002}), 10);
+  assert.deepEqual(refusals(decisions), ['x deadline-unreachable']);
+});
+
+test('no request is accepted when no target is usable', () => {
+  const scheduler = schedulerWith([view('t', {usable: false})]);
+  const decisions = scheduler.offer(request('a'), 0);
+  assert.deepEqual(refusals(decisions), ['a no-target']);
+});
+
+test('requests that wait are refused when the last target leaves', () => {
+  const scheduler = full();
+  scheduler.offer(request('a'), 0);
+  scheduler.setTargets([view('t', {usable: false})], 1);
+  assert.deepEqual(refusals(scheduler.tick(2)), ['a no-target']);
+});
+
+test('the queue of a tier does not grow without bound', () => {
+  const scheduler = full();
+  scheduler.offer(request('a'), 0);
+  scheduler.offer(request('b'), 0);
+  const decisions = scheduler.offer(request('c'), 0);
+  assert.deepEqual(refusals(decisions), ['c queue-full']);
+});
+
+test('a full queue sheds the lowest tier for a higher one', () => {
+  const scheduler = full();
+  scheduler.offer(request('t3', {tier: 3}), 0);
+  scheduler.offer(request('t2', {tier: 2}), 0);
+  scheduler.offer(request('t1', {tier: 1}), 0);
+  const higher = scheduler.offer(request('u1', {tier: 1}), 0);
+  assert.deepEqual(refusals(higher), ['t3 shed']);
+  const lower = scheduler.offer(request('u3', {tier: 3}), 0);
+  assert.deepEqual(refusals(lower), ['u3 queue-full']);
+});
+
+test('the top tier is not refused for a full queue while a lower tier waits', () => {
+  const scheduler = full();
+  scheduler.offer(request('low', {tier: 3}), 0);
+  scheduler.offer(request('a', {tier: 0}), 0);
+  scheduler.offer(request('b', {tier: 0}), 0);
+  const decisions = scheduler.offer(request('c', {tier: 0}), 0);
+  assert.deepEqual(refusals(decisions), ['low shed']);
+});
+
+test('a bursting organisation does not keep others out of a full queue', () => {
+  const scheduler = full();
+  scheduler.offer(request('a1', {organisation: 'a'}), 0);
+  scheduler.offer(request('a2', {organisation: 'a', timeoutMs: 70_000}), 0);
+  const decisions = scheduler.offer(request('b1', {organisation: 'b'}), 0);
+  assert.deepEqual(refusals(decisions), ['a2 queue-full']);
+});
+
+test('an organisation does not exceed its limits', () => {
+  const scheduler = schedulerWith([view('t', {maxConcurrency: 9})]);
+  scheduler.setOrganisationLimits(
+    new Map([
+      ['slow', {requestsPerSecond: 1}],
+      ['narrow', {concurrency: 1}],
+    ]),
+  );
+  const ask = (organisation: string, id: string, nowMs: number) =>
+    scheduler.offer(request(id, {organisation}), nowMs);
+  assert.equal(grants(ask('slow', 's1', 0)).length, 1);
+  assert.deepEqual(refusals(ask('slow', 's2', 500)), ['s2 rate-limited']);
+  assert.equal(grants(ask('slow', 's3', 1000)).length, 1);
+  const [{permitId}] = grants(ask('narrow', 'n1', 0));
+  assert.deepEqual(refusals(ask('narrow', 'n2', 1)), [
+    'n2 concurrency-limited',
+  ]);
+  scheduler.complete(permitId, outcome('ok'), 2);
+  assert.equal(grants(ask('narrow', 'n3', 3)).length, 1);
+});
+
+test('a request that was cancelled while it waited is not granted later', () => {
+  const scheduler = schedulerWith([view('t')]);
+  const [{permitId}] = grants(scheduler.offer(request('a'), 0));
+  scheduler.offer(request('b'), 0);
+  scheduler.cancel('b', 1);
+  assert.deepEqual(scheduler.complete(permitId, outcome('ok'), 2), []);
+});
