Count permits for the version that ran them; keep the top tier in a full queue

Faults: after a target got another version, the end of an old permit was counted for the new one, so the new version could exceed its in-flight cap. A full queue refused the top tier while idempotent lower work still ran. Both have a test that fails without the fix.

--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -175,7 +175,11 @@
     else if (!this.deadlines.canMeet(item, nowMs)) {
       this.refuse(item, 'deadline-unreachable');
     } else {
-      const {accepted, displaced} = this.queue.offer(item);
+      const {accepted, displaced} = this.queue.offer(
+        item,
+        // Preemption will make room, so a full queue is no reason to refuse the top tier.
+        req.tier === 0 && this.permits.hasVictim(0),
+      );
       if (!accepted) this.refuse(item, 'queue-full');
       if (displaced) {
         const lower = displaced.request.tier > req.tier;
@@ -223,7 +227,7 @@
     this.releases.released(nowMs);
     target.inFlight--;
     if (permit.preempted) target.preempting--;
-    this.caps.released(target.view.version);
+    this.caps.released(permit.version);
     this.organisations.ended(request.organisation);
     if (outcome.result === 'ok') {
       const cost = request.promptTokens + outcome.tokens;
@@ -252,6 +256,7 @@
       id: permit.permitId,
       request,
       target,
+      version: target.view.version,
       grantedMs: nowMs - permit.ageMs,
       cost: request.promptTokens + permit.tokens,
       promptWork: request.promptTokens,
@@ -342,6 +347,7 @@
       id,
       request,
       target,
+      version: target.view.version,
       grantedMs: nowMs,
       cost: item.cost,
       promptWork: uncachedTokens + target.pendingPrompt,
--- a/src/request/scheduler/permit.ts
+++ b/src/request/scheduler/permit.ts
@@ -8,6 +8,8 @@
   readonly id: string;
   readonly request: QueuedRequest;
   readonly target: TargetState;
+  /** Version of the target at the time of the grant. */
+  readonly version: string;
   readonly grantedMs: number;
   /** Cost charged to the organisation, in tokens. */
   readonly cost: number;
@@ -67,6 +69,11 @@
     return count;
   }
 
+  /** Whether work of a lower tier runs that could be preempted. */
+  hasVictim(tier: number): boolean {
+    return this.victims.some((heap, lower) => lower > tier && heap.size > 0);
+  }
+
   /** All permits. */
   values(): Iterable<Permit> {
     return this.permits.values();
--- a/src/request/scheduler/request-queue.ts
+++ b/src/request/scheduler/request-queue.ts
@@ -43,8 +43,14 @@
     return count;
   }
 
-  /** Adds a request if the bounds allow it or another one can make room for it. */
-  offer(item: WaitingRequest): QueueResult {
+  /**
+   * Adds a request if the bounds allow it or another one can make room for it.
+   *
+   * @param item - Request to add.
+   * @param mustAccept - Whether it is added even if the queue is full.
+   * @returns Whether it was added, and what was removed for it.
+   */
+  offer(item: WaitingRequest, mustAccept = false): QueueResult {
     const {tier} = item.request;
     const full = this.size >= this.cfg.queueTotal;
     const tierFull =
@@ -55,9 +61,9 @@
     }
     // The top tier is bounded only while no lower tier waits.
     const lowest = full || tier === 0 ? this.lowestBelow(tier) : undefined;
-    const displaced = lowest ?? this.worseThan(item);
+    const displaced = lowest ?? (mustAccept ? undefined : this.worseThan(item));
     if (displaced) this.remove(displaced);
-    else if (full || tierFull) return {accepted: false};
+    else if (!mustAccept) return {accepted: false};
     this.push(item);
     return {accepted: true, displaced};
   }
--- a/test/request/scheduler/choice.test.ts
+++ b/test/request/scheduler/choice.test.ts
@@ -166,3 +166,14 @@
     'w deadline-exceeded-waiting',
   ]);
 });
+
+test('a permit counts for the version that ran it, after its target got another one', () => {
+  const scheduler = schedulerWith([view('t', {maxConcurrency: 4})]);
+  const {permitId} = place(scheduler);
+  scheduler.setTargets([view('t', {maxConcurrency: 4, version: 'v2'})], 1);
+  scheduler.setVersionCaps([{version: 'v2', share: 1, inFlight: 2}], 1);
+  place(scheduler, {}, 2);
+  place(scheduler, {}, 2);
+  scheduler.complete(permitId, outcome('ok'), 3);
+  assert.equal(place(scheduler, {}, 4), undefined);
+});
--- a/test/request/scheduler/refusals.test.ts
+++ b/test/request/scheduler/refusals.test.ts
@@ -118,3 +118,19 @@
   scheduler.cancel('b', 1);
   assert.deepEqual(scheduler.complete(permitId, outcome('ok'), 2), []);
 });
+
+test('the top tier is not refused for a full queue while lower idempotent work runs', () => {
+  const scheduler = schedulerWith([view('t', {maxConcurrency: 1})], bounds);
+  scheduler.offer(request('low', {tier: 3}), 0);
+  for (const id of ['a', 'b', 'c', 'd']) {
+    const decisions = scheduler.offer(request(id, {tier: 0}), 0);
+    // The first one preempts the lower work; without a victim the bounds hold again.
+    assert.deepEqual(refusals(decisions), id < 'c' ? [] : [`${id} queue-full`]);
+  }
+  const wide = schedulerWith([view('t', {maxConcurrency: 4})], bounds);
+  for (let i = 0; i < 4; i++) wide.offer(request(`low${i}`, {tier: 3}), 0);
+  for (const id of ['a', 'b', 'c', 'd']) {
+    const decisions = wide.offer(request(id, {tier: 0}), 0);
+    assert.deepEqual(refusals(decisions), []);
+  }
+});
