--- a/test/request/scheduler/preemption.test.ts
+++ b/test/request/scheduler/preemption.test.ts
@@ -73,7 +73,8 @@
   assert.deepEqual(preemptions(decisions), []);
 });
 
-test('a momentary shortage of slots does not preempt work when slots return quickly', () => {
+/** Creates a scheduler whose permits came back once a millisecond until time 19. */
+function quickReleases() {
   const scheduler = schedulerWith([view('t', {maxConcurrency: 4})]);
   const open = ['a', 'b', 'c', 'd'].map(
     id => grants(scheduler.offer(request(id, {tier: 3}), 0))[0].permitId,
@@ -85,12 +86,22 @@
     );
     open.push(next.permitId);
   }
+  return scheduler;
+}
+
+test('a momentary shortage of slots does not preempt work when slots return quickly', () => {
+  const scheduler = quickReleases();
   const decisions = scheduler.offer(request('top', {tier: 0}), 20);
   assert.deepEqual(preemptions(decisions), []);
-  // The estimate must not hold when the releases stop.
   assert.equal(preemptions(scheduler.tick(200)).length, 1);
 });
 
+test('a top-tier request preempts at once when slots have stopped returning', () => {
+  const scheduler = quickReleases();
+  const decisions = scheduler.offer(request('top', {tier: 0}), 1000);
+  assert.equal(preemptions(decisions).length, 1);
+});
+
 test('a permit that makes no progress for long is taken back', () => {
   const scheduler = schedulerWith([view('t')]);
   scheduler.offer(request('a'), 0);
