--- a/test/connection/platform/log-follower.test.ts
+++ b/test/connection/platform/log-follower.test.ts
@@ -8,6 +8,7 @@
   LogFollower,
   type FollowerEvent,
 } from '../../../src/connection/platform/log-follower.js';
+import type {Cancel} from '../../../src/process/clock.js';
 import {subscribe} from '../../../src/process/subject.js';
 import {LogStore} from '../../../stand-ins/log-store.js';
 import {ManualClock} from '../../../stand-ins/manual-clock.js';
@@ -130,14 +131,27 @@
   );
 });
 
-test('a stopped follower reads no more, even out of a delay', async () => {
-  const clock = new ManualClock();
+test('a stopped follower reads no more and leaves no timer behind', async () => {
+  let timers = 0;
+  class CountingClock extends ManualClock {
+    override after(delayMs: number, fn: () => void): Cancel {
+      timers++;
+      const cancel = super.after(delayMs, fn);
+      return () => {
+        timers--;
+        cancel();
+      };
+    }
+  }
+  const clock = new CountingClock();
   const store = new LogStore();
   const log = new CountingLog(new MemoryLogClient(clock, store));
   store.faults.down = true;
   const {follower, events} = follow(log, clock);
   await settle();
+  assert.equal(timers, 1);
   follower.stop();
+  assert.equal(timers, 0);
   store.faults.down = false;
   await advance(clock, 5000);
   assert.equal(log.reads, 1);
