--- a/src/commands/demo.ts
+++ b/src/commands/demo.ts
@@ -25,10 +25,8 @@
   resends = Option.String('--resend-share', '0.3', {
     description: 'share of keyed requests sent again with the same key',
   });
-  // Each host decides alone which of two requests with one key may run, so the default keeps to one
-  // host. It becomes `other` when claims are decided in the log.
-  resendTo = Option.String('--resend-to', 'same', {
-    description: 'send them again through the same host or an other one',
+  resendTo = Option.String('--resend-to', 'other', {
+    description: 'send them again through the same host or another one (other)',
   });
   seed = Option.String('--seed', '1', {description: 'seed of the load'});
 
--- a/src/demo/tally.ts
+++ b/src/demo/tally.ts
@@ -32,7 +32,8 @@
  * Compares what callers saw with what targets recorded.
  *
  * An answer is whole if its digest is that of a recorded answer to the same request. A refusal is
- * one only if it is true: `not-run` is checked against the records. Everything else is lost.
+ * one only if it is true: `not-run` is checked against the records, and `unknown` is accepted only
+ * for a repetition of a request that got its whole answer. Everything else is lost.
  *
  * @param results - What the callers saw.
  * @param executions - What the targets recorded.
@@ -50,9 +51,22 @@
   }
   const senders = countBy(results, ({req}) => requestId(req));
   const losses = new Map<string, number>();
+  const answers = new Set(
+    results.flatMap(({req, outcome}) =>
+      outcome.kind === 'answered'
+        ? [`${requestId(req)} ${outcome.sha256}`]
+        : [],
+    ),
+  );
   const verdicts = results.map(result => {
     const id = requestId(result.req);
-    const loss = findLoss(result, recorded.get(id) ?? [], senders.get(id) ?? 1);
+    const executed = recorded.get(id) ?? [];
+    const loss = findLoss(result, executed, {
+      sentTwice: (senders.get(id) ?? 1) > 1,
+      answered: executed.some(({answerSha256}) =>
+        answers.has(`${id} ${answerSha256}`),
+      ),
+    });
     if (loss !== undefined) losses.set(loss, (losses.get(loss) ?? 0) + 1);
     const refused = result.outcome.kind === 'refused';
     const verdict: Verdict =
@@ -83,7 +97,7 @@
 function findLoss(
   {outcome}: CallerResult,
   recorded: readonly TargetExecution[],
-  senders: number,
+  sendings: {readonly sentTwice: boolean; readonly answered: boolean},
 ): string | undefined {
   if (outcome.kind === 'broken') return `broken: ${outcome.reason}`;
   if (outcome.kind === 'answered') {
@@ -96,9 +110,15 @@
   const {reason, execution} = outcome;
   // The key's first request is still running; its caller gets the answer.
   if (reason === 'key-in-progress') return undefined;
-  if (execution !== 'not-run') return `refused as unknown: ${reason}`;
+  if (execution !== 'not-run') {
+    // A host that knows only that the key was claimed has to say so; nothing is lost if the other
+    // sending of the request got the whole answer.
+    return sendings.sentTwice && sendings.answered
+      ? undefined
+      : `refused as unknown: ${reason}`;
+  }
   // Of a request that was sent twice, the other sending may have been executed.
-  return senders === 1 && recorded.length > 0
+  return !sendings.sentTwice && recorded.length > 0
     ? `untrue refusal: ${reason}`
     : undefined;
 }
--- a/test/commands/demo.test.ts
+++ b/test/commands/demo.test.ts
@@ -121,3 +121,47 @@
   assert.deepEqual(judge({...refused, execution: 'unknown'}, []), [0, 0, 1, 0]);
   assert.deepEqual(judge({kind: 'broken', reason: 'x'}, []), [0, 0, 1, 0]);
 });
+
+test('an unknown outcome of a repetition is lost unless its first sending was answered', async () => {
+  const example = await readExample('himalchuli');
+  const options = {
+    seconds: 20,
+    requestsPerSecond: 10,
+    resendShare: 1,
+    resendTo: 'other',
+  } as const;
+  const resent = planLoad(example, options, seededRandom(1)).find(
+    req => req.resent,
+  );
+  assert.ok(resent);
+  const executions: TargetExecution[] = [
+    {
+      target: 't',
+      method: resent.method,
+      path: resent.targetPath,
+      bodySha256: sha256(resent.body),
+      answerSha256: 'a',
+    },
+  ];
+  const times = {firstByteMs: 1, totalMs: 1};
+  const unknown = {
+    kind: 'refused',
+    reason: 'outcome-unknown',
+    execution: 'unknown',
+  } as const;
+  const judge = (first: CallerOutcome) => {
+    const {whole, refused, lost} = tally(
+      [
+        {req: {...resent, resent: false}, outcome: first, ...times},
+        {req: resent, outcome: unknown, ...times},
+      ],
+      executions,
+    );
+    return [whole, refused, lost];
+  };
+  const answered = {kind: 'answered', status: 200, sha256: 'a'} as const;
+  assert.deepEqual(judge(answered), [1, 1, 0]);
+  assert.deepEqual(judge({...answered, sha256: 'b'}), [0, 0, 2]);
+  assert.deepEqual(judge(unknown), [0, 0, 2]);
+  assert.deepEqual(judge({kind: 'broken', reason: 'x'}), [0, 0, 2]);
+});
