--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -16,15 +16,17 @@
 import {newPermitState, PermitTable, type Permit} from './permit.js';
 import {preemptFor} from './preemption.js';
 import {PrefixIndex} from './prefix-index.js';
+import {ReleaseRate} from './release-rate.js';
 import {RequestQueue} from './request-queue.js';
 import {
   defaultSchedulerConfig,
   type SchedulerConfig,
 } from './scheduler-config.js';
 import {ServiceRate} from './service-rate.js';
-import {chooseTarget, type Choice} from './target-choice.js';
+import type {Choice} from './target-choice.js';
 import type {TargetState} from './target-state.js';
 import {TargetTable} from './target-table.js';
+import {TierPlacement} from './tier-placement.js';
 import type {
   AttemptOutcome,
   CacheEvent,
@@ -38,9 +40,6 @@
 import {VersionCaps} from './version-caps.js';
 import type {WaitingRequest} from './waiting-request.js';
 
-/** Requests passed over in one decision because no free target may run them. */
-const maxPassedOver = 8;
-
 /**
  * Decides which request of a target group runs where and when. Pure: it has no clock, timers or
  * random numbers of its own, and every method returns the decisions that follow from its input.
@@ -55,8 +54,10 @@
   private readonly organisations = new OrganisationLimits();
   private readonly lengths = new LengthEstimates();
   private readonly rate = new ServiceRate();
+  private readonly releases = new ReleaseRate();
   private readonly learner: OutcomeLearner;
   private readonly deadlines: DeadlineEstimate;
+  private readonly placement: TierPlacement;
   private sequence = 0;
   private readonly decisions = new DecisionList();
 
@@ -81,6 +82,16 @@
       this.rate,
       this.lengths,
     );
+    this.placement = new TierPlacement({
+      queue: this.queue,
+      targets: this.targets,
+      prefixes: this.prefixes,
+      caps: this.caps,
+      lengths: this.lengths,
+      deadlines: this.deadlines,
+      grant: (item, choice, nowMs) => this.grant(item, choice, nowMs),
+      refuse: item => this.refuse(item, 'deadline-unreachable'),
+    });
     this.learner = new OutcomeLearner(this.cfg, this.prefixes);
   }
 
@@ -122,6 +133,12 @@
 
   /** Lifts the cold limits of a new owner: all outstanding permits are known. */
   recovered(nowMs: number): Decision[] {
+    // Targets that generate tokens for adopted permits are proven to bear that many.
+    const proven = new Map<TargetState, number>();
+    for (const {target, tokens} of this.permits.values()) {
+      if (tokens > 0) proven.set(target, (proven.get(target) ?? 0) + 1);
+    }
+    for (const [target, count] of proven) target.limit.proven(count);
     this.targets.recovered(nowMs);
     return this.decide(nowMs);
   }
@@ -149,6 +166,7 @@
     const item: WaitingRequest = {
       request: req,
       offeredMs: nowMs,
+      passes: 0,
       deadlineMs: nowMs + req.timeoutMs,
       expectedTokens,
       cost: req.promptTokens + expectedTokens,
@@ -157,7 +175,11 @@
     else if (!this.deadlines.canMeet(item, nowMs)) {
       this.refuse(item, 'deadline-unreachable');
     } else {
-      const {accepted, displaced} = this.queue.offer(item);
+      const {accepted, displaced} = this.queue.offer(
+        item,
+        // Preemption will make room, so a full queue is no reason to refuse the top tier.
+        req.tier === 0 && this.permits.hasVictim(0),
+      );
       if (!accepted) this.refuse(item, 'queue-full');
       if (displaced) {
         const lower = displaced.request.tier > req.tier;
@@ -202,9 +224,10 @@
     const {request, target} = permit;
     this.learner.completed(permit, outcome, nowMs);
     this.permits.remove(permit);
+    this.releases.released(nowMs);
     target.inFlight--;
     if (permit.preempted) target.preempting--;
-    this.caps.released(target.view.version);
+    this.caps.released(permit.version);
     this.organisations.ended(request.organisation);
     if (outcome.result === 'ok') {
       const cost = request.promptTokens + outcome.tokens;
@@ -233,6 +256,7 @@
       id: permit.permitId,
       request,
       target,
+      version: target.view.version,
       grantedMs: nowMs - permit.ageMs,
       cost: request.promptTokens + permit.tokens,
       promptWork: request.promptTokens,
@@ -286,49 +310,25 @@
     return this.decisions.take();
   }
 
-  /** Grants permits to a tier as long as free targets can run its requests. */
+  /** Grants permits to a tier as long as free targets can run its requests, then preempts. */
   private serve(tier: number, nowMs: number): void {
+    this.placement.serve(tier, nowMs);
     const queue = this.queue.tiers[tier];
-    const passedOver: WaitingRequest[] = [];
-    while (this.targets.free.size > 0 && passedOver.length < maxPassedOver) {
-      const item = queue.peek();
-      if (!item) break;
-      const choice = this.choose(item, nowMs);
-      const leftMs = item.deadlineMs - nowMs;
-      if (choice && choice.completionMs <= leftMs) {
-        this.queue.take(item);
-        this.grant(item, choice, nowMs);
-      } else if (choice && this.deadlines.typicalMs(item) > leftMs) {
-        this.queue.remove(item);
-        this.refuse(item, 'deadline-unreachable');
-      } else {
-        // A target that is busy now may still meet the deadline.
-        queue.remove(item);
-        passedOver.push(item);
-      }
-    }
-    for (const item of passedOver) queue.push(item);
-    if (queue.size === 0) return;
+    const head = queue.peek();
+    if (!head) return;
+    const expected = this.releases.expectedBeforeImpatience(
+      head,
+      this.cfg.firstTokenTargetMs,
+      nowMs,
+    );
     const victims = preemptFor(this.permits, {
       tier,
-      waiting: this.queue.sizeUpTo(tier),
+      waiting: this.queue.sizeUpTo(tier) - expected,
       useful: permit => this.isUseful(permit.target, nowMs),
     });
     for (const victim of victims) this.notifyPreempted(victim);
   }
 
-  private choose(item: WaitingRequest, nowMs: number): Choice | undefined {
-    const req = item.request;
-    return chooseTarget(req, {
-      targets: this.targets.free,
-      prefixes: this.prefixes,
-      caps: this.caps,
-      outputTokens: this.lengths.typical(req),
-      othersExist: req.avoid.length > 0 && this.targets.anyUsableBut(req.avoid),
-      nowMs,
-    });
-  }
-
   private grant(item: WaitingRequest, choice: Choice, nowMs: number): void {
     const {request} = item;
     const {target, cachedTokens} = choice;
@@ -347,6 +347,7 @@
       id,
       request,
       target,
+      version: target.view.version,
       grantedMs: nowMs,
       cost: item.cost,
       promptWork: uncachedTokens + target.pendingPrompt,
--- a/src/request/scheduler/target-choice.ts
+++ b/src/request/scheduler/target-choice.ts
@@ -1,5 +1,7 @@
 import type {PrefixIndex} from './prefix-index.js';
+import {batchOverhead, promptOverheadTokens} from './target-rates.js';
 import type {TargetState} from './target-state.js';
+import type {TargetTable} from './target-table.js';
 import type {QueuedRequest} from './types.js';
 import type {VersionCaps} from './version-caps.js';
 
@@ -10,11 +12,13 @@
   readonly completionMs: number;
   /** Prompt tokens expected in the target's cache. */
   readonly cachedTokens: number;
+  /** Prompt tokens that a busy target holds in addition. */
+  readonly lostTokens: number;
 }
 
 /** What a choice depends on besides the request. */
 export interface ChoiceInput {
-  readonly targets: Iterable<TargetState>;
+  readonly targets: TargetTable;
   readonly prefixes: PrefixIndex;
   readonly caps: VersionCaps;
   /** Typical output length of the request, in tokens. */
@@ -36,54 +40,65 @@
   req: QueuedRequest,
   input: ChoiceInput,
 ): Choice | undefined {
-  const cached =
-    req.prefixes.length > 0 ? input.prefixes.lookup(req.prefixes) : undefined;
-  let best: Choice | undefined;
-  let bestScore = Infinity;
+  const {outputTokens, nowMs} = input;
+  const {promptTokens, route, avoid} = req;
+  const {free} = input.targets;
+  const holders = req.prefixes.length > 0 ? markHolders(req, input) : undefined;
   const blocked = input.caps.exhausted();
-  for (const target of input.targets) {
-    if (blocked?.has(target.view.version)) continue;
-    if (!target.admits(req.route, input.nowMs)) continue;
-    if (input.othersExist && req.avoid.includes(target.view.name)) continue;
-    const share = cached?.get(target.view.name) ?? 0;
-    const choice = estimate(req, target, share, input.outputTokens);
-    const score = scoreOf(req, choice, input.outputTokens);
+  let best: TargetState | undefined;
+  let bestScore = Infinity;
+  let bestCompletion = 0;
+  let bestCached = 0;
+  // Plain arithmetic on fields of one object: this loop is most of the time of a decision.
+  for (const target of free) {
+    const {inFlight, promptTokenMs, slotMs} = target;
+    if (blocked !== undefined && blocked.has(target.view.version)) continue;
+    if (!target.admits(route, nowMs)) continue;
+    if (input.othersExist && avoid.includes(target.view.name)) continue;
+    const cachedTokens = Math.floor(promptTokens * target.cachedShare);
+    const uncached = promptTokens - cachedTokens;
+    const completionMs =
+      promptTokenMs * (uncached + target.pendingPrompt + promptOverheadTokens) +
+      (outputTokens - 1) * slotMs * (batchOverhead + inFlight + 1);
+    const delayToOthers =
+      inFlight * (promptTokenMs * uncached + slotMs * outputTokens);
+    let score = (completionMs + delayToOthers) * target.riskFactor;
+    // A probe is cheap for a lower tier and tells whether the target has recovered.
+    if (target.needsProbe && req.tier > 0) score = -1;
     if (score < bestScore) {
       bestScore = score;
-      best = choice;
+      best = target;
+      bestCompletion = completionMs;
+      bestCached = cachedTokens;
     }
   }
-  return best;
-}
-
-function estimate(
-  req: QueuedRequest,
-  target: TargetState,
-  cachedShare: number,
-  outputTokens: number,
-): Choice {
-  const {rates, inFlight} = target;
-  const cachedTokens = Math.floor(req.promptTokens * cachedShare);
-  const uncached = req.promptTokens - cachedTokens;
-  const completionMs =
-    rates.firstTokenMs(uncached + target.pendingPrompt) +
-    (outputTokens - 1) * rates.tokenMs(inFlight + 1);
-  return {target, completionMs, cachedTokens};
+  let busyCached = 0;
+  if (holders) {
+    for (const holder of holders) {
+      if (!free.has(holder) && holder.view.usable) {
+        const tokens = Math.floor(promptTokens * holder.cachedShare);
+        busyCached = Math.max(busyCached, tokens);
+      }
+      holder.cachedShare = 0;
+    }
+  }
+  if (!best) return undefined;
+  return {
+    target: best,
+    completionMs: bestCompletion,
+    cachedTokens: bestCached,
+    lostTokens: Math.max(0, busyCached - bestCached),
+  };
 }
 
-function scoreOf(
-  req: QueuedRequest,
-  choice: Choice,
-  outputTokens: number,
-): number {
-  const {target, completionMs, cachedTokens} = choice;
-  const {rates, breaker} = target;
-  // A probe is cheap for a lower tier and tells whether the target has recovered.
-  if (breaker.tripped && req.tier > 0) return -1;
-  const delayToOthers =
-    target.inFlight *
-    (rates.perPromptToken * (req.promptTokens - cachedTokens) +
-      rates.perBatchSlot * outputTokens);
-  const risk = 1 - Math.min(0.95, breaker.failureShare);
-  return (completionMs + delayToOthers) / risk;
+/** Notes at the targets what they hold of the prompt; a field is faster to read than a map. */
+function markHolders(req: QueuedRequest, input: ChoiceInput): TargetState[] {
+  const holders: TargetState[] = [];
+  for (const [name, share] of input.prefixes.lookup(req.prefixes)) {
+    const target = input.targets.get(name);
+    if (!target) continue;
+    target.cachedShare = share;
+    holders.push(target);
+  }
+  return holders;
 }
