Let a request wait briefly for a busy target that holds its prefix

Cause: near saturation one slot is free at a time, so most requests ran where their prefix was not cached, which cost capacity.

--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -83,6 +83,7 @@
       this.lengths,
     );
     this.placement = new TierPlacement({
+      firstTokenTargetMs: this.cfg.firstTokenTargetMs,
       queue: this.queue,
       targets: this.targets,
       prefixes: this.prefixes,
--- a/src/request/scheduler/tier-placement.ts
+++ b/src/request/scheduler/tier-placement.ts
@@ -14,8 +14,14 @@
 /** Cached prompt tokens for which a request is passed over; about one block. */
 const minLostTokens = 256;
 
+/** Part of the first-token target that a top-tier request waits for its prefix. */
+const topTierHold = 0.1;
+/** Part of the deadline that other requests wait for it, at most the first-token target. */
+const lowerTierHold = 0.02;
+
 /** What placement needs of the scheduler. */
 export interface PlacementParts {
+  readonly firstTokenTargetMs: number;
   readonly queue: RequestQueue;
   readonly targets: TargetTable;
   readonly prefixes: PrefixIndex;
@@ -79,7 +85,18 @@
     return this.placeElsewhere(elsewhere, nowMs) || granted;
   }
 
-  /** No slot stays idle for a prefix: the requests that lose least are granted it. */
+  /**
+   * Time for which a request waits for a busy target that holds its prefix. An idle slot costs a
+   * small part of a batch, but prompt processing delays everything that runs on its target.
+   */
+  private holdMs(item: WaitingRequest): number {
+    const {firstTokenTargetMs} = this.parts;
+    return item.request.tier === 0
+      ? topTierHold * firstTokenTargetMs
+      : Math.min(firstTokenTargetMs, lowerTierHold * item.request.timeoutMs);
+  }
+
+  /** No slot stays idle for long for a prefix: the requests that lose least are granted it. */
   private placeElsewhere(
     candidates: {item: WaitingRequest; lostTokens: number}[],
     nowMs: number,
@@ -87,6 +104,7 @@
     candidates.sort((a, b) => a.lostTokens - b.lostTokens);
     let granted = false;
     for (const {item} of candidates) {
+      if (nowMs - item.offeredMs < this.holdMs(item)) continue;
       const choice =
         this.parts.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
       if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
