Reserve the slots that higher tiers leave free while they wait for a prefix

Cause: lower tiers took those slots, so the top tier had to preempt them again, and tier order was not strict.

--- a/bench/dispatch/oracle-policy.ts
+++ b/bench/dispatch/oracle-policy.ts
@@ -3,6 +3,10 @@
 import type {Attempt, SimEngine} from './simulation.js';
 import {blockTokens, type SimRequest} from './workload.js';
 
+/** Times that requests wait for a cached prefix, the same as the scheduler's. */
+const topTierHoldMs = 52;
+const holdMs = 520;
+
 interface Item {
   readonly req: SimRequest;
   readonly attempt: number;
@@ -54,6 +58,10 @@
         if (free.length === 0) break;
         const {req, attempt} = queue[at];
         const best = this.best(req, free);
+        if (this.holds(req, best.engine)) {
+          at++;
+          continue;
+        }
         if (this.sim.nowMs + best.completionMs > deadlineOf(req)) {
           const fastest = this.best(req, this.sim.engines, true);
           if (this.sim.nowMs + fastest.completionMs > deadlineOf(req)) {
@@ -71,6 +79,16 @@
     this.preempt();
   }
 
+  /** Whether it is worth waiting a little for a busy engine that holds more of the prompt. */
+  private holds(req: SimRequest, engine: SimEngine): boolean {
+    const waited = this.sim.nowMs - req.arrivalMs;
+    if (waited >= (req.tier === 0 ? topTierHoldMs : holdMs)) return false;
+    const least = Math.min(
+      ...this.sim.engines.map(other => this.uncached(req, other)),
+    );
+    return this.uncached(req, engine) - least >= blockTokens;
+  }
+
   private start(req: SimRequest, engine: SimEngine, number: number): void {
     const known = this.cached.get(engine) ?? new Map<string, number>();
     for (const prefix of req.prefixes) known.set(prefix, this.sim.nowMs);
--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -306,17 +306,20 @@
 
   private decide(nowMs: number): Decision[] {
     if (this.queue.size > 0) {
-      for (let tier = 0; tier < tierCount; tier++) this.serve(tier, nowMs);
+      let reserved = 0;
+      for (let tier = 0; tier < tierCount; tier++) {
+        reserved += this.serve(tier, reserved, nowMs);
+      }
     }
     return this.decisions.take();
   }
 
   /** Grants permits to a tier as long as free targets can run its requests, then preempts. */
-  private serve(tier: number, nowMs: number): void {
-    this.placement.serve(tier, nowMs);
+  private serve(tier: number, reserved: number, nowMs: number): number {
+    const held = this.placement.serve(tier, reserved, nowMs);
     const queue = this.queue.tiers[tier];
     const head = queue.peek();
-    if (!head) return;
+    if (!head) return held;
     const expected = this.releases.expectedBeforeImpatience(
       head,
       this.cfg.firstTokenTargetMs,
@@ -324,10 +327,11 @@
     );
     const victims = preemptFor(this.permits, {
       tier,
-      waiting: this.queue.sizeUpTo(tier) - expected,
+      waiting: this.queue.sizeUpTo(tier) - reserved - held - expected,
       useful: permit => this.isUseful(permit.target, nowMs),
     });
     for (const victim of victims) this.notifyPreempted(victim);
+    return held;
   }
 
   private grant(item: WaitingRequest, choice: Choice, nowMs: number): void {
--- a/src/request/scheduler/tier-placement.ts
+++ b/src/request/scheduler/tier-placement.ts
@@ -36,17 +36,29 @@
 
 /** Gives the free slots to the waiting requests of one tier. */
 export class TierPlacement {
+  private held = 0;
+
   /**
    * @param parts - Parts of the scheduler.
    */
   constructor(private readonly parts: PlacementParts) {}
 
-  /** Grants permits as long as free targets can run the tier's requests. */
-  serve(tier: number, nowMs: number): void {
-    const queue = this.parts.queue.tiers[tier];
-    while (this.parts.targets.free.size > 0 && queue.size > 0) {
-      if (!this.serveBatch(tier, nowMs)) return;
+  /**
+   * Grants permits as long as free targets can run the tier's requests.
+   *
+   * @param tier - Tier to serve.
+   * @param reserved - Free slots that higher tiers will use if no better one becomes free.
+   * @param nowMs - Current time.
+   * @returns Number of this tier's requests that wait although a slot is free for them.
+   */
+  serve(tier: number, reserved: number, nowMs: number): number {
+    const {targets, queue} = this.parts;
+    this.held = 0;
+    while (targets.free.size > 0 && queue.tiers[tier].size > 0) {
+      if (reserved > 0 && targets.freeSlots <= reserved) return 0;
+      if (!this.serveBatch(tier, nowMs)) break;
     }
+    return this.held;
   }
 
   /** Considers the next requests of a tier; returns whether one got a permit. */
@@ -103,8 +115,12 @@
   ): boolean {
     candidates.sort((a, b) => a.lostTokens - b.lostTokens);
     let granted = false;
+    this.held = 0;
     for (const {item} of candidates) {
-      if (nowMs - item.offeredMs < this.holdMs(item)) continue;
+      if (nowMs - item.offeredMs < this.holdMs(item)) {
+        this.held++;
+        continue;
+      }
       const choice =
         this.parts.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
       if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
