--- a/src/request/scheduler/tier-placement.ts
+++ b/src/request/scheduler/tier-placement.ts
@@ -14,8 +14,14 @@
 /** Cached prompt tokens for which a request is passed over; about one block. */
 const minLostTokens = 256;
 
+/** Part of the first-token target that a top-tier request waits for its prefix. */
+const topTierHold = 0.1;
+/** Part of the deadline that other requests wait for it, at most the first-token target. */
+const lowerTierHold = 0.02;
+
 /** What placement needs of the scheduler. */
 export interface PlacementParts {
+  readonly firstTokenTargetMs: number;
   readonly queue: RequestQueue;
   readonly targets: TargetTable;
   readonly prefixes: PrefixIndex;
@@ -30,17 +36,29 @@
 
 /** Gives the free slots to the waiting requests of one tier. */
 export class TierPlacement {
+  private held = 0;
+
   /**
    * @param parts - Parts of the scheduler.
    */
   constructor(private readonly parts: PlacementParts) {}
 
-  /** Grants permits as long as free targets can run the tier's requests. */
-  serve(tier: number, nowMs: number): void {
-    const queue = this.parts.queue.tiers[tier];
-    while (this.parts.targets.free.size > 0 && queue.size > 0) {
-      if (!this.serveBatch(tier, nowMs)) return;
+  /**
+   * Grants permits as long as free targets can run the tier's requests.
+   *
+   * @param tier - Tier to serve.
+   * @param reserved - Free slots that higher tiers will use if no better one becomes free.
+   * @param nowMs - Current time.
+   * @returns Number of this tier's requests that wait although a slot is free for them.
+   */
+  serve(tier: number, reserved: number, nowMs: number): number {
+    const {targets, queue} = this.parts;
+    this.held = 0;
+    while (targets.free.size > 0 && queue.tiers[tier].size > 0) {
+      if (reserved > 0 && targets.freeSlots <= reserved) return 0;
+      if (!this.serveBatch(tier, nowMs)) break;
     }
+    return this.held;
   }
 
   /** Considers the next requests of a tier; returns whether one got a permit. */
@@ -79,14 +97,30 @@
     return this.placeElsewhere(elsewhere, nowMs) || granted;
   }
 
-  /** No slot stays idle for a prefix: the requests that lose least are granted it. */
+  /**
+   * Time for which a request waits for a busy target that holds its prefix. An idle slot costs a
+   * small part of a batch, but prompt processing delays everything that runs on its target.
+   */
+  private holdMs(item: WaitingRequest): number {
+    const {firstTokenTargetMs} = this.parts;
+    return item.request.tier === 0
+      ? topTierHold * firstTokenTargetMs
+      : Math.min(firstTokenTargetMs, lowerTierHold * item.request.timeoutMs);
+  }
+
+  /** No slot stays idle for long for a prefix: the requests that lose least are granted it. */
   private placeElsewhere(
     candidates: {item: WaitingRequest; lostTokens: number}[],
     nowMs: number,
   ): boolean {
     candidates.sort((a, b) => a.lostTokens - b.lostTokens);
     let granted = false;
+    this.held = 0;
     for (const {item} of candidates) {
+      if (nowMs - item.offeredMs < this.holdMs(item)) {
+        this.held++;
+        continue;
+      }
       const choice =
         this.parts.targets.free.size > 0 ? this.choose(item, nowMs) : undefined;
       if (choice && choice.completionMs <= item.deadlineMs - nowMs) {
