Add the membership logic between hosts

Cause: hosts know nothing of each other, so group ownership has no live members to hash over. Change: pure SWIM-like core over a bounded set of links; only hosts of the same zone confirm a crash, zones that cannot be heard are unknown. Figures: crash confirmed within 2 s in 20 seeds, 1 s pause kills nobody in 20 seeds (npm run unit -- process/membership).

--- a/src/process/events/peer-events.ts
+++ b/src/process/events/peer-events.ts
@@ -3,4 +3,10 @@
   linkOpened: {id: 3001, level: 'info', message: 'link to host opened'},
   linkClosed: {id: 3002, level: 'info', message: 'link to host closed'},
   linkRejected: {id: 3003, level: 'warn', message: 'link from host rejected'},
+  memberChanged: {id: 3004, level: 'debug', message: 'member changed'},
+  selfPaused: {
+    id: 3005,
+    level: 'warn',
+    message: 'this host was paused or taken for dead and gives up what it holds',
+  },
 } as const;
--- a/src/process/member-view.ts
+++ b/src/process/member-view.ts
@@ -13,6 +13,18 @@
   readonly state: 'alive' | 'suspect' | 'dead' | 'left';
   /** Offset of the configuration that is in effect at the member. */
   readonly configOffset: number;
+  /** Short content that the member publishes about itself; at most 32 bytes. */
+  readonly summary?: Uint8Array;
+}
+
+/** What is known of a zone as a whole. */
+export interface ZoneView {
+  /** `unknown`: the zone cannot be heard, so nothing can be said about its members. */
+  readonly state: 'heard' | 'unknown';
+  /** Live members, empty if unknown. */
+  readonly live: number;
+  /** Least configuration offset of the live members; absent if unknown or without members. */
+  readonly configOffset?: number;
 }
 
 /** Read side of the membership, for the parts that depend on who is alive. */
--- /dev/null
+++ b/test/process/membership/membership-core.test.ts
@@ -0,0 +1,253 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  probeHeadBytes,
+  updateBytes,
+  zoneAgeBytes,
+  type PeerIdentity,
+} from '../../../src/process/membership/messages.js';
+import {bounds, timing} from '../../../src/process/membership/timing.js';
+import {ManualClock} from '../../../stand-ins/manual-clock.js';
+import {MembershipNetwork} from '../../../stand-ins/membership-network.js';
+import {random as seeded, type Fleet, startFleet} from './fleet.js';
+
+function stateOf({network}: Fleet, observer: string, id: string) {
+  const members = network.host(observer).core.members();
+  return members.find(member => member.id === id)?.state;
+}
+
+function others({network}: Fleet, zone: string, except: string) {
+  return [...network.hosts.values()]
+    .filter(h => h.identity.zone === zone && h.identity.id !== except)
+    .map(h => h.identity.id);
+}
+
+test('all hosts find each other from one seed (fails if joins do not spread)', () => {
+  const fleet = startFleet({zones: 3, perZone: 3, seed: 1});
+  for (const host of fleet.network.hosts.values()) {
+    const live = host.core.members().filter(m => m.state === 'alive');
+    assert.equal(live.length, 8, host.identity.id);
+  }
+});
+
+test('a crash is confirmed in the zone within 2 s (guards against late takeover)', () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const fleet = startFleet({zones: 2, perZone: 5, seed});
+    fleet.network.run(seed * 17);
+    fleet.network.crash('z0-h1');
+    fleet.network.run(2000);
+    for (const id of others(fleet, 'z0', 'z0-h1')) {
+      assert.equal(stateOf(fleet, id, 'z0-h1'), 'dead', `${id}, seed ${seed}`);
+    }
+  }
+});
+
+test('a pause of 1 s kills nobody (guards against moves of ownership in a short pause)', () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const fleet = startFleet({zones: 2, perZone: 4, seed});
+    const {network} = fleet;
+    network.run(seed * 19);
+    const startMs = fleet.clock.nowMs();
+    network.pause('z0-h1');
+    network.run(1000);
+    network.resume('z0-h1');
+    network.run(2000);
+    for (const host of network.hosts.values()) {
+      const deaths = host.effects.filter(
+        ({atMs, effect}) =>
+          atMs > startMs &&
+          effect.kind === 'changed' &&
+          effect.member.state === 'dead',
+      );
+      assert.deepEqual(deaths, [], `${host.identity.id}, seed ${seed}`);
+    }
+  }
+});
+
+test('a host paused for long gives up first and rejoins with a higher incarnation', () => {
+  const fleet = startFleet({zones: 2, perZone: 4, seed: 3});
+  const {network, clock} = fleet;
+  const host = network.host('z0-h1');
+  const before = host.core.self.incarnation;
+  network.pause('z0-h1');
+  network.run(5000);
+  assert.equal(stateOf(fleet, 'z0-h0', 'z0-h1'), 'dead');
+  host.effects.length = 0;
+  network.resume('z0-h1');
+  assert.equal(host.effects[0]?.effect.kind, 'selfPaused');
+  assert.equal(host.effects[0]?.atMs, clock.nowMs());
+  network.run(1000);
+  assert.ok(host.core.self.incarnation > before);
+  assert.equal(stateOf(fleet, 'z0-h0', 'z0-h1'), 'alive');
+  assert.equal(stateOf(fleet, 'z1-h0', 'z0-h1'), 'alive');
+  // The pause was its own; it must not blame the members that it did not hear.
+  assert.equal(stateOf(fleet, 'z0-h1', 'z0-h0'), 'alive');
+});
+
+test('zones cut from each other are unknown, kill nobody at home, and find each other again', () => {
+  const fleet = startFleet({zones: 3, perZone: 3, seed: 4});
+  const {network} = fleet;
+  network.isCut = (a, b) => (a.zone === 'z0') !== (b.zone === 'z0');
+  network.run(10_000);
+  const {core} = network.host('z0-h0');
+  assert.equal(core.zoneView('z1').state, 'unknown');
+  assert.equal(core.zoneView('z0').state, 'heard');
+  assert.equal(stateOf(fleet, 'z0-h0', 'z1-h0'), 'dead');
+  assert.equal(stateOf(fleet, 'z1-h1', 'z0-h0'), 'dead');
+  assert.equal(stateOf(fleet, 'z0-h0', 'z0-h1'), 'alive');
+  assert.equal(stateOf(fleet, 'z1-h0', 'z2-h1'), 'alive');
+  network.crash('z1-h2');
+  network.run(600_000);
+  network.isCut = () => false;
+  network.run(10_000);
+  assert.equal(stateOf(fleet, 'z0-h0', 'z1-h0'), 'alive');
+  assert.equal(stateOf(fleet, 'z1-h1', 'z0-h0'), 'alive');
+  assert.equal(stateOf(fleet, 'z0-h0', 'z1-h2'), 'dead');
+  assert.equal(core.zoneView('z1').live, 2);
+  for (const host of network.hosts.values()) {
+    const own = host.effects.filter(
+      ({effect}) =>
+        effect.kind === 'changed' &&
+        effect.member.state === 'dead' &&
+        effect.member.zone === host.identity.zone &&
+        effect.member.id !== 'z1-h2',
+    );
+    assert.deepEqual(own, [], host.identity.id);
+  }
+});
+
+test('a cut between two zones is bridged by a third (guards against a false unknown)', () => {
+  const fleet = startFleet({zones: 3, perZone: 3, seed: 5});
+  fleet.network.isCut = (a, b) =>
+    [a.zone, b.zone].sort().join() === ['z0', 'z1'].join();
+  fleet.network.run(15_000);
+  const {core} = fleet.network.host('z0-h0');
+  assert.equal(core.zoneView('z1').state, 'heard');
+});
+
+test('a split inside a zone heals (guards against tombstones that stay for ever)', () => {
+  const fleet = startFleet({zones: 2, perZone: 4, seed: 6});
+  const half = (id: string) => id === 'z0-h0' || id === 'z0-h1';
+  fleet.network.isCut = (a, b) => half(a.id) !== half(b.id);
+  fleet.network.run(8000);
+  assert.equal(stateOf(fleet, 'z0-h0', 'z0-h2'), 'dead');
+  fleet.network.isCut = () => false;
+  fleet.network.run(15_000);
+  for (const id of others(fleet, 'z0', 'z0-h2')) {
+    assert.equal(stateOf(fleet, id, 'z0-h2'), 'alive', id);
+  }
+});
+
+test('a host that leaves is known to have left at once (guards against a wait for its death)', () => {
+  const fleet = startFleet({zones: 2, perZone: 4, seed: 7});
+  const {network, clock} = fleet;
+  const host = network.host('z0-h1');
+  network.perform(host, host.core.leave(clock.nowMs()));
+  network.crash('z0-h1');
+  network.run(500);
+  for (const id of network.hosts.keys()) {
+    if (id !== 'z0-h1') assert.equal(stateOf(fleet, id, 'z0-h1'), 'left', id);
+  }
+});
+
+test('late updates do not resurrect the dead (guards against ghosts that own groups)', () => {
+  const fleet = startFleet({zones: 1, perZone: 4, seed: 8});
+  const {network, clock} = fleet;
+  const ghost = network.host('z0-h1').core.self;
+  network.crash('z0-h1');
+  network.run(3000);
+  const {core, identity} = network.host('z0-h0');
+  const late = {
+    id: ghost.id,
+    zone: ghost.zone,
+    region: ghost.region,
+    address: ghost.peerAddress,
+    incarnation: ghost.incarnation,
+    state: 'alive' as const,
+    version: 99,
+    configOffset: 5,
+    summary: new Uint8Array(0),
+  };
+  const probe = {
+    sequence: 0,
+    incarnation: network.host('z0-h2').core.self.incarnation,
+    version: 1,
+    configOffset: 0,
+    summary: new Uint8Array(0),
+    updates: [late],
+    zones: [],
+    offsets: [],
+    sync: false,
+    reached: '',
+  };
+  const from = network.host('z0-h2').identity;
+  core.receive(from, {ping: probe}, clock.nowMs());
+  assert.equal(stateOf(fleet, identity.id, 'z0-h1'), 'dead');
+  network.run(timing.tombstoneMs / 100);
+  core.receive(from, {ping: probe}, clock.nowMs());
+  assert.equal(stateOf(fleet, identity.id, 'z0-h1'), 'dead');
+});
+
+test('no probe exceeds its size bound, also when many members change at once', () => {
+  const clock = new ManualClock();
+  let probes = 0;
+  const network = new MembershipNetwork(clock, {
+    random: seeded(9),
+    keepEffects: false,
+    onSend(_, message) {
+      const probe = message.ping ?? message.ack;
+      if (!probe) return;
+      probes++;
+      const bytes =
+        probeHeadBytes(probe) +
+        probe.updates.reduce((sum, u) => sum + updateBytes(u), 0) +
+        probe.zones.reduce((sum, z) => sum + zoneAgeBytes(z), 0);
+      assert.ok(bytes <= bounds.messageBytes, `${bytes} bytes`);
+    },
+  });
+  const ids: PeerIdentity[] = [];
+  for (let i = 0; i < 60; i++) {
+    const zone = `a-zone-with-a-long-name-${i % 4}`;
+    const address = `10.200.100.${i}:12345`;
+    ids.push({id: `host-with-a-long-name-${i}`, zone, region: 'r', address});
+  }
+  for (const id of ids) {
+    const host = network.start(id, [ids[0].address]);
+    host.core.publish({summary: new Uint8Array(100)});
+  }
+  network.run(5000);
+  for (const id of ids.slice(30, 45)) network.crash(id.id);
+  network.run(3000);
+  assert.ok(probes > 1000);
+  const {core} = network.host(ids[0].id);
+  assert.equal(core.members().filter(m => m.state === 'dead').length, 15);
+});
+
+test('the links of a host do not grow with the fleet and reach the other region', () => {
+  const fleet = startFleet({zones: 4, perZone: 20, seed: 10});
+  for (const host of fleet.network.hosts.values()) {
+    const last = host.effects.filter(e => e.effect.kind === 'links').pop();
+    assert.ok(last?.effect.kind === 'links');
+    const {ids} = last.effect;
+    assert.ok(
+      ids.length <= bounds.ringSuccessors + bounds.chords + bounds.crossLinks,
+    );
+    const regions = ids.map(id => fleet.network.host(id).identity.region);
+    assert.ok(regions.some(region => region !== host.identity.region));
+  }
+});
+
+test('a zone reports the least offset of its live members (guards against a false status)', () => {
+  const fleet = startFleet({zones: 2, perZone: 3, seed: 11});
+  const {network} = fleet;
+  for (const host of network.hosts.values()) {
+    host.core.publish({configOffset: host.identity.id === 'z1-h2' ? 7 : 9});
+  }
+  network.run(10_000);
+  const {core} = network.host('z0-h0');
+  assert.equal(core.zoneView('z1').configOffset, 7);
+  network.crash('z1-h2');
+  network.run(3000);
+  assert.equal(core.zoneView('z1').configOffset, 9);
+  assert.equal(core.zoneView('z9').state, 'unknown');
+});
