Carry membership and log records over gRPC links

Cause: the membership had no transport, and every host had to poll the log. Change: Link stream with checked hello, mutual TLS bound to the host id and rate bounds; record relay with two readers for each zone; gossip counters; peer server in the wiring, its port reported by start(). Conclusion: hosts find each other and share records.

--- a/src/process/events/peer-events.ts
+++ b/src/process/events/peer-events.ts
@@ -7,6 +7,7 @@
   selfPaused: {
     id: 3005,
     level: 'warn',
-    message: 'this host was paused or taken for dead and gives up what it holds',
+    message:
+      'this host was paused or taken for dead and gives up what it holds',
   },
 } as const;
--- a/src/process/membership/link-choice.ts
+++ b/src/process/membership/link-choice.ts
@@ -1,4 +1,5 @@
 import {rankHosts} from '../ownership.js';
+import type {MemberState} from './messages.js';
 import {bounds} from './timing.js';
 
 /** Kind of a probed link. */
@@ -8,6 +9,7 @@
   readonly id: string;
   readonly zone: string;
   readonly region: string;
+  readonly state: MemberState;
 }
 
 /**
@@ -29,15 +31,18 @@
   const links = new Map<string, LinkKind>();
   const near = candidates
     .filter(other => other.zone === self.zone)
-    .map(other => other.id)
-    .sort();
-  const first = near.findIndex(id => id > self.id);
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
+  const first = near.findIndex(({id}) => id > self.id);
   const start = first === -1 ? 0 : first;
-  const ringSize = Math.min(bounds.ringSuccessors, near.length);
-  for (let i = 0; i < ringSize; i++) {
-    links.set(near[(start + i) % near.length], 'ring');
+  let alive = 0;
+  // The ring goes on past suspects, so that neighbours that fail together are found together.
+  for (let i = 0; i < Math.min(bounds.maxRing, near.length); i++) {
+    const {id, state} = near[(start + i) % near.length];
+    links.set(id, 'ring');
+    if (state === 'alive') alive++;
+    if (alive === bounds.ringSuccessors) break;
   }
-  const rest = near.filter(id => !links.has(id));
+  const rest = near.map(({id}) => id).filter(id => !links.has(id));
   for (const id of rankHosts(self.id, rest).slice(0, bounds.chords)) {
     links.set(id, 'chord');
   }
--- a/src/process/membership/member-table.ts
+++ b/src/process/membership/member-table.ts
@@ -1,4 +1,4 @@
-import type {Member} from '../member-view.js';
+import type {Member, ZoneView} from '../member-view.js';
 import type {MemberState, MemberUpdate} from './messages.js';
 import {bounds, timing} from './timing.js';
 
@@ -174,7 +174,8 @@
    * @param byMs - Length of the pause in milliseconds.
    */
   shift(byMs: number): void {
-    for (const [zone, atMs] of this.heardAt) this.heardAt.set(zone, atMs + byMs);
+    for (const [zone, atMs] of this.heardAt)
+      this.heardAt.set(zone, atMs + byMs);
   }
 
   /**
@@ -221,3 +222,20 @@
 export function mayLive({update}: Entry): boolean {
   return update.state === 'alive' || update.state === 'suspect';
 }
+
+/**
+ * Computes what is known of a zone.
+ *
+ * @param zone - Name of the zone.
+ * @param members - All known members.
+ * @returns State, live members and least configuration offset.
+ */
+export function toZoneView(zone: string, members: readonly Member[]): ZoneView {
+  const offsets = members
+    .filter(m => m.zone === zone)
+    .filter(m => m.state === 'alive' || m.state === 'suspect')
+    .map(m => m.configOffset);
+  if (offsets.length === 0) return {state: 'unknown', live: 0};
+  const configOffset = Math.min(...offsets);
+  return {state: 'heard', live: offsets.length, configOffset};
+}
--- a/src/process/membership/membership-core.ts
+++ b/src/process/membership/membership-core.ts
@@ -1,7 +1,7 @@
 import type {Member, ZoneView} from '../member-view.js';
 import type {Effect, ListedHost, PauseReason, Receiver} from './effects.js';
 import {chooseLinks} from './link-choice.js';
-import {mayLive, MemberTable, toMember} from './member-table.js';
+import {mayLive, MemberTable, toMember, toZoneView} from './member-table.js';
 import type {
   LinkMessage,
   MemberUpdate,
@@ -9,8 +9,10 @@
   Probe,
   StreamOffset,
 } from './messages.js';
+import {OwnMember} from './own-member.js';
 import {ProbeWriter} from './probe-writer.js';
 import {Prober} from './prober.js';
+import {Rejoin} from './rejoin.js';
 import {Relays} from './relays.js';
 import {bounds, timing} from './timing.js';
 import {UpdateQueue} from './update-queue.js';
@@ -45,38 +47,47 @@
   /** Zones of which a member is to be asked for all members. */
   private readonly zonesToSync = new Set<string>();
   private readonly random: () => number;
-  private own: MemberUpdate;
-  private offsets: readonly StreamOffset[] = [];
-  private listed: readonly ListedHost[] = [];
+  private readonly own: OwnMember;
+  private readonly rejoin: Rejoin;
   private effects: Effect[] = [];
   private leaving = false;
   private linksChanged = true;
   private urgent = false;
   private lastStepMs: number | undefined;
-  private nextRetryMs = -Infinity;
 
   /**
    * @param options - Identity of this host and how it finds others.
    */
-  constructor(private readonly options: MembershipOptions) {
-    const {self, incarnation} = options;
-    this.own = {
-      ...self,
-      incarnation,
-      state: 'alive',
-      version: 1,
-      configOffset: 0,
-      summary: new Uint8Array(0),
-    };
-    this.random = options.random;
+  constructor(options: MembershipOptions) {
+    const {self, incarnation, seeds, random} = options;
+    this.own = new OwnMember(self, incarnation);
+    this.random = random;
     this.zonesToSync.add(self.zone);
     this.table = new MemberTable(self.zone);
+    this.rejoin = new Rejoin(seeds, this.table, random);
     this.writer = new ProbeWriter(self.zone, this.table, this.queue);
   }
 
   /** This host. */
   get self(): Member {
-    return toMember(this.own, this.own.state);
+    return toMember(this.own.update, this.own.update.state);
+  }
+
+  /** Members to which this host keeps links. */
+  get neighbours(): Receiver[] {
+    return this.prober.ids
+      .map(id => this.table.get(id)?.update)
+      .filter(update => update !== undefined)
+      .map(({id, address}) => ({id, address}));
+  }
+
+  /**
+   * Sets the address that other hosts are told, once the server listens.
+   *
+   * @param address - Address of the peer server, `IP:PORT`.
+   */
+  setAddress(address: string): void {
+    this.own.set({address});
   }
 
   /** @returns All known members but this host, tombstones included. */
@@ -91,14 +102,7 @@
    * @returns State, live members and least configuration offset.
    */
   zoneView(zone: string): ZoneView {
-    const offsets = this.members()
-      .filter(m => m.zone === zone)
-      .filter(m => m.state === 'alive' || m.state === 'suspect')
-      .map(m => m.configOffset);
-    if (zone === this.own.zone) offsets.push(this.own.configOffset);
-    if (offsets.length === 0) return {state: 'unknown', live: 0};
-    const configOffset = Math.min(...offsets);
-    return {state: 'heard', live: offsets.length, configOffset};
+    return toZoneView(zone, [this.self, ...this.members()]);
   }
 
   /**
@@ -107,14 +111,7 @@
    * @param details - Configuration offset and a summary of at most 32 bytes; a longer one is cut.
    */
   publish(details: {configOffset?: number; summary?: Uint8Array}): void {
-    const {configOffset = this.own.configOffset, summary = this.own.summary} =
-      details;
-    this.own = {
-      ...this.own,
-      configOffset,
-      summary: summary.subarray(0, bounds.summaryBytes),
-      version: this.own.version + 1,
-    };
+    this.own.publish(details);
   }
 
   /**
@@ -125,7 +122,7 @@
    * @returns Effects.
    */
   announce(offsets: readonly StreamOffset[], nowMs: number): Effect[] {
-    this.offsets = offsets;
+    this.own.offsets = offsets;
     this.urgent = true;
     return this.finish(nowMs);
   }
@@ -137,7 +134,7 @@
    * @param hosts - Listed hosts.
    */
   setListed(hosts: readonly ListedHost[]): void {
-    this.listed = hosts;
+    this.rejoin.listed = hosts;
   }
 
   /**
@@ -158,7 +155,7 @@
       else if (kind === 'indirect') this.pingIndirectly(id, sequence);
       else this.suspect(id, nowMs);
     }
-    if (nowMs >= this.nextRetryMs) this.retry(nowMs);
+    if (this.rejoin.isDue(nowMs)) this.retry(nowMs);
     return this.finish(nowMs);
   }
 
@@ -172,13 +169,14 @@
    */
   receive(from: PeerIdentity, message: LinkMessage, nowMs: number): Effect[] {
     this.noticePause(nowMs);
-    if (this.leaving || from.id === this.own.id) return this.finish(nowMs);
+    if (this.leaving || from.id === this.own.update.id)
+      return this.finish(nowMs);
     const probe = message.ping ?? message.ack;
     if (probe) this.takeProbe(from, probe, nowMs);
     if (message.ping) {
       if (probe?.sync) this.sendAll(from, nowMs);
       if (message.ping.sequence > 0) {
-        const ack = this.head(message.ping.sequence);
+        const ack = this.own.probe(message.ping.sequence);
         this.send(from, {ack: this.writer.fill(ack, from.id, nowMs, true)});
       }
     } else if (message.ack) {
@@ -186,14 +184,14 @@
       this.prober.acked(reached || from.id, sequence);
       const asker = reached ? undefined : this.relays.take(sequence);
       if (asker) {
-        const ack = {...this.head(asker.sequence), reached: from.id};
+        const ack = {...this.own.probe(asker.sequence), reached: from.id};
         this.send(asker.to, {ack});
       }
     } else if (message.pingReq) {
       const {target, address, sequence} = message.pingReq;
       const own = this.prober.nextSequence();
       if (this.relays.add(own, {to: from, sequence}, nowMs)) {
-        this.send({id: target, address}, {ping: this.head(own)});
+        this.send({id: target, address}, {ping: this.own.probe(own)});
       }
     }
     return this.finish(nowMs);
@@ -206,8 +204,8 @@
    * @returns Effects.
    */
   leave(nowMs: number): Effect[] {
-    this.own = {...this.own, state: 'left'};
-    this.queue.add(this.own, this.table.size);
+    this.own.set({state: 'left'});
+    this.queue.add(this.own.update, this.table.size);
     this.urgent = true;
     const effects = this.finish(nowMs);
     this.leaving = true;
@@ -224,7 +222,7 @@
       this.suspectedAt.set(id, atMs + gapMs);
     }
     if (gapMs > timing.pauseMs) {
-      this.raise(this.own.incarnation + 1);
+      this.raise(this.own.update.incarnation + 1);
       this.selfPaused('paused', gapMs);
     }
   }
@@ -235,8 +233,8 @@
   }
 
   private raise(incarnation: number): void {
-    this.own = {...this.own, incarnation};
-    this.queue.add(this.own, this.table.size);
+    this.own.set({incarnation});
+    this.queue.add(this.own.update, this.table.size);
     this.urgent = true;
   }
 
@@ -257,7 +255,7 @@
   }
 
   private apply(update: MemberUpdate, nowMs: number): void {
-    if (update.id === this.own.id) return this.applySelf(update);
+    if (update.id === this.own.update.id) return this.applySelf(update);
     const result = this.table.merge(update, nowMs);
     if (result === 'old') return;
     const entry = this.table.get(update.id);
@@ -267,7 +265,7 @@
       this.linksChanged = true;
       this.urgent = true;
       this.queue.add(entry.update, this.table.size);
-      if (state === 'suspect' && zone === this.own.zone) {
+      if (state === 'suspect' && zone === this.own.update.zone) {
         this.suspectedAt.set(update.id, nowMs);
       } else {
         this.suspectedAt.delete(update.id);
@@ -277,7 +275,7 @@
   }
 
   private applySelf({state, incarnation}: MemberUpdate): void {
-    const {incarnation: own} = this.own;
+    const {incarnation: own} = this.own.update;
     if (state === 'alive') {
       if (incarnation > own) this.raise(incarnation + 1);
     } else if (incarnation >= own) {
@@ -317,7 +315,7 @@
   private chooseLinks(nowMs: number): void {
     this.linksChanged = false;
     const candidates = [...this.table.all()].filter(mayLive).map(e => e.update);
-    const links = chooseLinks(this.own, candidates, id =>
+    const links = chooseLinks(this.own.update, candidates, id =>
       this.prober.isAvoided(id, nowMs),
     );
     this.prober.setLinks(links, nowMs, this.random);
@@ -329,7 +327,7 @@
     const to = this.table.get(id)?.update;
     if (!to) return;
     const sync = this.zonesToSync.delete(to.zone);
-    const head = {...this.head(sequence), sync};
+    const head = {...this.own.probe(sequence), sync};
     this.send(to, {ping: this.writer.fill(head, id, nowMs, false)});
   }
 
@@ -339,7 +337,10 @@
     const others = this.prober.ids
       .filter(id => id !== target)
       .map(id => this.table.get(id)?.update)
-      .filter(other => other?.zone === this.own.zone && other.state === 'alive')
+      .filter(
+        other =>
+          other?.zone === this.own.update.zone && other.state === 'alive',
+      )
       .map(other => ({other: other as MemberUpdate, key: this.random()}))
       .sort((a, b) => a.key - b.key)
       .slice(0, bounds.intermediates);
@@ -348,47 +349,15 @@
     }
   }
 
-  /** Tries one address outside the live members, and all seeds while there are none. */
   private retry(nowMs: number): void {
-    const live = [...this.table.all()].filter(
-      entry => mayLive(entry) && !this.table.isSilent(entry.update.zone),
-    );
-    const alone = live.length === 0;
-    this.nextRetryMs =
-      nowMs +
-      (alone ? timing.joinIntervalMs : timing.retryIntervalMs) *
-        (0.75 + this.random() / 2);
     this.table.purge(nowMs);
     this.linksChanged = true;
-    const reached = new Set(live.map(({update}) => update.address));
-    reached.add(this.own.address);
-    const addresses = new Set([
-      ...this.options.seeds,
-      ...this.listed.filter(h => h.state === 'live').map(h => h.address),
-      ...[...this.table.all()]
-        .filter(({update}) => update.state !== 'left')
-        .map(({update}) => update.address),
-    ]);
-    const choices = [...addresses].filter(address => !reached.has(address));
-    const count = Math.min(choices.length, alone ? 3 : 1);
-    for (let i = 0; i < count; i++) {
-      const [address] = choices.splice(
-        Math.floor(this.random() * choices.length),
-        1,
-      );
-      const ping = {...this.head(this.prober.nextSequence()), sync: true};
-      const id = this.idAt(address);
-      this.send({id, address}, {ping: this.writer.fill(ping, id, nowMs, false)});
+    for (const to of this.rejoin.choose(this.own.update.address)) {
+      const head = {...this.own.probe(this.prober.nextSequence()), sync: true};
+      this.send(to, {ping: this.writer.fill(head, to.id, nowMs, false)});
     }
   }
 
-  private idAt(address: string): string {
-    for (const {update} of this.table.all()) {
-      if (update.address === address) return update.id;
-    }
-    return '';
-  }
-
   private sendAll(to: PeerIdentity, nowMs: number): void {
     const lastMs = this.syncedAt.get(to.id) ?? -Infinity;
     if (nowMs - lastMs < timing.syncIntervalMs) return;
@@ -396,27 +365,11 @@
       if (nowMs - atMs >= timing.syncIntervalMs) this.syncedAt.delete(id);
     }
     this.syncedAt.set(to.id, nowMs);
-    for (const ping of this.writer.pages(this.head(0), this.own)) {
+    for (const ping of this.writer.pages(this.own.probe(0), this.own.update)) {
       this.send(to, {ping});
     }
   }
 
-  private head(sequence: number): Probe {
-    const {incarnation, version, configOffset, summary} = this.own;
-    return {
-      sequence,
-      incarnation,
-      version,
-      configOffset,
-      summary,
-      updates: [],
-      zones: [],
-      offsets: this.offsets,
-      sync: false,
-      reached: '',
-    };
-  }
-
   private send(to: Receiver, message: LinkMessage): void {
     const {id, address} = to;
     this.effects.push({kind: 'send', to: {id, address}, message});
@@ -429,7 +382,7 @@
       for (const id of this.prober.ids) {
         const to = this.table.get(id)?.update;
         if (!to) continue;
-        const ping = this.writer.fill(this.head(0), id, nowMs, false);
+        const ping = this.writer.fill(this.own.probe(0), id, nowMs, false);
         this.send(to, {ping});
       }
     }
--- a/src/process/membership/membership-task.ts
+++ b/src/process/membership/membership-task.ts
@@ -5,11 +5,8 @@
 import type {Metrics} from '../metrics.js';
 import {Subject, subscribe} from '../subject.js';
 import {Task} from '../task.js';
-import type {Effect, ListedHost, PauseReason} from './effects.js';
-import {
-  MembershipCore,
-  type MembershipOptions,
-} from './membership-core.js';
+import type {Effect, ListedHost, PauseReason, Receiver} from './effects.js';
+import {MembershipCore, type MembershipOptions} from './membership-core.js';
 import type {PeerIdentity, StreamOffset} from './messages.js';
 import type {PeerTransport, ReceivedMessage} from './peer-transport.js';
 import {timing} from './timing.js';
@@ -95,8 +92,18 @@
     return this.core.zoneView(zone);
   }
 
-  /** Starts to probe and to answer. */
-  start(): void {
+  /** Members to which this host keeps links. */
+  get neighbours(): Receiver[] {
+    return this.core.neighbours;
+  }
+
+  /**
+   * Starts to probe and to answer.
+   *
+   * @param address - Address that other hosts are told, `IP:PORT`.
+   */
+  start(address: string): void {
+    this.core.setAddress(address);
     const {clock, transport} = this.parts;
     this.cancels = [
       subscribe(transport.messages, ({from, message}) =>
--- /dev/null
+++ b/src/process/membership/paced-log-client.ts
@@ -0,0 +1,49 @@
+import {LogClient, type LogPage} from '../../connection/platform/log-client.js';
+import type {Clock} from '../clock.js';
+import type {RecordRelay} from './record-relay.js';
+
+const checkMs = 250;
+
+/** Log client whose reads wait until the record relay wants this host to read the log. */
+export class PacedLogClient extends LogClient {
+  private readonly behind = new Set<string>();
+
+  /**
+   * @param log - Client of the log service.
+   * @param relay - Decides when to read.
+   * @param clock - Clock for the wait.
+   */
+  constructor(
+    private readonly log: LogClient,
+    private readonly relay: RecordRelay,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override append(stream: string, data: unknown): Promise<number> {
+    return this.log.append(stream, data);
+  }
+
+  override async read(
+    stream: string,
+    from: number,
+    options: {limit?: number; waitMs?: number; signal?: AbortSignal} = {},
+  ): Promise<LogPage> {
+    if (!this.relay.isRelayed(stream)) {
+      return this.log.read(stream, from, options);
+    }
+    while (!this.behind.has(stream) && !this.relay.mayRead(stream)) {
+      if (options.signal?.aborted) break;
+      await new Promise<void>(resolve => this.clock.after(checkMs, resolve));
+    }
+    this.behind.delete(stream);
+    this.relay.noteRead(stream);
+    // A host that does not read all the time only takes a look.
+    const waitMs = this.relay.isReader(stream) ? options.waitMs : 0;
+    const page = await this.log.read(stream, from, {...options, waitMs});
+    const reached = page.records.at(-1)?.offset ?? from - 1;
+    if (reached + 1 < page.next) this.behind.add(stream);
+    return page;
+  }
+}
--- a/src/process/membership/timing.ts
+++ b/src/process/membership/timing.ts
@@ -34,6 +34,8 @@
 /** Bounds on links and messages. */
 export const bounds = {
   ringSuccessors: 2,
+  /** Ring links including suspects. */
+  maxRing: 6,
   chords: 2,
   crossLinks: 3,
   intermediates: 2,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,11 +2,19 @@
 import {HealthHandler} from './connection/caller/health-handler.js';
 import {ResourceHandler} from './connection/caller/resource-handler.js';
 import {UnknownPathHandler} from './connection/caller/unknown-path-handler.js';
+import {PeerChannels} from './connection/peer/peer-channels.js';
+import {protocolVersion} from './connection/peer/peer-codec.js';
+import {loadPeerCredentials} from './connection/peer/peer-credentials.js';
+import {PeerLinks} from './connection/peer/peer-links.js';
+import {PeerServer} from './connection/peer/peer-server.js';
 import {HttpLogClient} from './connection/platform/http-log-client.js';
 import type {LogClient} from './connection/platform/log-client.js';
 import {TargetClients} from './connection/target/target-clients.js';
 import {SystemClock, type Clock} from './process/clock.js';
 import {Logger} from './process/logger.js';
+import {MembershipTask} from './process/membership/membership-task.js';
+import {PacedLogClient} from './process/membership/paced-log-client.js';
+import {RecordRelay} from './process/membership/record-relay.js';
 import {Metrics} from './process/metrics.js';
 import type {Settings} from './process/settings.js';
 import {subscribe} from './process/subject.js';
@@ -28,10 +36,9 @@
   NoAnswerSource,
 } from './version/claims/log-claim-gate.js';
 import {ConfigFeed} from './version/config-feed.js';
-import {ConfigStore} from './version/config-store.js';
+import {ConfigStore, configStream} from './version/config-store.js';
 import {ConfigWriter} from './version/config-writer.js';
 import {SnapshotWriter} from './version/snapshots/snapshot-writer.js';
-import {SelfMemberView} from './version/status/self-member-view.js';
 import {ZoneOffsets} from './version/status/zone-offsets.js';
 
 /** Parts that a caller of {@link createHost} may replace. */
@@ -51,9 +58,9 @@
   /**
    * Opens the servers and starts to follow the configuration.
    *
-   * @returns The port for callers.
+   * @returns The ports for callers and for other hosts.
    */
-  start(): Promise<{callersPort: number}>;
+  start(): Promise<{callersPort: number; peersPort: number}>;
 
   /** Drains the host and closes everything that it opened. */
   stop(): Promise<void>;
@@ -81,8 +88,23 @@
   const log = parts.log ?? (ownLog as LogClient);
   const store = new ConfigStore();
   const random = parts.random ?? Math.random;
-  const feed = new ConfigFeed({log, store, clock, logger, random});
-  const members = new SelfMemberView(settings, () => store.state.offset);
+  const peers = createPeers(settings, {clock, logger, metrics, random});
+  const members = peers.membership.view;
+  const relay = new RecordRelay({
+    ...peers,
+    clock,
+    metrics,
+    source: store.source,
+    sink: store.sink,
+    streams: [configStream],
+  });
+  const feed = new ConfigFeed({
+    log: new PacedLogClient(log, relay, clock),
+    store,
+    clock,
+    logger,
+    random,
+  });
   const zones = new ZoneOffsets(members, () => store.state, clock);
   const logUp = () => feed.logUp;
   const writer = new ConfigWriter({
@@ -141,11 +163,16 @@
   let prefixHasher: PrefixHasher | undefined;
   const dispatcher = new LocalDispatcher(() => store.state, clock);
   let draining = false;
+  /** Whether the configuration was once as new as that of the linked hosts. */
+  let relayed = false;
   const server = new CallerServer(
     settings.callers,
     {clock, logger, metrics},
     [
-      new HealthHandler(metrics, () => feed.complete && !draining),
+      new HealthHandler(
+        metrics,
+        () => (feed.complete || relayed) && !draining,
+      ),
       resources,
       new RequestHandler({
         host: settings.host,
@@ -183,6 +210,10 @@
       const declared = listResources(store.state, 'target');
       targets.retain(new Set(declared.map(({spec}) => spec.address)));
       zones.refresh();
+      const configOffset = store.state.offset;
+      peers.membership.post({kind: 'publish', configOffset});
+      relay.post({kind: 'advanced'});
+      relayed ||= relay.hasCaughtUp(configStream);
     });
   };
   const unsubscribe = [
@@ -200,11 +231,16 @@
     metrics,
     async start() {
       prefixHasher = await loadPrefixHasher();
-      const callersPort = await server.listen();
+      const peersPort = await peers.listen();
+      const callersPort = await server.listen().catch(async err => {
+        await peers.close();
+        throw err;
+      });
+      relay.start();
       void feed.start();
       snapshots.start();
-      logger.event('hostStarted', {callersPort});
-      return {callersPort};
+      logger.event('hostStarted', {callersPort, peersPort});
+      return {callersPort, peersPort};
     },
     async stop() {
       draining = true;
@@ -216,9 +252,69 @@
       snapshots.stop();
       submitter.stop();
       for (const end of unsubscribe) end();
+      relay.stop();
+      await peers.close();
       await targets.close();
       await ownLog?.close();
       logger.event('drainFinished');
     },
   };
 }
+
+/** Constructs the parts that connect this host to others. */
+function createPeers(
+  settings: Settings,
+  parts: {
+    clock: Clock;
+    logger: Logger;
+    metrics: Metrics;
+    random: RandomSource;
+  },
+) {
+  const {clock} = parts;
+  const {host: id, fleet, zone, region, peers} = settings;
+  const credentials = loadPeerCredentials(peers.tls);
+  const channels = new PeerChannels(credentials);
+  const server = new PeerServer();
+  const transport: PeerLinks = new PeerLinks({
+    ...parts,
+    channels,
+    mode: credentials.mode,
+    own: () => {
+      const {peerAddress: address, incarnation} = membership.view.self;
+      const protocol = protocolVersion;
+      return {fleet, protocol, id, zone, region, address, incarnation};
+    },
+  });
+  const membership = new MembershipTask(
+    {
+      self: {id, zone, region, address: `${peers.address}:${peers.port}`},
+      incarnation: Math.floor(clock.wallMs() / 1000),
+      seeds: peers.seeds,
+      random: parts.random,
+    },
+    {...parts, transport},
+  );
+  transport.serve(server);
+  return {
+    channels,
+    server,
+    transport,
+    membership,
+    async listen(): Promise<number> {
+      const port = await server.listen(peers, credentials);
+      const host = peers.address.includes(':')
+        ? `[${peers.address}]`
+        : peers.address;
+      transport.start();
+      membership.start(`${host}:${port}`);
+      return port;
+    },
+    async close(): Promise<void> {
+      membership.stop();
+      await transport.close();
+      channels.close();
+      server.close();
+    },
+  };
+}
--- a/stand-ins/membership-network.ts
+++ b/stand-ins/membership-network.ts
@@ -118,7 +118,10 @@
     for (const host of this.hosts.values()) {
       if (host.identity.address !== to.address) continue;
       if (this.isCut(from.identity, host.identity) || random() < loss) return;
-      const delay = Math.max(1, Math.round(delayMs(from.identity, host.identity)));
+      const delay = Math.max(
+        1,
+        Math.round(delayMs(from.identity, host.identity)),
+      );
       const atMs = this.clock.nowMs() + delay;
       const bucket = this.due.get(atMs) ?? [];
       bucket.push(() => this.deliver(from.identity, host, message));
