Measure the membership and pass offsets on within a zone

Change: details of members of the own zone are passed on five times; state updates are passed on 1.5 log2(n) times in place of 3; bench added. Conclusion: offsets of other zones still spread slowly.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
   // One line for each bench: 'name': () => import('./name.js'),
   'request-overhead': () => import('./request-overhead.js'),
   config: () => import('./config.js'),
+  membership: () => import('./membership.js'),
   dispatch: () => import('./dispatch/dispatch-bench.js'),
 };
 
--- a/src/connection/peer/counter-gossip.ts
+++ b/src/connection/peer/counter-gossip.ts
@@ -9,8 +9,8 @@
 import {loadProtoMessage} from './proto.js';
 
 const intervalMs = 1000;
-/** About 400 bytes in a message: 11 bytes for a cell and the names. */
-const cellsPerMessage = 24;
+/** Keeps a message below 400 bytes with keys of 12 characters: 11 bytes for a cell and its key. */
+export const cellsPerMessage = 14;
 
 interface EncodedCounters {
   readonly names: readonly string[];
--- a/src/connection/peer/peer-link.ts
+++ b/src/connection/peer/peer-link.ts
@@ -8,7 +8,7 @@
 
 /** Why a link was refused or given up. */
 export type LinkRefusal =
-  'fleet' | 'protocol' | 'identity' | 'hello' | 'garbage' | 'rate';
+  'fleet' | 'protocol' | 'identity' | 'hello' | 'garbage' | 'rate' | 'mute';
 
 /** What a link uses of a gRPC stream of either end. */
 export interface LinkStream {
--- a/src/connection/peer/peer-links.ts
+++ b/src/connection/peer/peer-links.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import {
   status,
   type ClientDuplexStream,
@@ -53,6 +52,7 @@
   /** Outgoing streams whose status did not come yet. */
   private readonly calls = new Set<ClientDuplexStream<LinkMessage, Incoming>>();
   private readonly refusals;
+  private readonly openings;
   private readonly dropped;
   private cancel: Cancel = () => {};
   private stopped = false;
@@ -69,6 +69,11 @@
       'Links refused or given up because of the other end, by reason',
       ['reason'],
     );
+    this.openings = parts.metrics.counter(
+      'guavaseam_links_opened_total',
+      'Links whose other end said a valid hello',
+      [],
+    );
     this.dropped = parts.metrics.counter(
       'guavaseam_link_messages_dropped_total',
       'Messages dropped because too much waited on a link',
@@ -108,7 +113,9 @@
   async close(): Promise<void> {
     this.stopped = true;
     this.cancel();
-    const ended = [...this.calls].map(call => once(call, 'status'));
+    const ended = [...this.calls].map(
+      call => new Promise(resolve => call.once('status', resolve)),
+    );
     for (const link of [...this.outgoing.values(), ...this.incoming]) {
       link.close();
     }
@@ -189,6 +196,7 @@
     const id = link.peer?.id ?? '';
     const links = this.byId.get(id) ?? new Set();
     this.byId.set(id, links.add(link));
+    this.openings.inc();
     this.parts.logger.event('linkOpened', {peer: id});
   }
 
@@ -218,7 +226,7 @@
       const sinceMs = link.unansweredSinceMs;
       const best = link.peer && this.pick(link.peer.id);
       if (sinceMs !== undefined && nowMs - sinceMs > muteMs && !best) {
-        link.close();
+        link.close('mute');
         this.parts.channels.reset(address);
       } else if (
         !this.kept.has(link.peer?.id ?? '') &&
--- a/src/process/membership/membership-core.ts
+++ b/src/process/membership/membership-core.ts
@@ -271,6 +271,9 @@
         this.suspectedAt.delete(update.id);
       }
     }
+    if (result === 'details' && update.zone === this.own.update.zone) {
+      this.queue.addDetails(entry.update);
+    }
     this.effects.push({kind: 'changed', member: this.table.toMember(entry)});
   }
 
--- a/src/process/membership/update-queue.ts
+++ b/src/process/membership/update-queue.ts
@@ -5,6 +5,11 @@
   remaining: number;
 }
 
+/** One for each link and one more. */
+const minTransmissions = 8;
+/** Leaves out less than 1 % of the hosts of a zone; the refresh in the acks reaches those. */
+const detailTransmissions = 5;
+
 /** Updates that still have to be passed on, each a bounded number of times. */
 export class UpdateQueue {
   private readonly entries = new Map<string, Entry>();
@@ -16,10 +21,22 @@
    * @param members - Number of known members; the transmissions grow with its logarithm.
    */
   add(update: MemberUpdate, members: number): void {
-    const remaining = 3 * Math.ceil(Math.log2(members + 2));
+    const logarithm = Math.log2(members + 2);
+    const remaining = Math.max(minTransmissions, Math.ceil(1.5 * logarithm));
     this.entries.set(update.id, {update, remaining});
   }
 
+  /**
+   * Adds an update that changes details only, which is sent a few times when there is room.
+   *
+   * @param update - Update to pass on.
+   */
+  addDetails(update: MemberUpdate): void {
+    const waiting = this.entries.get(update.id);
+    if (waiting) waiting.update = update;
+    else this.entries.set(update.id, {update, remaining: detailTransmissions});
+  }
+
   /**
    * Takes the updates that were sent least often so far and fit.
    *
--- a/stand-ins/membership-network.ts
+++ b/stand-ins/membership-network.ts
@@ -27,7 +27,11 @@
   /** Share of messages that are lost, 0 to 1. */
   readonly loss?: number;
   /** Sees each message that is sent. */
-  readonly onSend?: (from: NetworkHost, message: LinkMessage) => void;
+  readonly onSend?: (
+    from: NetworkHost,
+    message: LinkMessage,
+    address: string,
+  ) => void;
   readonly keepEffects?: boolean;
 }
 
@@ -36,6 +40,7 @@
   readonly hosts = new Map<string, NetworkHost>();
   /** Tells whether nothing passes between two hosts. */
   isCut: (from: PeerIdentity, to: PeerIdentity) => boolean = () => false;
+  private readonly byAddress = new Map<string, NetworkHost>();
   private readonly due = new Map<number, (() => void)[]>();
 
   constructor(
@@ -56,6 +61,7 @@
       phase: Math.floor(random() * timing.tickMs),
     };
     this.hosts.set(identity.id, host);
+    this.byAddress.set(identity.address, host);
     return host;
   }
 
@@ -114,20 +120,15 @@
     {to, message}: Extract<Effect, {kind: 'send'}>,
   ): void {
     const {random, loss = 0, delayMs = () => 1, onSend} = this.options;
-    onSend?.(from, message);
-    for (const host of this.hosts.values()) {
-      if (host.identity.address !== to.address) continue;
-      if (this.isCut(from.identity, host.identity) || random() < loss) return;
-      const delay = Math.max(
-        1,
-        Math.round(delayMs(from.identity, host.identity)),
-      );
-      const atMs = this.clock.nowMs() + delay;
-      const bucket = this.due.get(atMs) ?? [];
-      bucket.push(() => this.deliver(from.identity, host, message));
-      this.due.set(atMs, bucket);
-      return;
-    }
+    onSend?.(from, message, to.address);
+    const host = this.byAddress.get(to.address);
+    if (!host || this.isCut(from.identity, host.identity)) return;
+    if (random() < loss) return;
+    const delay = Math.round(delayMs(from.identity, host.identity));
+    const atMs = this.clock.nowMs() + Math.max(1, delay);
+    const bucket = this.due.get(atMs) ?? [];
+    bucket.push(() => this.deliver(from.identity, host, message));
+    this.due.set(atMs, bucket);
   }
 
   private deliver(
--- a/test/connection/peer/peer-links.test.ts
+++ b/test/connection/peer/peer-links.test.ts
@@ -151,6 +151,44 @@
   assert.equal(err.code, status.UNAVAILABLE);
 });
 
+test('a message sent just before the end arrives (guards against lost leave messages)', async t => {
+  const a = await startPeer('h1');
+  const b = await startPeer('h2');
+  t.after(() => b.close());
+  a.links.send({id: '', address: b.address}, wanted);
+  const closed = a.links.close();
+  assert.equal((await b.next()).from.id, 'h1');
+  a.clock.advance(1000);
+  await closed;
+  await a.close();
+});
+
+test('a mute link is given up and opened anew (guards against stale connections)', async t => {
+  const a = await startPeer('h1');
+  const b = await startPeer('h2');
+  t.after(() => Promise.all([a.close(), b.close()]));
+  const to = {id: 'h2', address: b.address};
+  a.links.start();
+  a.links.send(to, wanted);
+  await b.next();
+  b.links.send({id: 'h1', address: a.address}, wanted);
+  await a.next();
+  const opened = async () => {
+    const text = await a.metrics.render();
+    return /^guavaseam_links_opened_total (\d+)$/m.exec(text)?.[1];
+  };
+  assert.equal(await opened(), '1');
+  a.links.send(to, wanted);
+  await b.next();
+  a.clock.advance(7000);
+  assert.equal(await refusals(a, 'mute'), 1);
+  a.links.send(to, wanted);
+  await b.next();
+  b.links.send({id: 'h1', address: a.address}, wanted);
+  await a.next();
+  assert.equal(await opened(), '2');
+});
+
 test('an unreadable certificate is a typed failure', () => {
   assert.throws(
     () => loadPeerCredentials({...tlsOf('h1'), keyFile: '/nonexistent'}),
