--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -203,12 +203,14 @@
   print('|---|---|---|---|---|---|---|---|---|');
   const core = (row: Row) =>
     row.logicCore + (row.messagesPerSecond * links.microseconds) / 1_000_000;
+  const staleness = ({offsetStalenessMs: ms}: Row) =>
+    ms < maxStalenessMs ? `${ms}` : `over ${maxStalenessMs}`;
   const percent = (share: number) => `${(share * 100).toFixed(3)} %`;
   for (const row of rows) {
     print(
       `| ${row.members} | ${(row.bytesPerSecond / 1000).toFixed(2)} | ${row.messagesPerSecond.toFixed(1)} | ` +
         `${row.meanContentBytes.toFixed(0)} | ${percent(row.logicCore)} | ${percent(core(row))} | ` +
-        `${(row.heapBytes / 1000).toFixed(0)} | ${row.maxConfirmMs} | ${row.offsetStalenessMs} |`,
+        `${(row.heapBytes / 1000).toFixed(0)} | ${row.maxConfirmMs || 'none measured'} | ${staleness(row)} |`,
     );
   }
   const per100 = (value: (row: Row) => number) => 100 * slope(rows, value);
--- a/src/process/membership/record-relay.ts
+++ b/src/process/membership/record-relay.ts
@@ -1,3 +1,5 @@
+import type {LogRecord} from '../../connection/platform/log-client.js';
+import type {RecordSink, RecordSource} from '../../version/record-relay.js';
 import {every, type Cancel, type Clock} from '../clock.js';
 import type {MemberView} from '../member-view.js';
 import type {Metrics} from '../metrics.js';
@@ -7,7 +9,6 @@
 import type {MembershipTask} from './membership-task.js';
 import type {LinkMessage, PeerIdentity, StreamOffset} from './messages.js';
 import type {PeerTransport} from './peer-transport.js';
-import type {RecordSink, RecordSource, LogRecord} from './record-source.js';
 
 /** Greatest size of a page of records, in bytes; half the bound of a message. */
 const pageBytes = 64 * 1024;
--- a/src/process/membership/update-queue.ts
+++ b/src/process/membership/update-queue.ts
@@ -32,9 +32,9 @@
    * @param update - Update to pass on.
    */
   addDetails(update: MemberUpdate): void {
-    const waiting = this.entries.get(update.id);
-    if (waiting) waiting.update = update;
-    else this.entries.set(update.id, {update, remaining: detailTransmissions});
+    const waiting = this.entries.get(update.id)?.remaining ?? 0;
+    const remaining = Math.max(waiting, detailTransmissions);
+    this.entries.set(update.id, {update, remaining});
   }
 
   /**
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -169,10 +169,7 @@
     settings.callers,
     {clock, logger, metrics},
     [
-      new HealthHandler(
-        metrics,
-        () => (feed.complete || relayed) && !draining,
-      ),
+      new HealthHandler(metrics, () => (feed.complete || relayed) && !draining),
       resources,
       new RequestHandler({
         host: settings.host,
