--- a/src/process/events/peer-events.ts
+++ b/src/process/events/peer-events.ts
@@ -10,4 +10,9 @@
     message:
       'this host was paused or taken for dead and gives up what it holds',
   },
+  hostListUnavailable: {
+    id: 3006,
+    level: 'warn',
+    message: 'host list unavailable; the last one stays in use',
+  },
 } as const;
--- a/src/process/membership/effects.ts
+++ b/src/process/membership/effects.ts
@@ -32,11 +32,3 @@
     }
   /** Members to which links are kept; other idle links may be closed. */
   | {readonly kind: 'links'; readonly ids: readonly string[]};
-
-/** Entry of the platform's host list, which may lag. */
-export interface ListedHost {
-  readonly id: string;
-  /** Address of its peer server, `IP:PORT`. */
-  readonly address: string;
-  readonly state: 'live' | 'leaving';
-}
--- a/src/process/membership/membership-core.ts
+++ b/src/process/membership/membership-core.ts
@@ -1,5 +1,6 @@
 import type {Member, ZoneView} from '../member-view.js';
-import type {Effect, ListedHost, PauseReason, Receiver} from './effects.js';
+import type {ListedHost} from '../../connection/platform/host-list-client.js';
+import type {Effect, PauseReason, Receiver} from './effects.js';
 import {chooseLinks} from './link-choice.js';
 import {mayLive, MemberTable, toMember, toZoneView} from './member-table.js';
 import type {
--- a/src/process/membership/own-member.ts
+++ b/src/process/membership/own-member.ts
@@ -52,6 +52,8 @@
     const {version} = this.current;
     const {configOffset = this.current.configOffset} = details;
     const {summary = this.current.summary} = details;
+    const isSame = configOffset === this.current.configOffset;
+    if (isSame && summary === this.current.summary) return;
     this.current = {
       ...this.current,
       configOffset,
--- a/src/process/membership/rejoin.ts
+++ b/src/process/membership/rejoin.ts
@@ -1,4 +1,5 @@
-import type {ListedHost, Receiver} from './effects.js';
+import type {ListedHost} from '../../connection/platform/host-list-client.js';
+import type {Receiver} from './effects.js';
 import {mayLive, type MemberTable} from './member-table.js';
 import {timing} from './timing.js';
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -7,11 +7,13 @@
 import {loadPeerCredentials} from './connection/peer/peer-credentials.js';
 import {PeerLinks} from './connection/peer/peer-links.js';
 import {PeerServer} from './connection/peer/peer-server.js';
+import {HttpHostListClient} from './connection/platform/host-list-client.js';
 import {HttpLogClient} from './connection/platform/http-log-client.js';
 import type {LogClient} from './connection/platform/log-client.js';
 import {TargetClients} from './connection/target/target-clients.js';
 import {SystemClock, type Clock} from './process/clock.js';
 import {Logger} from './process/logger.js';
+import {HostListPoller} from './process/membership/host-list-poller.js';
 import {MembershipTask} from './process/membership/membership-task.js';
 import {PacedLogClient} from './process/membership/paced-log-client.js';
 import {RecordRelay} from './process/membership/record-relay.js';
@@ -293,6 +295,17 @@
     {...parts, transport},
   );
   transport.serve(server);
+  const {hostListUrl} = settings.platform;
+  const hostList = hostListUrl
+    ? new HttpHostListClient(hostListUrl)
+    : undefined;
+  const poller =
+    hostList &&
+    new HostListPoller({
+      ...parts,
+      client: hostList,
+      onHosts: hosts => membership.post({kind: 'listed', hosts}),
+    });
   return {
     channels,
     server,
@@ -305,9 +318,12 @@
         : peers.address;
       transport.start();
       membership.start(`${host}:${port}`);
+      poller?.start();
       return port;
     },
     async close(): Promise<void> {
+      poller?.stop();
+      await hostList?.close();
       membership.stop();
       await transport.close();
       channels.close();
--- a/test/process/membership/membership-core.test.ts
+++ b/test/process/membership/membership-core.test.ts
@@ -30,6 +30,18 @@
   }
 });
 
+test('a host without seeds joins by the host list (guards against a list that is ignored)', () => {
+  const fleet = startFleet({zones: 2, perZone: 2, seed: 2});
+  const self = {id: 'z0-h9', zone: 'z0', region: 'near', address: '10.0.0.9:1'};
+  const {core} = fleet.network.start(self, []);
+  fleet.network.run(5000);
+  assert.equal(core.members().length, 0);
+  const listed = {id: 'z1-h0', zone: 'z1', address: '10.0.1.0:1'};
+  core.setListed([{...listed, state: 'live'}]);
+  fleet.network.run(5000);
+  assert.equal(core.members().filter(m => m.state === 'alive').length, 4);
+});
+
 test('a crash is confirmed in the zone within 2 s (guards against late takeover)', () => {
   for (let seed = 1; seed <= 20; seed++) {
     const fleet = startFleet({zones: 2, perZone: 5, seed});
