--- /dev/null
+++ b/src/process/membership/update-queue.ts
@@ -0,0 +1,59 @@
+import type {MemberUpdate} from './messages.js';
+
+interface Entry {
+  update: MemberUpdate;
+  remaining: number;
+}
+
+/** One for each link and one more. */
+const minTransmissions = 8;
+/** Leaves out less than 1 % of the hosts of a zone; the refresh in the acks reaches those. */
+const detailTransmissions = 5;
+
+/** Updates that still have to be passed on, each a bounded number of times. */
+export class UpdateQueue {
+  private readonly entries = new Map<string, Entry>();
+
+  /**
+   * Adds an update in place of an older one of the same member.
+   *
+   * @param update - Update to pass on.
+   * @param members - Number of known members; the transmissions grow with its logarithm.
+   */
+  add(update: MemberUpdate, members: number): void {
+    const logarithm = Math.log2(members + 2);
+    const remaining = Math.max(minTransmissions, Math.ceil(1.5 * logarithm));
+    this.entries.set(update.id, {update, remaining});
+  }
+
+  /**
+   * Adds an update that changes details only, which is sent a few times when there is room.
+   *
+   * @param update - Update to pass on.
+   */
+  addDetails(update: MemberUpdate): void {
+    const waiting = this.entries.get(update.id)?.remaining ?? 0;
+    const remaining = Math.max(waiting, detailTransmissions);
+    this.entries.set(update.id, {update, remaining});
+  }
+
+  /**
+   * Takes the updates that were sent least often so far and fit.
+   *
+   * @param fits - Tells whether an update still fits, and reserves its space if so.
+   * @returns Updates for one message.
+   */
+  take(fits: (update: MemberUpdate) => boolean): MemberUpdate[] {
+    if (this.entries.size === 0) return [];
+    const taken: MemberUpdate[] = [];
+    const ordered = [...this.entries.values()].sort(
+      (a, b) => b.remaining - a.remaining,
+    );
+    for (const entry of ordered) {
+      if (!fits(entry.update)) break;
+      taken.push(entry.update);
+      if (--entry.remaining <= 0) this.entries.delete(entry.update.id);
+    }
+    return taken;
+  }
+}
