--- a/bench/request-overhead.ts
+++ b/bench/request-overhead.ts
@@ -1,17 +1,10 @@
-import {fork, type ChildProcess} from 'node:child_process';
-import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {fileURLToPath} from 'node:url';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
-import {createHost} from '../src/index.js';
-import {HttpLogClient} from '../src/connection/platform/http-log-client.js';
-import {checkSettings} from '../src/process/settings.js';
-import {LogServer} from '../stand-ins/index.js';
+import {startHostProcess, token, type HostProcess} from './host-process.js';
 
-const token = 'bench-key';
 const warmUpRequests = 1000;
 const measuredRequests = 5000;
 const latencyConcurrency = 1;
@@ -19,16 +12,6 @@
 const streamCounts = [100, 1000, 5000];
 const answerBytes = 512;
 
-/** Marks the process that runs the host. */
-const hostArgument = 'bench-host';
-
-/** Figures of the host's process. */
-interface HostFigures {
-  readonly cpuMs: number;
-  readonly heapBytes: number;
-  readonly residentBytes: number;
-}
-
 /** Engine that answers at once, and keeps streams open until it is closed. */
 async function startEngine(): Promise<{server: Server; address: string}> {
   const body = JSON.stringify({choices: [], pad: 'x'.repeat(answerBytes)});
@@ -51,40 +34,6 @@
   return {server, address: `http://127.0.0.1:${port}`};
 }
 
-/** Runs a host in a process of its own, so that its processor time, memory and files can be told apart. */
-async function hostProcess(logUrl: string): Promise<void> {
-  const host = createHost(
-    checkSettings({
-      host: 'bench',
-      fleet: 'bench',
-      zone: 'a',
-      region: 'r',
-      callers: {address: '127.0.0.1', port: 0},
-      peers: {address: '127.0.0.1', port: 0, tls: {mode: 'plain'}},
-      platform: {logUrl},
-      drainMs: 0,
-      logLevel: 'silent',
-    }),
-  );
-  const {callersPort} = await host.start();
-  process.on('message', async (message: 'figures' | 'stop') => {
-    if (message === 'stop') {
-      await host.stop();
-      process.disconnect();
-      return;
-    }
-    globalThis.gc?.();
-    const {heapUsed, rss} = process.memoryUsage();
-    const {user, system} = process.cpuUsage();
-    process.send?.({
-      cpuMs: (user + system) / 1000,
-      heapBytes: heapUsed,
-      residentBytes: rss,
-    } satisfies HostFigures);
-  });
-  process.send?.(callersPort);
-}
-
 function post(agent: Agent, origin: string, stream: boolean) {
   return request(`${origin}/v1/chat/completions`, {
     dispatcher: agent,
@@ -127,13 +76,6 @@
   return {latency, seconds};
 }
 
-async function ask(child: ChildProcess): Promise<HostFigures> {
-  const answered = once(child, 'message');
-  child.send('figures');
-  const [figures] = (await answered) as [HostFigures];
-  return figures;
-}
-
 async function openStreams(agent: Agent, origin: string, count: number) {
   let left = count;
   const worker = async () => {
@@ -151,16 +93,16 @@
 }
 
 async function measureStreams(
-  child: ChildProcess,
+  host: HostProcess,
   origin: string,
 ): Promise<void> {
   const agent = new Agent({headersTimeout: 0, bodyTimeout: 0});
-  const before = await ask(child);
+  const before = await host.figures();
   let open = 0;
   for (const count of streamCounts) {
     await openStreams(agent, origin, count - open);
     open = count;
-    const now = await ask(child);
+    const now = await host.figures();
     const heap = (now.heapBytes - before.heapBytes) / count;
     const resident = (now.residentBytes - before.residentBytes) / count;
     print(
@@ -171,69 +113,11 @@
   await agent.destroy();
 }
 
-async function declare(logUrl: string, address: string): Promise<void> {
-  const client = new HttpLogClient(logUrl);
-  const sha256 = createHash('sha256').update(token).digest('hex');
-  const specs: [string, string, unknown][] = [
-    ['zone', 'a', {region: 'r', state: 'in'}],
-    ['organisation', 'o', {keys: [{id: 'k', sha256, tier: 0}], weight: 1}],
-    [
-      'service',
-      'chat',
-      {
-        type: 'model',
-        version: 'v1',
-        defaultTimeoutMs: 120_000,
-        firstTokenTargetMs: 500,
-        tokenTargetMs: 50,
-      },
-    ],
-    [
-      'target',
-      't',
-      {
-        service: 'chat',
-        zone: 'a',
-        address,
-        version: 'v1',
-        maxConcurrency: 100_000,
-        coldConcurrency: 100_000,
-      },
-    ],
-  ];
-  for (const [kind, name, spec] of specs) {
-    await client.append('config', {
-      writeId: `${kind}-${name}`,
-      actor: 'bench',
-      time: '2026-01-01T00:00:00Z',
-      op: 'put',
-      kind,
-      name,
-      baseGeneration: 0,
-      spec,
-    });
-  }
-  await client.close();
-}
-
 /** Compares requests straight to an engine with requests through one host, and prints a table. */
 export async function run(): Promise<void> {
-  const log = new LogServer();
-  await log.listen();
   const engine = await startEngine();
-  await declare(log.address, engine.address);
-  const child = fork(
-    fileURLToPath(import.meta.url),
-    [hostArgument, log.address],
-    {execArgv: ['--expose-gc']},
-  );
-  const [port] = (await once(child, 'message')) as [number];
-  const origin = `http://127.0.0.1:${port}`;
-  for (let ready = 0; ready !== 200;) {
-    const probe = await request(`${origin}/readyz`);
-    await probe.body.dump();
-    ready = probe.statusCode;
-  }
+  const host = await startHostProcess(engine.address);
+  const {origin} = host;
   for (const to of [engine.address, origin]) {
     await drive(to, warmUpRequests, loadConcurrency);
   }
@@ -253,9 +137,9 @@
     );
   }
   const load = await drive(engine.address, measuredRequests, loadConcurrency);
-  const before = await ask(child);
+  const before = await host.figures();
   const hostLoad = await drive(origin, measuredRequests, loadConcurrency);
-  const busyMs = (await ask(child)).cpuMs - before.cpuMs;
+  const busyMs = (await host.figures()).cpuMs - before.cpuMs;
   const rate = measuredRequests / load.seconds;
   const hostRate = measuredRequests / hostLoad.seconds;
   const perCore = measuredRequests / (busyMs / 1000);
@@ -267,16 +151,12 @@
     'rate per busy core of the host',
     `${perCore.toFixed(0)}/s, ratio ${(perCore / rate).toFixed(2)}`,
   );
-  await measureStreams(child, origin);
-  child.send('stop');
-  await once(child, 'exit');
+  await measureStreams(host, origin);
+  await host.stop();
   engine.server.closeAllConnections();
   engine.server.close();
-  await log.close();
 }
 
 function print(label: string, text: string): void {
   process.stdout.write(`${label.padEnd(38)}${text}\n`);
 }
-
-if (process.argv[2] === hostArgument) await hostProcess(process.argv[3]);
