--- /dev/null
+++ b/src/process/groups/group-follower.ts
@@ -0,0 +1,353 @@
+import type {Grant} from '../../request/dispatcher.js';
+import type {RefusalReason} from '../../request/refusals.js';
+import type {
+  AttemptOutcome,
+  QueuedRequest,
+  TargetView,
+} from '../../request/scheduler/types.js';
+import type {Cancel, Clock} from '../clock.js';
+import {FailureError} from '../errors/catalogue.js';
+import {Task} from '../task.js';
+import {HeldGrant} from './held-grant.js';
+import {firstAvoidMs, followPart, maxAvoidMs} from './permit-limits.js';
+import type {
+  FollowerMessage,
+  HeldPermit,
+  OwnerMessage,
+  WaitingRequest,
+} from './permit-messages.js';
+
+/** A call of `acquire` that waits for its permit. */
+export interface PendingRequest {
+  readonly serial: number;
+  readonly request: QueuedRequest;
+  readonly deadlineMs: number;
+  readonly resolve: (grant: Grant) => void;
+  readonly reject: (err: FailureError) => void;
+}
+
+/** Messages to the follower side of a group. */
+export type FollowerInput =
+  | {kind: 'acquire'; pending: PendingRequest}
+  | {kind: 'cancel'; serial: number}
+  | {kind: 'progress'; serial: number; tokens: number; firstTokenMs?: number}
+  | {kind: 'release'; serial: number; outcome: AttemptOutcome}
+  | {kind: 'fromOwner'; host: string; message: OwnerMessage}
+  | {kind: 'linkClosed'; host: string}
+  /** Members, configuration or time changed. */
+  | {kind: 'reconsider'}
+  /** This host was paused: its link is gone and its permits must be listed again. */
+  | {kind: 'restart'};
+
+/** What the follower side needs. */
+export interface FollowerParts {
+  readonly host: string;
+  readonly group: string;
+  readonly foreign: boolean;
+  readonly clock: Clock;
+  /** Live hosts of the group's zone, next owner first. */
+  readonly rank: () => readonly string[];
+  /** Looks up a target in this host's configuration. */
+  readonly target: (name: string) => TargetView | undefined;
+  /** Sends to a host; opens the link if there is none. */
+  readonly send: (host: string, message: FollowerMessage) => void;
+  readonly nextRef: () => number;
+  readonly onFreeSlots: (slots: number) => void;
+}
+
+interface Waiting extends PendingRequest {
+  readonly stopTimer: Cancel;
+  avoid: readonly string[];
+}
+
+/** Requests permits for one group from one owner at a time and keeps those that it was granted. */
+export class GroupFollower extends Task<FollowerInput> {
+  private readonly waiting = new Map<number, Waiting>();
+  private readonly held = new Map<number, HeldGrant>();
+  private readonly avoid = new Map<string, {untilMs: number; forMs: number}>();
+  private owner: string | undefined;
+  private ref = 0;
+  private former: {host: string; ref: number} | undefined;
+  private reportedZoneHosts = 0;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: FollowerParts) {
+    super();
+  }
+
+  /** Host that is followed now. */
+  get currentOwner(): string | undefined {
+    return this.owner;
+  }
+
+  /** Whether there is neither a waiting request nor a permit. */
+  get idle(): boolean {
+    return this.waiting.size === 0 && this.held.size === 0;
+  }
+
+  /** Targets of the permits held, by serial. */
+  get permits(): ReadonlyMap<number, HeldGrant> {
+    return this.held;
+  }
+
+  protected override *run(): Generator<undefined, void, FollowerInput> {
+    for (;;) this.handle(yield);
+  }
+
+  private handle(input: FollowerInput): void {
+    switch (input.kind) {
+      case 'acquire':
+        this.acquire(input.pending);
+        break;
+      case 'cancel':
+        if (this.take(input.serial)) {
+          this.tell({kind: 'cancel', ref: this.ref, serial: input.serial});
+        }
+        break;
+      case 'progress':
+        this.progress(input.serial, input.tokens, input.firstTokenMs);
+        break;
+      case 'release':
+        if (this.held.delete(input.serial)) {
+          this.giveBack(input.serial, input.outcome);
+        }
+        break;
+      case 'fromOwner':
+        this.fromOwner(input.host, input.message);
+        break;
+      case 'linkClosed':
+        if (this.former?.host === input.host) this.former = undefined;
+        if (input.host !== this.owner) break;
+        this.owner = undefined;
+        this.passOver(input.host);
+        this.reconsider();
+        break;
+      case 'reconsider':
+        this.reconsider();
+        break;
+      case 'restart':
+        this.owner = undefined;
+        this.former = undefined;
+        this.reconsider();
+        break;
+    }
+  }
+
+  private acquire(pending: PendingRequest): void {
+    const {serial, deadlineMs} = pending;
+    const stopTimer = this.parts.clock.after(deadlineMs - this.now, () =>
+      this.expire(serial),
+    );
+    const waiting = {...pending, stopTimer, avoid: pending.request.avoid};
+    this.waiting.set(serial, waiting);
+    const followed = this.owner;
+    this.reconsider();
+    if (this.parts.rank().length === 0) {
+      this.refuse(serial, 'no-target');
+    } else if (this.owner === followed) {
+      // A new `follow` lists the request already.
+      this.tell({
+        kind: 'request',
+        ref: this.ref,
+        waiting: this.toWire(waiting),
+      });
+    }
+  }
+
+  private expire(serial: number): void {
+    if (!this.waiting.has(serial)) return;
+    this.refuse(serial, 'deadline-exceeded-waiting');
+    this.tell({kind: 'cancel', ref: this.ref, serial});
+  }
+
+  private progress(
+    serial: number,
+    tokens: number,
+    firstTokenMs: number | undefined,
+  ): void {
+    const grant = this.held.get(serial);
+    if (!grant) return;
+    grant.tokens = tokens;
+    this.tell({kind: 'progress', ref: this.ref, serial, tokens, firstTokenMs});
+  }
+
+  private fromOwner(host: string, message: OwnerMessage): void {
+    if (message.kind === 'unfollowed') {
+      this.moved(host, message);
+      return;
+    }
+    if (host !== this.owner || message.ref !== this.ref) return;
+    switch (message.kind) {
+      case 'grant':
+        this.granted(message.serial, message.target, message.cachedTokens);
+        break;
+      case 'refuse':
+        this.refuse(message.serial, message.reason, message.retryAfterMs);
+        break;
+      case 'preempt':
+        this.held.get(message.serial)?.preempt();
+        break;
+      case 'handOver':
+        this.passOver(host);
+        this.reconsider();
+        break;
+      case 'freeSlots':
+        this.parts.onFreeSlots(message.slots);
+        break;
+    }
+  }
+
+  /** The former owner no longer uses this host's share; the present one may. */
+  private moved(
+    host: string,
+    message: Extract<OwnerMessage, {kind: 'unfollowed'}>,
+  ): void {
+    const {former} = this;
+    if (former?.host !== host || former.ref !== message.ref) return;
+    this.former = undefined;
+    if (!message.held || this.owner === undefined) return;
+    this.tell({kind: 'share', ref: this.ref, settled: message.settled});
+  }
+
+  private granted(serial: number, name: string, cachedTokens: number): void {
+    if (this.held.has(serial)) return;
+    const waiting = this.waiting.get(serial);
+    const target = this.parts.target(name);
+    if (!waiting) {
+      this.giveBack(serial, returned);
+      return;
+    }
+    if (!target?.usable) {
+      // This host already knows that the target is leaving or out; the owner does not yet.
+      this.giveBack(serial, returned);
+      waiting.avoid = [...new Set([...waiting.avoid, name])];
+      const request = this.toWire(waiting);
+      this.tell({kind: 'request', ref: this.ref, waiting: request});
+      return;
+    }
+    this.take(serial);
+    const grant = new HeldGrant(
+      `${this.parts.host}/${serial}`,
+      waiting.request,
+      target,
+      cachedTokens,
+      this.now,
+      (tokens, firstTokenMs) =>
+        this.post({kind: 'progress', serial, tokens, firstTokenMs}),
+      outcome => this.post({kind: 'release', serial, outcome}),
+    );
+    this.held.set(serial, grant);
+    waiting.resolve(grant);
+  }
+
+  private refuse(
+    serial: number,
+    reason: RefusalReason,
+    retryAfterMs?: number,
+  ): void {
+    const waiting = this.take(serial);
+    const failure = {kind: 'refused' as const, reason, retryAfterMs};
+    waiting?.reject(new FailureError(failure));
+  }
+
+  private take(serial: number): Waiting | undefined {
+    const waiting = this.waiting.get(serial);
+    waiting?.stopTimer();
+    this.waiting.delete(serial);
+    return waiting;
+  }
+
+  private giveBack(serial: number, outcome: AttemptOutcome): void {
+    this.tell({kind: 'release', ref: this.ref, serial, outcome});
+  }
+
+  private passOver(host: string): void {
+    const last = this.avoid.get(host)?.forMs ?? firstAvoidMs / 2;
+    const forMs = Math.min(maxAvoidMs, 2 * last);
+    this.avoid.set(host, {untilMs: this.now + forMs, forMs});
+  }
+
+  /** Follows the host that should be the owner, if it is another one than now. */
+  private reconsider(): void {
+    for (const [host, {untilMs, forMs}] of this.avoid) {
+      if (this.now >= untilMs + maxAvoidMs + forMs) this.avoid.delete(host);
+    }
+    const rank = this.parts.rank();
+    const next = rank.find(
+      host => this.now >= (this.avoid.get(host)?.untilMs ?? 0),
+    );
+    // While every host is passed over, requests wait for the first that may be tried again.
+    if (next === undefined && rank.length > 0) return;
+    if (next === this.owner) {
+      this.reportZoneHosts(rank.length);
+      return;
+    }
+    if (next === undefined) {
+      for (const serial of this.waiting.keys()) {
+        this.refuse(serial, 'no-target');
+      }
+    }
+    if (this.owner !== undefined) {
+      this.former = {host: this.owner, ref: this.ref};
+      this.tell({kind: 'unfollow', ref: this.ref});
+    }
+    this.owner = next;
+    if (next !== undefined) this.follow(rank.length);
+  }
+
+  private reportZoneHosts(count: number): void {
+    if (this.owner === undefined || count === this.reportedZoneHosts) return;
+    this.reportedZoneHosts = count;
+    this.tell({kind: 'zoneHosts', ref: this.ref, zoneHosts: count});
+  }
+
+  private follow(zoneHosts: number): void {
+    const ref = (this.ref = this.parts.nextRef());
+    const owner = this.owner;
+    this.reportedZoneHosts = zoneHosts;
+    const outstanding = [...this.held].map(([serial, grant]): HeldPermit => ({
+      serial,
+      request: grant.request,
+      target: grant.target.name,
+      ageMs: this.now - grant.sinceMs,
+      tokens: grant.tokens,
+    }));
+    const waiting = [...this.waiting.values()].map(w => this.toWire(w));
+    let last = false;
+    while (!last && this.owner === owner) {
+      const held = outstanding.splice(0, followPart);
+      const more = waiting.splice(0, followPart - held.length);
+      last = outstanding.length === 0 && waiting.length === 0;
+      this.tell({
+        kind: 'follow',
+        ref,
+        group: this.parts.group,
+        foreign: this.parts.foreign,
+        zoneHosts,
+        outstanding: held,
+        waiting: more,
+        last,
+      });
+    }
+  }
+
+  private toWire(waiting: Waiting): WaitingRequest {
+    const timeoutMs = Math.max(0, waiting.deadlineMs - this.now);
+    const {avoid} = waiting;
+    const request = {...waiting.request, timeoutMs, avoid};
+    return {serial: waiting.serial, request};
+  }
+
+  private tell(message: FollowerMessage): void {
+    if (this.owner !== undefined) this.parts.send(this.owner, message);
+  }
+
+  private get now(): number {
+    return this.parts.clock.nowMs();
+  }
+}
+
+/** Outcome of a permit that was not used. */
+const returned: AttemptOutcome = {result: 'cancelled', totalMs: 0, tokens: 0};
--- /dev/null
+++ b/src/process/groups/group-names.ts
@@ -0,0 +1,119 @@
+import xxhash from 'xxhash-wasm';
+import {listResources, type ConfigState} from '../../version/config-state.js';
+import type {QueuedRequest} from '../../request/scheduler/types.js';
+import {rankHosts} from '../ownership.js';
+
+const {h64ToString} = await xxhash();
+
+/** Greatest number of targets in one group. */
+export const maxGroupTargets = 32;
+
+/** Parts of a group's name. */
+export interface GroupName {
+  readonly zone: string;
+  readonly service: string;
+  readonly shard: number;
+}
+
+/**
+ * Formats the name of a group.
+ *
+ * @param parts - Zone, service and shard.
+ * @returns `ZONE/SERVICE/SHARD`.
+ */
+export function formatGroup({zone, service, shard}: GroupName): string {
+  return `${zone}/${service}/${shard}`;
+}
+
+/**
+ * Reads the name of a group.
+ *
+ * @param name - `ZONE/SERVICE/SHARD`.
+ * @returns Its parts, or `undefined` if the name has another form.
+ */
+export function parseGroup(name: string): GroupName | undefined {
+  const match = /^([^/]+)\/([^/]+)\/(0|[1-9]\d{0,3})$/.exec(name);
+  if (!match) return undefined;
+  return {zone: match[1], service: match[2], shard: Number(match[3])};
+}
+
+/**
+ * Places targets into shards by rendezvous hashing, so that a change in the number of shards moves
+ * few targets. The number is the smallest that leaves no shard with more than
+ * {@link maxGroupTargets} targets.
+ *
+ * @param targets - Names of the targets of one service in one zone.
+ * @returns Names by shard; a shard may be empty.
+ */
+export function placeTargets(targets: readonly string[]): string[][] {
+  let count = Math.max(1, Math.ceil(targets.length / maxGroupTargets));
+  for (;;) {
+    const shards = placeInto(targets, count);
+    if (shards.every(shard => shard.length <= maxGroupTargets)) return shards;
+    count++;
+  }
+}
+
+function placeInto(targets: readonly string[], count: number): string[][] {
+  const shards: string[][] = Array.from({length: count}, () => []);
+  const names = shards.map((_, shard) => String(shard));
+  for (const target of targets) {
+    shards[Number(rankHosts(target, names)[0])].push(target);
+  }
+  return shards;
+}
+
+/** Targets of each group by group name. */
+export type GroupMap = ReadonlyMap<string, readonly string[]>;
+
+const maps = new WeakMap<ConfigState, GroupMap>();
+
+/**
+ * Lists all groups of a configuration. The result is kept with the configuration, because every
+ * part asks for it after each change.
+ *
+ * @param state - Configuration to read.
+ * @returns Names of the targets by group name.
+ */
+export function listGroups(state: ConfigState): GroupMap {
+  const known = maps.get(state);
+  if (known) return known;
+  const placed = new Map<string, string[]>();
+  for (const {name, spec} of listResources(state, 'target')) {
+    const key = `${spec.zone}/${spec.service}`;
+    const names = placed.get(key);
+    if (names) names.push(name);
+    else placed.set(key, [name]);
+  }
+  const groups = new Map<string, readonly string[]>();
+  for (const [key, names] of placed) {
+    placeTargets(names).forEach((shard, index) => {
+      groups.set(`${key}/${index}`, shard);
+    });
+  }
+  maps.set(state, groups);
+  return groups;
+}
+
+/**
+ * Picks the shard for a request: of the two shards that rank best for its longest prefix the
+ * first, unless the second has at least twice as many free slots (power of two choices).
+ *
+ * @param req - Request to place.
+ * @param groups - Names of the service's groups in one zone.
+ * @param freeSlots - Last known number of free slots of a group, `undefined` if none is known.
+ * @returns A group name, or `undefined` if there is no group.
+ */
+export function pickGroup(
+  req: QueuedRequest,
+  groups: readonly string[],
+  freeSlots: (group: string) => number | undefined,
+): string | undefined {
+  if (groups.length < 2) return groups[0];
+  const affinity = req.prefixes.at(-1) ?? h64ToString(req.id);
+  const [first, second] = rankHosts(affinity, groups);
+  const firstFree = freeSlots(first);
+  const secondFree = freeSlots(second);
+  if (firstFree === undefined || secondFree === undefined) return first;
+  return secondFree > 0 && secondFree >= 2 * firstFree ? second : first;
+}
--- /dev/null
+++ b/src/process/groups/group-task.ts
@@ -0,0 +1,403 @@
+import type {
+  CacheEvent,
+  Decision,
+  LoadReport,
+  QueuedRequest,
+} from '../../request/scheduler/types.js';
+import type {ConfigState} from '../../version/config-state.js';
+import type {Clock} from '../clock.js';
+import {Task} from '../task.js';
+import {viewGroup} from './group-targets.js';
+import {freeSlotsMs} from './permit-limits.js';
+import type {FollowerMessage, OwnerMessage} from './permit-messages.js';
+import {PermitTable, permitKey} from './permit-table.js';
+import type {SchedulerCore} from './scheduler-core.js';
+import {ShareLedger, type Share} from './share-ledger.js';
+import type {ZoneRoster} from './zone-roster.js';
+
+/** Messages to a group owner. */
+export type GroupMessage =
+  | {kind: 'follower'; host: string; message: FollowerMessage}
+  /** The link of a follower ended; its permits stay counted. */
+  | {kind: 'linkClosed'; host: string}
+  | {kind: 'loadReport'; target: string; report: LoadReport}
+  | {kind: 'cacheEvent'; target: string; event: CacheEvent}
+  | {kind: 'configChanged'; state: ConfigState}
+  /** Versions beside the service's own that a rollout allows. */
+  | {kind: 'versionsAllowed'; versions: readonly string[]}
+  | {kind: 'membershipChanged'}
+  | {kind: 'tick'}
+  /** This host is leaving: grants nothing more and sends the followers away. */
+  | {kind: 'handOver'};
+
+/** What a group owner needs. */
+export interface GroupParts {
+  readonly group: string;
+  readonly core: SchedulerCore;
+  readonly clock: Clock;
+  readonly roster: ZoneRoster;
+  readonly config: ConfigState;
+  readonly send: (host: string, message: OwnerMessage) => void;
+}
+
+/** Owner of one group: applies the followers' messages to the scheduler and sends its decisions. */
+export class GroupTask extends Task<GroupMessage> {
+  private readonly table = new PermitTable();
+  private readonly ledger: ShareLedger;
+  /** Ref of the last `follow` of each follower. */
+  private readonly refs = new Map<string, number>();
+  /** Followers that left and wait for the confirmation that their share is free. */
+  private readonly leaving: {host: string; ref: number; held: boolean}[] = [];
+  private readonly listing = new Map<string, Set<string>>();
+  private config: ConfigState;
+  private allowed: ReadonlySet<string> = new Set();
+  private applied = '';
+  private factor = 0;
+  private readonly foreignHosts = new Set<string>();
+  private handingOver = false;
+  private emptySinceMs: number;
+  private lastFreeSlots = -1;
+  private freeSlotsSentMs = 0;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: GroupParts) {
+    super();
+    this.config = parts.config;
+    this.emptySinceMs = parts.clock.nowMs();
+    this.ledger = new ShareLedger(parts.roster, this.emptySinceMs);
+  }
+
+  /** Permits that this owner counts, by target. */
+  outstanding(target: string): number {
+    return this.table.count(target);
+  }
+
+  /** Time for which the group has had no follower, in milliseconds. */
+  get idleMs(): number {
+    return this.ledger.size > 0
+      ? 0
+      : this.parts.clock.nowMs() - this.emptySinceMs;
+  }
+
+  /** Followers, shares held and number of waiting requests, for metrics. */
+  get status(): {followers: number; share: Share; waiting: number} {
+    return {
+      followers: this.ledger.size,
+      share: this.ledger.evaluate(this.now),
+      waiting: this.table.waitingCount,
+    };
+  }
+
+  protected override *run(): Generator<undefined, void, GroupMessage> {
+    for (;;) {
+      this.handle(yield);
+      this.applyShare();
+      this.confirmLeaving();
+    }
+  }
+
+  private handle(message: GroupMessage): void {
+    const {core} = this.parts;
+    switch (message.kind) {
+      case 'follower':
+        this.fromFollower(message.host, message.message);
+        break;
+      case 'linkClosed':
+        this.linkClosed(message.host);
+        break;
+      case 'loadReport':
+        this.decide(core.loadReport(message.target, message.report, this.now));
+        break;
+      case 'cacheEvent':
+        this.decide(core.cacheEvent(message.target, message.event, this.now));
+        break;
+      case 'configChanged':
+        this.config = message.state;
+        this.applied = '';
+        break;
+      case 'versionsAllowed':
+        this.allowed = new Set(message.versions);
+        this.applied = '';
+        break;
+      case 'membershipChanged':
+        this.dropDead();
+        break;
+      case 'tick':
+        this.dropDead();
+        this.decide(core.tick(this.now));
+        this.publishFreeSlots();
+        break;
+      case 'handOver':
+        this.handingOver = true;
+        for (const [host, ref] of this.refs) {
+          this.parts.send(host, {kind: 'handOver', ref});
+        }
+        break;
+    }
+  }
+
+  private fromFollower(host: string, message: FollowerMessage): void {
+    if (message.kind === 'follow') {
+      this.follow(host, message);
+      return;
+    }
+    if (this.refs.get(host) !== message.ref) return;
+    const {core} = this.parts;
+    switch (message.kind) {
+      case 'share':
+        this.ledger.release(host, message.settled);
+        break;
+      case 'zoneHosts':
+        this.ledger.setZoneHosts(host, message.zoneHosts);
+        break;
+      case 'request':
+        this.offer(host, message.waiting.serial, message.waiting.request);
+        break;
+      case 'cancel': {
+        const key = permitKey(host, message.serial);
+        // A request that was granted meanwhile is returned by the follower.
+        if (this.table.removeWaiting(key)) {
+          this.decide(core.cancel(key, this.now));
+        }
+        break;
+      }
+      case 'progress': {
+        const permit = this.table.get(permitKey(host, message.serial));
+        if (!permit) break;
+        const {tokens, firstTokenMs} = message;
+        this.decide(
+          core.progress(permit.permitId, tokens, firstTokenMs, this.now),
+        );
+        break;
+      }
+      case 'release': {
+        const key = permitKey(host, message.serial);
+        const permit = this.table.removePermit(key);
+        if (permit) {
+          this.decide(
+            core.complete(permit.permitId, message.outcome, this.now),
+          );
+        }
+        break;
+      }
+      case 'unfollow':
+        this.unfollow(host, message.ref);
+        break;
+    }
+  }
+
+  private follow(
+    host: string,
+    message: Extract<FollowerMessage, {kind: 'follow'}>,
+  ): void {
+    if (this.refs.get(host) !== message.ref) {
+      this.refs.set(host, message.ref);
+      this.ledger.follow(host, message.foreign, message.zoneHosts, this.now);
+      this.listing.set(host, new Set());
+      if (message.foreign) this.foreignHosts.add(host);
+    }
+    const listed = this.listing.get(host);
+    if (!listed) return;
+    for (const {
+      serial,
+      request,
+      target,
+      ageMs,
+      tokens,
+    } of message.outstanding) {
+      const key = permitKey(host, serial);
+      listed.add(key);
+      if (this.table.get(key)?.target === target) continue;
+      this.forget(key);
+      const permitId = `${key}/adopted`;
+      this.table.addPermit(key, {host, target, permitId});
+      this.decide(
+        this.parts.core.adopt(
+          {permitId, request: own(request, key, host), target, ageMs, tokens},
+          this.now,
+        ),
+      );
+    }
+    for (const {serial, request} of message.waiting) {
+      const key = permitKey(host, serial);
+      listed.add(key);
+      // A permit for a request that still waits was lost on its way.
+      if (this.table.get(key)) this.forget(key);
+      this.offer(host, serial, request);
+    }
+    if (!message.last) return;
+    for (const key of this.table.keysOf(host)) {
+      if (!listed.has(key)) this.forget(key);
+    }
+    this.listing.delete(host);
+    this.ledger.listed(host);
+    this.lastFreeSlots = -1;
+    if (this.handingOver) {
+      this.parts.send(host, {kind: 'handOver', ref: message.ref});
+    }
+  }
+
+  private offer(host: string, serial: number, request: QueuedRequest): void {
+    const key = permitKey(host, serial);
+    if (!this.table.addWaiting(key, host)) return;
+    const req = own(request, key, host);
+    this.decide(this.parts.core.offer(req, this.now));
+  }
+
+  private unfollow(host: string, ref: number): void {
+    // The follower lists its permits and requests to the next owner.
+    for (const key of this.table.keysOf(host)) this.forget(key);
+    const held = this.removeFollower(host);
+    this.leaving.push({host, ref, held});
+  }
+
+  private linkClosed(host: string): void {
+    if (!this.refs.has(host)) return;
+    for (const key of this.table.waitingOf(host)) this.forget(key);
+    this.removeFollower(host);
+  }
+
+  private removeFollower(host: string): boolean {
+    this.refs.delete(host);
+    this.listing.delete(host);
+    const held = this.ledger.leave(host);
+    if (this.ledger.size === 0) this.emptySinceMs = this.now;
+    return held;
+  }
+
+  /** Releases the permits of hosts that are confirmed dead, after the grace. */
+  private dropDead(): void {
+    for (const host of this.table.hosts()) {
+      if (this.refs.has(host)) continue;
+      if (!this.parts.roster.isMissing(host, this.now)) continue;
+      for (const key of this.table.keysOf(host)) this.forget(key, 'broken');
+    }
+  }
+
+  private forget(key: string, result: 'cancelled' | 'broken' = 'cancelled') {
+    const {core} = this.parts;
+    const permit = this.table.removePermit(key);
+    if (permit) {
+      const outcome = {result, totalMs: 0, tokens: 0};
+      this.decide(core.complete(permit.permitId, outcome, this.now));
+    }
+    if (this.table.removeWaiting(key)) {
+      this.decide(core.cancel(key, this.now));
+    }
+  }
+
+  /** Gives the scheduler the targets and the part of their limits that may be used. */
+  private applyShare(): void {
+    const share = this.ledger.evaluate(this.now);
+    const part = this.handingOver ? 0 : share.held / Math.max(1, share.hosts);
+    const applied = `${part} ${share.recovering}`;
+    if (applied === this.applied) return;
+    this.applied = applied;
+    const {core, group} = this.parts;
+    const targets = viewGroup(this.config, group, this.allowed).map(target => {
+      if (!share.recovering) return target;
+      const ownPart = Math.floor(target.maxConcurrency * part);
+      const maxConcurrency = Math.min(target.coldConcurrency, ownPart);
+      return {...target, maxConcurrency, coldConcurrency: maxConcurrency};
+    });
+    // While recovering, the part is already in the targets' limits: the cold limit is too small to
+    // be divided again.
+    const factor = share.recovering && part > 0 ? 1 : part;
+    // The smaller limit is set first, so that no grant is made between the two calls.
+    const reduces = factor < this.factor;
+    this.factor = factor;
+    if (reduces) this.decide(core.setShare(factor, this.now));
+    this.decide(core.setTargets(targets, this.now));
+    if (!reduces) this.decide(core.setShare(factor, this.now));
+  }
+
+  private confirmLeaving(): void {
+    if (this.leaving.length === 0) return;
+    const {held, hosts} = this.ledger.evaluate(this.now);
+    const part = held / Math.max(1, hosts);
+    const within = viewGroup(this.config, this.parts.group, this.allowed).every(
+      ({name, maxConcurrency}) =>
+        this.table.count(name) <= Math.floor(maxConcurrency * part),
+    );
+    if (!within) return;
+    const settled =
+      this.ledger.isSettled(this.now) &&
+      ![...this.table.hosts()].some(host => this.foreignHosts.has(host));
+    for (const {host, ref, held: had} of this.leaving.splice(0)) {
+      this.parts.send(host, {kind: 'unfollowed', ref, held: had, settled});
+    }
+  }
+
+  private publishFreeSlots(): void {
+    const {share} = this.status;
+    const part = share.recovering ? 0 : share.held / Math.max(1, share.hosts);
+    let slots = -this.table.waitingCount;
+    for (const target of viewGroup(
+      this.config,
+      this.parts.group,
+      this.allowed,
+    )) {
+      if (!target.usable) continue;
+      slots += Math.floor(target.maxConcurrency * part);
+      slots -= this.table.count(target.name);
+    }
+    slots = Math.max(0, slots);
+    const ageMs = this.now - this.freeSlotsSentMs;
+    if (slots === this.lastFreeSlots && ageMs < freeSlotsMs) return;
+    this.lastFreeSlots = slots;
+    this.freeSlotsSentMs = this.now;
+    for (const [host, ref] of this.refs) {
+      this.parts.send(host, {kind: 'freeSlots', ref, slots});
+    }
+  }
+
+  private decide(decisions: readonly Decision[]): void {
+    for (const decision of decisions) this.apply(decision);
+  }
+
+  private apply(decision: Decision): void {
+    if (decision.kind === 'preempt') {
+      const key = this.table.keyOf(decision.permitId);
+      const permit = key === undefined ? undefined : this.table.get(key);
+      if (permit) this.send(key as string, permit.host, {kind: 'preempt'});
+      return;
+    }
+    const key = decision.requestId;
+    const host = this.table.removeWaiting(key);
+    if (host === undefined) return;
+    if (decision.kind === 'refuse') {
+      const {reason, retryAfterMs} = decision;
+      this.send(key, host, {kind: 'refuse', reason, retryAfterMs});
+      return;
+    }
+    const {permitId, cachedTokens} = decision;
+    const target = decision.target.name;
+    this.table.addPermit(key, {host, target, permitId});
+    this.send(key, host, {kind: 'grant', target, cachedTokens});
+  }
+
+  private send(
+    key: string,
+    host: string,
+    message:
+      | {kind: 'preempt'}
+      | Omit<Extract<OwnerMessage, {kind: 'grant'}>, 'ref' | 'serial'>
+      | Omit<Extract<OwnerMessage, {kind: 'refuse'}>, 'ref' | 'serial'>,
+  ): void {
+    const ref = this.refs.get(host);
+    if (ref === undefined) return;
+    const serial = Number(key.slice(key.lastIndexOf('/') + 1));
+    this.parts.send(host, {...message, ref, serial});
+  }
+
+  private get now(): number {
+    return this.parts.clock.nowMs();
+  }
+}
+
+/** The request as the scheduler knows it: named by host and serial. */
+function own(req: QueuedRequest, key: string, host: string): QueuedRequest {
+  return {...req, id: key, host};
+}
--- /dev/null
+++ b/src/process/groups/permit-node.ts
@@ -0,0 +1,418 @@
+import type {
+  PermitLink,
+  PermitTransport,
+} from '../../connection/peer/permit-transport.js';
+import type {Grant} from '../../request/dispatcher.js';
+import type {QueuedRequest} from '../../request/scheduler/types.js';
+import type {ConfigState} from '../../version/config-state.js';
+import {every, type Cancel, type Clock} from '../clock.js';
+import {FailureError} from '../errors/catalogue.js';
+import type {MemberView} from '../member-view.js';
+import {rankHosts} from '../ownership.js';
+import {subscribe} from '../subject.js';
+import {CapacityTable} from './capacity-table.js';
+import {GroupFollower} from './group-follower.js';
+import {listGroups, parseGroup} from './group-names.js';
+import {viewTarget} from './group-targets.js';
+import {GroupTask, type GroupMessage} from './group-task.js';
+import {idleGroupMs, maxOwnedGroups, pauseMs, tickMs} from './permit-limits.js';
+import type {FollowerMessage, OwnerMessage} from './permit-messages.js';
+import {PermitSession} from './permit-session.js';
+import type {SchedulerCore} from './scheduler-core.js';
+import {ZoneRoster} from './zone-roster.js';
+
+/** What the sharing of permits needs from the process. */
+export interface PermitNodeParts {
+  readonly clock: Clock;
+  readonly members: MemberView;
+  readonly transport: PermitTransport;
+  readonly config: () => ConfigState;
+  readonly createCore: (group: string) => SchedulerCore;
+  /** First serial of this process; chosen at random so that a restarted host uses others. */
+  readonly firstSerial: number;
+  /** Called when this host started or stopped to own a group. */
+  readonly onOwned?: (group: string, owned: boolean) => void;
+  /** Called when this host gave up its groups because it was paused. */
+  readonly onPaused?: (gapMs: number) => void;
+  /** Called when a link ended, with the other host and the reason. */
+  readonly onLinkEnded?: (host: string, reason: string) => void;
+}
+
+type OutSession = PermitSession<FollowerMessage, OwnerMessage>;
+type InSession = PermitSession<OwnerMessage, FollowerMessage>;
+
+/** Groups that this host owns and follows, and its links to other hosts. */
+export class PermitNode {
+  /** Free slots of the groups, as far as they are known. */
+  readonly capacity = new CapacityTable();
+
+  private readonly tasks = new Map<string, GroupTask>();
+  private readonly followers = new Map<string, GroupFollower>();
+  private readonly outgoing = new Map<string, OutSession>();
+  private readonly incoming = new Map<string, InSession>();
+  /** Group of each ref that a follower chose, by follower and ref. */
+  private readonly groupOfRef = new Map<string, Map<number, string>>();
+  private readonly groupOfOwnRef = new Map<number, string>();
+  private readonly refsOfGroup = new Map<string, number[]>();
+  private readonly roster: ZoneRoster;
+  private serial: number;
+  private ref = 0;
+  private lastTickMs: number;
+  private allowed: ReadonlyMap<string, readonly string[]> = new Map();
+  private readonly cancels: Cancel[] = [];
+  private stopped = false;
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: PermitNodeParts) {
+    const {clock, members, transport} = parts;
+    this.serial = parts.firstSerial;
+    this.lastTickMs = clock.nowMs();
+    this.roster = new ZoneRoster(members, members.self.zone);
+    transport.listen((host, link) => this.accept(host, link));
+  }
+
+  /** Starts to follow the groups of this host's zone. */
+  start(): void {
+    const {clock, members} = this.parts;
+    this.lastTickMs = clock.nowMs();
+    this.roster.refresh(this.lastTickMs);
+    this.cancels.push(
+      every(clock, tickMs, () => this.tick()),
+      subscribe(members.changes, member => {
+        this.guard();
+        this.roster.observe(member, clock.nowMs());
+        this.toTasks({kind: 'membershipChanged'});
+        this.reconsider();
+      }),
+    );
+    this.configChanged();
+  }
+
+  /** Whether all other hosts are lost; this host then serves with its static part of the limits. */
+  get cutOff(): boolean {
+    return this.roster.cutOff;
+  }
+
+  /** Applies the current configuration. */
+  configChanged(): void {
+    if (this.stopped) return;
+    const state = this.parts.config();
+    this.toTasks({kind: 'configChanged', state});
+    for (const group of listGroups(state).keys()) {
+      if (parseGroup(group)?.zone === this.parts.members.self.zone) {
+        this.follower(group);
+      }
+    }
+    this.reconsider();
+  }
+
+  /**
+   * Allows versions beside a service's own, for a rollout.
+   *
+   * @param service - Service that is rolled out.
+   * @param versions - Versions that may get requests.
+   */
+  allowVersions(service: string, versions: readonly string[]): void {
+    this.allowed = new Map(this.allowed).set(service, versions);
+    for (const [group, task] of this.tasks) {
+      if (parseGroup(group)?.service === service) {
+        task.post({kind: 'versionsAllowed', versions});
+      }
+    }
+  }
+
+  /**
+   * Waits for a permit from the owner of a group.
+   *
+   * @param group - Name of the group.
+   * @param req - Request to dispatch.
+   * @param signal - Aborted when the caller leaves.
+   * @returns The grant.
+   * @throws {@link FailureError} of kind `refused`.
+   */
+  acquire(
+    group: string,
+    req: QueuedRequest,
+    signal: AbortSignal,
+  ): Promise<Grant> {
+    this.guard();
+    if (this.stopped || signal.aborted) {
+      const reason = this.stopped ? 'draining' : 'deadline-exceeded-waiting';
+      throw new FailureError({kind: 'refused', reason});
+    }
+    const serial = ++this.serial;
+    const follower = this.follower(group);
+    const deadlineMs = this.parts.clock.nowMs() + req.timeoutMs;
+    return new Promise((resolve, reject) => {
+      const onAbort = () => {
+        follower.post({kind: 'cancel', serial});
+        reject(
+          new FailureError({
+            kind: 'refused',
+            reason: 'deadline-exceeded-waiting',
+            detail: 'the caller left',
+          }),
+        );
+      };
+      signal.addEventListener('abort', onAbort, {once: true});
+      const done = () => signal.removeEventListener('abort', onAbort);
+      follower.post({
+        kind: 'acquire',
+        pending: {
+          serial,
+          request: req,
+          deadlineMs,
+          resolve: grant => {
+            done();
+            resolve(grant);
+          },
+          reject: err => {
+            done();
+            reject(err);
+          },
+        },
+      });
+    });
+  }
+
+  /** Gives a message to the owner of a group at this host, if it is one. */
+  toOwned(group: string, message: GroupMessage): void {
+    this.tasks.get(group)?.post(message);
+  }
+
+  /** Groups that this host owns, by name. */
+  get owned(): ReadonlyMap<string, GroupTask> {
+    return this.tasks;
+  }
+
+  /** Groups that this host follows, by name. */
+  get followed(): ReadonlyMap<string, GroupFollower> {
+    return this.followers;
+  }
+
+  /** Sends all followers to the next owners. New requests of this host are still served by them. */
+  handOver(): void {
+    if (this.roster.hosts.length > 1) this.toTasks({kind: 'handOver'});
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    this.stopped = true;
+    for (const cancel of this.cancels.splice(0)) cancel();
+    this.dropLinks();
+  }
+
+  /**
+   * Gives up all groups and shares. Called before anything else when the host finds that it was
+   * paused: its followers may have moved, and its permits may have been counted as ended.
+   */
+  selfPaused(): void {
+    this.dropLinks();
+    for (const group of this.tasks.keys()) this.parts.onOwned?.(group, false);
+    this.tasks.clear();
+    for (const follower of this.followers.values()) {
+      follower.post({kind: 'restart'});
+    }
+  }
+
+  private guard(): void {
+    const nowMs = this.parts.clock.nowMs();
+    const gapMs = nowMs - this.lastTickMs;
+    if (this.stopped || gapMs < pauseMs) return;
+    this.lastTickMs = nowMs;
+    this.parts.onPaused?.(gapMs);
+    this.selfPaused();
+  }
+
+  private tick(): void {
+    this.guard();
+    const nowMs = this.parts.clock.nowMs();
+    this.lastTickMs = nowMs;
+    this.roster.refresh(nowMs);
+    for (const session of this.outgoing.values()) session.tick(nowMs);
+    for (const session of this.incoming.values()) session.tick(nowMs);
+    this.toTasks({kind: 'tick'});
+    for (const [group, task] of this.tasks) {
+      if (task.idleMs < idleGroupMs) continue;
+      this.tasks.delete(group);
+      this.parts.onOwned?.(group, false);
+    }
+    this.reconsider();
+  }
+
+  private reconsider(): void {
+    for (const follower of this.followers.values()) {
+      follower.post({kind: 'reconsider'});
+    }
+  }
+
+  private toTasks(message: GroupMessage): void {
+    for (const task of this.tasks.values()) task.post(message);
+  }
+
+  private follower(group: string): GroupFollower {
+    const known = this.followers.get(group);
+    if (known) return known;
+    const {clock, members, config} = this.parts;
+    const {zone, service} = parseGroup(group) as {
+      zone: string;
+      service: string;
+    };
+    const follower = new GroupFollower({
+      host: members.self.id,
+      group,
+      foreign: zone !== members.self.zone,
+      clock,
+      rank: () =>
+        rankHosts(
+          group,
+          members.live(zone).map(({id}) => id),
+        ),
+      target: name => {
+        const allowed = new Set(this.allowed.get(service) ?? []);
+        return viewTarget(config(), name, allowed);
+      },
+      send: (host, message) => this.sendToOwner(host, message),
+      nextRef: () => this.nextRef(group),
+      onFreeSlots: slots => this.capacity.set(group, slots, clock.nowMs()),
+    });
+    this.followers.set(group, follower);
+    return follower;
+  }
+
+  private nextRef(group: string): number {
+    // The former owner confirms with the ref before the last, so two are kept for each group.
+    const refs = this.refsOfGroup.get(group) ?? [];
+    refs.push(++this.ref);
+    if (refs.length > 2) this.groupOfOwnRef.delete(refs.shift() as number);
+    this.refsOfGroup.set(group, refs);
+    this.groupOfOwnRef.set(this.ref, group);
+    return this.ref;
+  }
+
+  private sendToOwner(host: string, message: FollowerMessage): void {
+    if (this.stopped) return;
+    const {clock, members, transport} = this.parts;
+    if (host === members.self.id) {
+      this.fromFollower(host, message);
+      return;
+    }
+    let session = this.outgoing.get(host);
+    if (!session) {
+      const created: OutSession = new PermitSession<
+        FollowerMessage,
+        OwnerMessage
+      >(
+        () => link,
+        received => this.fromOwner(host, received),
+        reason => {
+          if (this.outgoing.get(host) === created) this.outgoing.delete(host);
+          this.parts.onLinkEnded?.(host, reason);
+          this.toFollowers({kind: 'linkClosed', host});
+        },
+        clock.nowMs(),
+      );
+      const link: PermitLink = transport.connect(host, {
+        frame: frame => {
+          this.guard();
+          created.receive(frame, clock.nowMs());
+        },
+        closed: reason => created.end(reason),
+      });
+      this.outgoing.set(host, created);
+      session = created;
+    }
+    session.send(message, clock.nowMs());
+  }
+
+  private toFollowers(message: {kind: 'linkClosed'; host: string}): void {
+    for (const follower of this.followers.values()) follower.post(message);
+  }
+
+  private fromOwner(host: string, message: OwnerMessage): void {
+    const group = this.groupOfOwnRef.get(message.ref);
+    if (group === undefined) return;
+    this.followers.get(group)?.post({kind: 'fromOwner', host, message});
+  }
+
+  private accept(host: string, link: PermitLink) {
+    const {clock} = this.parts;
+    this.guard();
+    // A host has one link to this one; a new link shows that the old one is broken.
+    this.incoming.get(host)?.end('replaced by a new link');
+    const session: InSession = new PermitSession<OwnerMessage, FollowerMessage>(
+      () => link,
+      message => this.fromFollower(host, message),
+      reason => {
+        if (this.incoming.get(host) === session) this.incoming.delete(host);
+        this.groupOfRef.delete(host);
+        this.parts.onLinkEnded?.(host, reason);
+        this.toTasks({kind: 'linkClosed', host});
+      },
+      clock.nowMs(),
+    );
+    this.incoming.set(host, session);
+    return {
+      frame: (frame: Parameters<InSession['receive']>[0]) => {
+        this.guard();
+        session.receive(frame, clock.nowMs());
+      },
+      closed: (reason: string) => session.end(reason),
+    };
+  }
+
+  private fromFollower(host: string, message: FollowerMessage): void {
+    let refs = this.groupOfRef.get(host);
+    if (!refs) this.groupOfRef.set(host, (refs = new Map()));
+    if (message.kind === 'follow') {
+      for (const [ref, group] of refs) {
+        if (group === message.group && ref !== message.ref) refs.delete(ref);
+      }
+      refs.set(message.ref, message.group);
+    }
+    const group = refs.get(message.ref);
+    if (group === undefined) return;
+    if (message.kind === 'unfollow') refs.delete(message.ref);
+    const task =
+      this.tasks.get(group) ??
+      (message.kind === 'follow' ? this.own(group) : undefined);
+    task?.post({kind: 'follower', host, message});
+  }
+
+  /** Becomes an owner when the first follower arrives, whatever this host's own member list says. */
+  private own(group: string): GroupTask | undefined {
+    const {clock, members, config, createCore} = this.parts;
+    const name = parseGroup(group);
+    if (name?.zone !== members.self.zone) return undefined;
+    if (this.tasks.size >= maxOwnedGroups) return undefined;
+    const task = new GroupTask({
+      group,
+      core: createCore(group),
+      clock,
+      roster: this.roster,
+      config: config(),
+      send: (host, message) => this.sendToFollower(host, message),
+    });
+    this.tasks.set(group, task);
+    const versions = this.allowed.get(name.service);
+    if (versions) task.post({kind: 'versionsAllowed', versions});
+    this.parts.onOwned?.(group, true);
+    return task;
+  }
+
+  private sendToFollower(host: string, message: OwnerMessage): void {
+    const {clock, members} = this.parts;
+    if (host === members.self.id) this.fromOwner(host, message);
+    else this.incoming.get(host)?.send(message, clock.nowMs());
+  }
+
+  private dropLinks(): void {
+    for (const session of this.outgoing.values()) session.close();
+    for (const session of this.incoming.values()) session.close();
+    this.outgoing.clear();
+    this.incoming.clear();
+    this.groupOfRef.clear();
+  }
+}
--- /dev/null
+++ b/src/process/groups/scheduler-core.ts
@@ -0,0 +1,43 @@
+import type {
+  AttemptOutcome,
+  CacheEvent,
+  Decision,
+  LoadReport,
+  OutstandingPermit,
+  QueuedRequest,
+  TargetView,
+} from '../../request/scheduler/types.js';
+
+/** Decision logic of a group owner, as `GroupTask` uses it. */
+export abstract class SchedulerCore {
+  abstract setTargets(
+    targets: readonly TargetView[],
+    nowMs: number,
+  ): readonly Decision[];
+  abstract setShare(share: number, nowMs: number): readonly Decision[];
+  abstract offer(req: QueuedRequest, nowMs: number): readonly Decision[];
+  abstract cancel(requestId: string, nowMs: number): readonly Decision[];
+  abstract progress(
+    permitId: string,
+    tokens: number,
+    firstTokenMs: number | undefined,
+    nowMs: number,
+  ): readonly Decision[];
+  abstract complete(
+    permitId: string,
+    outcome: AttemptOutcome,
+    nowMs: number,
+  ): readonly Decision[];
+  abstract adopt(permit: OutstandingPermit, nowMs: number): readonly Decision[];
+  abstract loadReport(
+    target: string,
+    report: LoadReport,
+    nowMs: number,
+  ): readonly Decision[];
+  abstract cacheEvent(
+    target: string,
+    event: CacheEvent,
+    nowMs: number,
+  ): readonly Decision[];
+  abstract tick(nowMs: number): readonly Decision[];
+}
--- /dev/null
+++ b/test/process/groups/permit-failures.test.ts
@@ -0,0 +1,219 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {OwnerMessage} from '../../../src/process/groups/permit-messages.js';
+import {PermitFleet, type Outcome} from './permit-fleet.js';
+
+const ids = ['h1', 'h2', 'h3', 'h4', 'h5'];
+
+/** Five hosts in zone a that share two targets with eight slots each. */
+async function startFleet(seed: number, max = 8): Promise<PermitFleet> {
+  const fleet = new PermitFleet(seed);
+  fleet.declare('a', 2, max);
+  fleet.start('a', ids);
+  await fleet.run(1000);
+  return fleet;
+}
+
+function granted(outcomes: readonly Outcome[]): Outcome[] {
+  return outcomes.filter(({grant}) => grant);
+}
+
+test('hosts share the limits of the targets and a release serves the next request', async () => {
+  const fleet = await startFleet(1);
+  const asked = Array.from({length: 20}, (_, i) => fleet.ask(ids[i % 5]));
+  await fleet.run(20);
+  assert.equal(granted(asked).length, 16);
+  fleet.release(granted(asked)[0]);
+  await fleet.run(20);
+  assert.equal(granted(asked).length, 17);
+});
+
+test('a crashed owner is replaced within 2 s, its waiting requests survive and permits stay counted', async () => {
+  const fleet = await startFleet(2);
+  const owner = fleet.owner();
+  const others = ids.filter(id => id !== owner);
+  const asked = Array.from({length: 24}, (_, i) => fleet.ask(others[i % 4]));
+  await fleet.run(20);
+  assert.equal(granted(asked).length, 16);
+  fleet.kill(owner);
+  fleet.release(granted(asked)[0]);
+  await fleet.run(2000);
+  assert.notEqual(fleet.owner(), owner);
+  assert.equal(granted(asked).length, 17);
+  for (const outcome of granted(asked)) fleet.release(outcome);
+  await fleet.run(50);
+  assert.equal(granted(asked).length, 24);
+});
+
+test('two owners by disagreeing member lists stay within the limit in sum', async () => {
+  const fleet = await startFleet(3);
+  const owner = fleet.owner();
+  const others = ids.filter(id => id !== owner);
+  const asked = Array.from({length: 16}, () => fleet.ask(others[0]));
+  await fleet.run(20);
+  assert.equal(granted(asked).length, 16);
+  // Two hosts believe that the owner left; the others still follow it.
+  const left = {...fleet.host(owner).members.self, state: 'left' as const};
+  for (const id of others.slice(1, 3)) fleet.host(id).members.set(left);
+  const more = ids.flatMap(id => [0, 1, 2, 3].map(() => fleet.ask(id)));
+  for (let i = 0; i < 16; i++) {
+    fleet.release(asked[i]);
+    await fleet.run(300, () => {}, 5);
+  }
+  const movers = new Set(
+    ids.map(id => fleet.host(id).node.followed.get('a/s/0')?.currentOwner),
+  );
+  assert.equal(movers.size, 2, 'there are two owners');
+  assert.ok(granted(more).length > 0);
+});
+
+test('permits of a crashed follower are counted until its death is confirmed', async () => {
+  const fleet = await startFleet(4);
+  const owner = fleet.owner();
+  const [follower, other] = ids.filter(id => id !== owner);
+  const asked = Array.from({length: 16}, () => fleet.ask(follower));
+  await fleet.run(20);
+  assert.equal(granted(asked).length, 16);
+  const waiting = Array.from({length: 16}, () => fleet.ask(other));
+  fleet.kill(follower, 1000, 1000);
+  await fleet.run(1100);
+  assert.equal(granted(waiting).length, 0);
+  await fleet.run(500);
+  assert.equal(granted(waiting).length, 16);
+});
+
+test('a lost grant is neither dispatched twice nor counted for ever', async () => {
+  const fleet = await startFleet(5);
+  const owner = fleet.owner();
+  const [host] = ids.filter(id => id !== owner);
+  let lost = 0;
+  fleet.network.filter = (from, to, frame) => {
+    const kind = (frame.body as OwnerMessage | undefined)?.kind;
+    if (from !== owner || to !== host || kind !== 'grant' || lost > 0) {
+      return true;
+    }
+    lost++;
+    return false;
+  };
+  const outcome = fleet.ask(host);
+  await fleet.run(3000);
+  assert.equal(lost, 1);
+  assert.ok(outcome.grant);
+  fleet.release(outcome);
+  await fleet.run(3000);
+  assert.equal(countedAtOwners(fleet), 0);
+});
+
+function countedAtOwners(fleet: PermitFleet): number {
+  let count = 0;
+  for (const {node, dead} of fleet.hosts.values()) {
+    if (dead) continue;
+    for (const task of node.owned.values()) {
+      count += task.outstanding('a0') + task.outstanding('a1');
+    }
+  }
+  return count;
+}
+
+test('a grant that crosses a cancellation is returned', async () => {
+  const fleet = await startFleet(6);
+  const [host] = ids.filter(id => id !== fleet.owner());
+  const caller = new AbortController();
+  const outcome = fleet.ask(host, fleet.request(), 'a/s/0', caller.signal);
+  fleet.clock.advance(1);
+  caller.abort();
+  await fleet.run(50);
+  assert.equal(outcome.grant, undefined);
+  assert.equal(fleet.held('a0') + fleet.held('a1'), 0);
+  assert.equal(countedAtOwners(fleet), 0);
+});
+
+test('an owner that was paused gives up its groups before it acts', async () => {
+  const fleet = await startFleet(7);
+  const owner = fleet.owner();
+  const others = ids.filter(id => id !== owner);
+  fleet.host(owner).paused = true;
+  fleet.announce(owner, 'dead', 1000, 1500);
+  await fleet.run(3000);
+  const asked = Array.from({length: 16}, (_, i) => fleet.ask(others[i % 4]));
+  await fleet.run(50);
+  assert.equal(granted(asked).length, 16);
+  const task = fleet.host(owner).node.owned.get('a/s/0');
+  const own = fleet.ask(owner);
+  fleet.resume(owner);
+  assert.notEqual(fleet.host(owner).node.owned.get('a/s/0'), task);
+  await fleet.run(2000);
+  assert.equal(own.grant, undefined);
+  fleet.announce(owner, 'alive', 0, 100);
+  await fleet.run(1000);
+  assert.equal(fleet.owner(), owner);
+  fleet.release(asked[0]);
+  await fleet.run(50);
+  assert.ok(own.grant);
+});
+
+test('a zone that goes out and a target that is leaving get nothing new', async () => {
+  const fleet = await startFleet(8);
+  fleet.put('target', 'a0', {...fleet.target('a', 8), state: 'leaving'}, 500);
+  await fleet.run(500);
+  const asked = Array.from({length: 16}, (_, i) => fleet.ask(ids[i % 5]));
+  await fleet.run(50);
+  assert.equal(fleet.held('a0'), 0);
+  assert.equal(fleet.held('a1'), 8);
+  fleet.put('zone', 'a', {region: 'r', state: 'out'}, 500);
+  await fleet.run(500);
+  for (const outcome of granted(asked)) fleet.release(outcome);
+  const late = ids.map(id => fleet.ask(id));
+  await fleet.run(1000);
+  assert.equal(fleet.held('a1'), 0);
+  assert.ok(late.every(({refusal}) => refusal === 'no-target'));
+});
+
+test('a follower that learns first that a target is leaving does not use a grant for it', async () => {
+  const fleet = await startFleet(9);
+  const [host] = ids.filter(id => id !== fleet.owner());
+  const follower = fleet.host(host);
+  fleet.put('target', 'a0', {...fleet.target('a', 8), state: 'leaving'}, 1e9);
+  follower.config = fleet.config;
+  follower.node.configChanged();
+  const asked = Array.from({length: 8}, () => fleet.ask(host));
+  await fleet.run(100);
+  assert.equal(fleet.held('a0'), 0);
+  assert.equal(granted(asked).length, 8);
+});
+
+test('a host that is cut off uses at most its static part of the limits', async () => {
+  const fleet = await startFleet(10, 10);
+  const [host, ...rest] = ids.filter(id => id !== fleet.owner()).slice(0, 1);
+  assert.equal(rest.length, 0);
+  for (const id of ids) fleet.network.cut(host, id);
+  const view = fleet.host(host).members;
+  for (const id of ids.filter(other => other !== host)) {
+    fleet.clock.after(1000 + 200 * Number(id[1]), () =>
+      view.set({...fleet.host(id).members.self, state: 'dead'}),
+    );
+  }
+  const asked = Array.from({length: 30}, () =>
+    fleet.ask(host, fleet.request(undefined, 60_000)),
+  );
+  const step = () => {
+    for (const name of ['a0', 'a1']) assert.ok(fleet.held(name) <= 2);
+  };
+  await fleet.run(30_000, step, 20);
+  assert.ok(fleet.host(host).node.cutOff);
+  assert.equal(granted(asked).length, 4, 'a fifth of each limit of 10');
+});
+
+test('a leaving owner hands over at once with its permits listed', async () => {
+  const fleet = await startFleet(11);
+  const owner = fleet.owner();
+  const asked = Array.from({length: 16}, (_, i) => fleet.ask(ids[i % 5]));
+  await fleet.run(20);
+  const waiting = fleet.ask(ids[0]);
+  fleet.host(owner).node.handOver();
+  await fleet.run(20);
+  assert.notEqual(fleet.owner(), owner);
+  fleet.release(asked[0]);
+  await fleet.run(20);
+  assert.ok(waiting.grant);
+});
--- /dev/null
+++ b/test/process/groups/permit-fleet.ts
@@ -0,0 +1,381 @@
+import assert from 'node:assert/strict';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {Clock, type Cancel} from '../../../src/process/clock.js';
+import {PermitNode} from '../../../src/process/groups/permit-node.js';
+import type {SchedulerCore} from '../../../src/process/groups/scheduler-core.js';
+import {MemberView, type Member} from '../../../src/process/member-view.js';
+import {Subject} from '../../../src/process/subject.js';
+import type {Grant} from '../../../src/request/dispatcher.js';
+import type {QueuedRequest} from '../../../src/request/scheduler/types.js';
+import {
+  emptyConfig,
+  foldRecord,
+  type ConfigState,
+} from '../../../src/version/config-state.js';
+import type {ResourceKind} from '../../../src/version/resources/kinds.js';
+import {ManualClock} from '../../../stand-ins/manual-clock.js';
+import {FifoCore} from './fifo-core.js';
+import {MemoryNetwork} from './memory-network.js';
+
+/** Seeded random numbers in [0, 1). */
+export function seeded(seed: number): () => number {
+  const rng = xoroshiro128plus(seed);
+  return () => uniformInt(rng, 0, 0x3fffffff) / 0x40000000;
+}
+
+/** Clock of one host: while the host is paused, its timers wait. */
+class HostClock extends Clock {
+  constructor(
+    private readonly base: Clock,
+    private readonly gate: (fn: () => void) => void,
+  ) {
+    super();
+  }
+
+  override nowMs(): number {
+    return this.base.nowMs();
+  }
+
+  override wallMs(): number {
+    return this.base.wallMs();
+  }
+
+  override after(delayMs: number, fn: () => void): Cancel {
+    let cancelled = false;
+    const cancel = this.base.after(delayMs, () =>
+      this.gate(() => {
+        if (!cancelled) fn();
+      }),
+    );
+    return () => {
+      cancelled = true;
+      cancel();
+    };
+  }
+}
+
+/** Member list of one host, changed by the test. */
+export class FakeMembers extends MemberView {
+  private readonly subject = new Subject<Member>();
+  private readonly members = new Map<string, Member>();
+  override readonly changes = this.subject.stream;
+
+  constructor(override readonly self: Member) {
+    super();
+    this.members.set(self.id, self);
+  }
+
+  override live(zone?: string): readonly Member[] {
+    return [...this.members.values()]
+      .filter(m => m.state === 'alive' || m.state === 'suspect')
+      .filter(m => zone === undefined || m.zone === zone)
+      .sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  set(member: Member): void {
+    const known = this.members.get(member.id);
+    if (known && known.state === member.state) return;
+    this.members.set(member.id, member);
+    this.subject.next(member);
+  }
+}
+
+/** A host of the fleet under test. */
+export interface FleetHost {
+  readonly id: string;
+  readonly zone: string;
+  readonly members: FakeMembers;
+  readonly node: PermitNode;
+  paused: boolean;
+  dead: boolean;
+  config: ConfigState;
+  readonly deferred: (() => void)[];
+}
+
+/** What became of a request. */
+export interface Outcome {
+  readonly id: string;
+  grant?: Grant;
+  refusal?: string;
+}
+
+/** Hosts with their real permit nodes over an in-memory network and a manual clock. */
+export class PermitFleet {
+  readonly clock = new ManualClock();
+  readonly random: () => number;
+  readonly network: MemoryNetwork;
+  readonly hosts = new Map<string, FleetHost>();
+  config: ConfigState = emptyConfig;
+  /** Permits that no longer count, because their host was confirmed dead while it was paused. */
+  private readonly excused = new Set<unknown>();
+  private sequence = 0;
+  private writes = 0;
+
+  constructor(
+    seed: number,
+    private readonly core: (group: string) => SchedulerCore = g =>
+      new FifoCore(g),
+  ) {
+    this.random = seeded(seed);
+    this.network = new MemoryNetwork(this.clock, this.random, (id, fn) => {
+      const host = this.hosts.get(id);
+      if (!host || host.dead) return;
+      if (host.paused) host.deferred.push(fn);
+      else fn();
+    });
+  }
+
+  /** Writes a resource into the configuration of all hosts, after a delay for each. */
+  put(kind: ResourceKind, name: string, spec: unknown, maxDelayMs = 0): void {
+    const record = {
+      writeId: `w${++this.writes}`,
+      actor: 'test',
+      time: '',
+      op: 'put',
+      kind,
+      name,
+      baseGeneration: -1,
+      spec,
+    } as Parameters<typeof foldRecord>[1];
+    this.config = foldRecord(this.config, record, this.writes).state;
+    const state = this.config;
+    for (const host of this.hosts.values()) {
+      this.clock.after(this.random() * maxDelayMs, () => {
+        if (host.dead || host.config.offset > state.offset) return;
+        host.config = state;
+        host.node.configChanged();
+      });
+    }
+    if (maxDelayMs === 0) this.clock.advance(0);
+  }
+
+  /** Declares zones, one service and its targets. */
+  declare(zone: string, targets: number, max: number, cold = 1): void {
+    this.put('zone', zone, {region: 'r', state: 'in'});
+    this.put('service', 's', {
+      type: 'model',
+      version: 'v1',
+      defaultTimeoutMs: 10_000,
+      firstTokenTargetMs: 500,
+      tokenTargetMs: 50,
+    });
+    for (let i = 0; i < targets; i++) {
+      this.put('target', `${zone}${i}`, this.target(zone, max, cold));
+    }
+  }
+
+  target(zone: string, max: number, cold = 1) {
+    return {
+      service: 's',
+      zone,
+      address: 'http://127.0.0.1:1',
+      version: 'v1',
+      maxConcurrency: max,
+      coldConcurrency: cold,
+      state: 'active',
+    };
+  }
+
+  member(id: string, zone: string): Member {
+    return {
+      id,
+      zone,
+      region: 'r',
+      peerAddress: '',
+      incarnation: 1,
+      state: 'alive',
+      configOffset: 0,
+    };
+  }
+
+  /** Starts hosts that know each other. */
+  start(zone: string, ids: readonly string[]): void {
+    const joined = ids.map(id => this.member(id, zone));
+    for (const member of joined) {
+      const members = new FakeMembers(member);
+      for (const other of [...this.hosts.values()]) {
+        if (!other.dead) members.set(other.members.self);
+      }
+      for (const other of joined) members.set(other);
+      this.create(member, members);
+    }
+    for (const host of this.hosts.values()) {
+      for (const member of joined) {
+        if (!host.dead) host.members.set(member);
+      }
+    }
+    for (const id of ids) this.host(id).node.start();
+  }
+
+  private create(member: Member, members: FakeMembers): void {
+    const {id, zone} = member;
+    const host = {
+      id,
+      zone,
+      members,
+      paused: false,
+      dead: false,
+      config: this.config,
+      deferred: [] as (() => void)[],
+    } as unknown as FleetHost & {node: PermitNode};
+    const gate = (fn: () => void) => this.network.gate(id, fn);
+    host.node = new PermitNode({
+      clock: new HostClock(this.clock, gate),
+      members,
+      transport: this.network.transport(id),
+      config: () => host.config,
+      createCore: this.core,
+      firstSerial: Math.floor(this.random() * 1e9),
+    });
+    this.hosts.set(id, host);
+  }
+
+  host(id: string): FleetHost {
+    const host = this.hosts.get(id);
+    assert.ok(host, `host ${id} exists`);
+    return host;
+  }
+
+  /** Tells the others that a host has another state, each after a random delay. */
+  announce(
+    id: string,
+    state: Member['state'],
+    fromMs: number,
+    toMs: number,
+  ): void {
+    const member = {...this.host(id).members.self, state};
+    for (const other of this.hosts.values()) {
+      if (other.id === id) continue;
+      const delayMs = fromMs + this.random() * (toMs - fromMs);
+      this.clock.after(delayMs, () =>
+        this.network.gate(other.id, () => other.members.set(member)),
+      );
+    }
+  }
+
+  /** Ends a host; the others confirm its death after the given times. */
+  kill(id: string, fromMs = 1000, toMs = 1500): void {
+    const host = this.host(id);
+    host.dead = true;
+    this.network.crash(id);
+    host.node.stop();
+    this.announce(id, 'dead', fromMs, toMs);
+  }
+
+  resume(id: string): void {
+    const host = this.host(id);
+    host.paused = false;
+    for (const fn of host.deferred.splice(0)) this.network.gate(id, fn);
+  }
+
+  /** Stops to count the permits that a host holds now. */
+  excuse(id: string): void {
+    for (const follower of this.host(id).node.followed.values()) {
+      for (const grant of follower.permits.values()) this.excused.add(grant);
+    }
+  }
+
+  request(id = `r${++this.sequence}`, timeoutMs = 10_000): QueuedRequest {
+    return {
+      id,
+      host: '',
+      service: 's',
+      route: '/v1/completions',
+      organisation: 'o',
+      weight: 1,
+      tier: 1,
+      idempotent: true,
+      timeoutMs,
+      promptTokens: 10,
+      prefixes: [],
+      attempt: 0,
+      avoid: [],
+    };
+  }
+
+  /** Asks for a permit at a host. */
+  ask(
+    id: string,
+    req = this.request(),
+    group = `${this.host(id).zone}/s/0`,
+    signal: AbortSignal = new AbortController().signal,
+  ): Outcome {
+    const outcome: Outcome = {id: req.id};
+    this.host(id)
+      .node.acquire(group, req, signal)
+      .then(
+        grant => {
+          assert.equal(outcome.grant, undefined);
+          outcome.grant = grant;
+        },
+        err => {
+          outcome.refusal = err.failure?.reason ?? String(err);
+        },
+      );
+    return outcome;
+  }
+
+  release(outcome: Outcome): void {
+    outcome.grant?.release({result: 'ok', totalMs: 10, tokens: 1});
+  }
+
+  /** Permits of a target that live hosts hold. */
+  held(target: string): number {
+    return this.permits().filter(grant => grant.target.name === target).length;
+  }
+
+  private permits() {
+    const all = [];
+    for (const host of this.hosts.values()) {
+      if (host.dead) continue;
+      for (const follower of host.node.followed.values()) {
+        for (const grant of follower.permits.values()) {
+          if (!this.excused.has(grant)) all.push(grant);
+        }
+      }
+    }
+    return all;
+  }
+
+  /** Asserts that no target has more permits than its limit and no request more than one. */
+  check(): void {
+    const counts = new Map<string, number>();
+    const requests = new Set<string>();
+    for (const {target, request} of this.permits()) {
+      const count = (counts.get(target.name) ?? 0) + 1;
+      counts.set(target.name, count);
+      assert.ok(
+        count <= target.maxConcurrency,
+        `at ${this.clock.nowMs()} ms target ${target.name} has ${count} permits of ${target.maxConcurrency}`,
+      );
+      assert.ok(!requests.has(request.id), `${request.id} has two permits`);
+      requests.add(request.id);
+    }
+  }
+
+  /** Moves the clock in steps and checks after each. */
+  async run(
+    ms: number,
+    each: () => void = () => {},
+    stepMs = 1,
+  ): Promise<void> {
+    for (let t = 0; t < ms; t += stepMs) {
+      this.clock.advance(stepMs);
+      for (let i = 0; i < 4; i++) await null;
+      this.check();
+      each();
+    }
+  }
+
+  /** Host that all live hosts of a zone follow for a group. */
+  owner(group = 'a/s/0'): string {
+    const owners = new Set<string>();
+    for (const host of this.hosts.values()) {
+      const owner = host.node.followed.get(group)?.currentOwner;
+      if (!host.dead && owner !== undefined) owners.add(owner);
+    }
+    assert.equal(owners.size, 1, `one owner of ${group}: ${[...owners]}`);
+    return [...owners][0];
+  }
+}
