--- a/src/process/groups/group-task.ts
+++ b/src/process/groups/group-task.ts
@@ -3,6 +3,7 @@
   Decision,
   LoadReport,
   QueuedRequest,
+  VersionCap,
 } from '../../request/scheduler/types.js';
 import type {ConfigState} from '../../version/config-state.js';
 import type {Clock} from '../clock.js';
@@ -23,8 +24,8 @@
   | {kind: 'loadReport'; target: string; report: LoadReport}
   | {kind: 'cacheEvent'; target: string; event: CacheEvent}
   | {kind: 'configChanged'; state: ConfigState}
-  /** Versions beside the service's own that a rollout allows. */
-  | {kind: 'versionsAllowed'; versions: readonly string[]}
+  /** Limits of the versions beside the service's own that a rollout allows. */
+  | {kind: 'versionCaps'; caps: readonly VersionCap[]}
   | {kind: 'membershipChanged'}
   | {kind: 'tick'}
   /** This host is leaving: grants nothing more and sends the followers away. */
@@ -52,7 +53,10 @@
   private config: ConfigState;
   private allowed: ReadonlySet<string> = new Set();
   private applied = '';
-  private factor = 0;
+  private part = 0;
+  private recovering = true;
+  /** Hosts that left by a message and have not come back. */
+  private readonly departed = new Set<string>();
   private readonly foreignHosts = new Set<string>();
   private handingOver = false;
   private emptySinceMs: number;
@@ -117,9 +121,10 @@
         this.config = message.state;
         this.applied = '';
         break;
-      case 'versionsAllowed':
-        this.allowed = new Set(message.versions);
+      case 'versionCaps':
+        this.allowed = new Set(message.caps.map(({version}) => version));
         this.applied = '';
+        this.decide(core.setVersionCaps(message.caps, this.now));
         break;
       case 'membershipChanged':
         this.applyShare();
@@ -198,6 +203,7 @@
       this.refs.set(host, message.ref);
       this.ledger.follow(host, message.foreign, message.zoneHosts, this.now);
       this.listing.set(host, new Set());
+      this.departed.delete(host);
       if (message.foreign) this.foreignHosts.add(host);
       // Until the lists are complete the share of a host that follows again is not used.
       this.applyShare();
@@ -257,6 +263,7 @@
     // more than its share, and the slots would be granted again.
     for (const key of this.table.waitingOf(host)) this.forget(key);
     const held = this.removeFollower(host);
+    this.departed.add(host);
     this.leaving.push({host, ref, held});
   }
 
@@ -309,30 +316,28 @@
     if (applied === this.applied) return;
     this.applied = applied;
     const {core, group} = this.parts;
-    const targets = viewGroup(this.config, group, this.allowed).map(target => {
-      if (!share.recovering) return target;
-      const ownPart = Math.floor(target.maxConcurrency * part);
-      const maxConcurrency = Math.min(target.coldConcurrency, ownPart);
-      return {...target, maxConcurrency, coldConcurrency: maxConcurrency};
-    });
-    // While recovering, the part is already in the targets' limits: the cold limit is too small to
-    // be divided again.
-    const factor = share.recovering && part > 0 ? 1 : part;
-    // The smaller limit is set first, so that no grant is made between the two calls.
-    const reduces = factor < this.factor;
-    this.factor = factor;
-    if (reduces) this.decide(core.setShare(factor, this.now));
+    const targets = viewGroup(this.config, group, this.allowed);
+    // The smaller limit is set first, so that no grant is made between the calls.
+    const reduces = part < this.part;
+    this.part = part;
+    if (reduces) this.decide(core.setShare(part, this.now));
     this.decide(core.setTargets(targets, this.now));
-    if (!reduces) this.decide(core.setShare(factor, this.now));
+    if (!reduces) this.decide(core.setShare(part, this.now));
+    if (!share.recovering && this.recovering) {
+      this.recovering = false;
+      this.decide(core.recovered(this.now));
+    }
   }
 
   private confirmLeaving(): void {
     if (this.leaving.length === 0) return;
     const {held, hosts} = this.ledger.evaluate(this.now);
     const part = held / Math.max(1, hosts);
+    // Permits of hosts that left by a message are listed at their new owner.
+    const counts = this.table.countWithout(this.departed);
     const within = viewGroup(this.config, this.parts.group, this.allowed).every(
       ({name, maxConcurrency}) =>
-        this.table.count(name) <= Math.floor(maxConcurrency * part),
+        (counts.get(name) ?? 0) <= partOf(maxConcurrency, part),
     );
     if (!within) return;
     const settled =
@@ -344,19 +349,7 @@
   }
 
   private publishFreeSlots(): void {
-    const {share} = this.status;
-    const part = share.recovering ? 0 : share.held / Math.max(1, share.hosts);
-    let slots = -this.table.waitingCount;
-    for (const target of viewGroup(
-      this.config,
-      this.parts.group,
-      this.allowed,
-    )) {
-      if (!target.usable) continue;
-      slots += Math.floor(target.maxConcurrency * part);
-      slots -= this.table.count(target.name);
-    }
-    slots = Math.max(0, slots);
+    const slots = this.parts.core.freeSlots;
     const ageMs = this.now - this.freeSlotsSentMs;
     if (slots === this.lastFreeSlots && ageMs < freeSlotsMs) return;
     this.lastFreeSlots = slots;
@@ -411,6 +404,12 @@
   }
 }
 
+/** Part of a limit, as the scheduler divides it: more than half of the followers have at least 1. */
+function partOf(limit: number, part: number): number {
+  const slots = Math.floor(limit * part + 1e-9);
+  return part > 0.5 ? Math.max(1, slots) : slots;
+}
+
 /** The request as the scheduler knows it: named by host and serial. */
 function own(req: QueuedRequest, key: string, host: string): QueuedRequest {
   return {...req, id: key, host};
--- a/src/process/groups/permit-node.ts
+++ b/src/process/groups/permit-node.ts
@@ -3,7 +3,7 @@
   PermitTransport,
 } from '../../connection/peer/permit-transport.js';
 import type {Grant} from '../../request/dispatcher.js';
-import type {QueuedRequest} from '../../request/scheduler/types.js';
+import type {QueuedRequest, VersionCap} from '../../request/scheduler/types.js';
 import type {ConfigState} from '../../version/config-state.js';
 import {every, type Cancel, type Clock} from '../clock.js';
 import {FailureError} from '../errors/catalogue.js';
@@ -58,7 +58,7 @@
   private serial: number;
   private ref = 0;
   private lastTickMs: number;
-  private allowed: ReadonlyMap<string, readonly string[]> = new Map();
+  private caps: ReadonlyMap<string, readonly VersionCap[]> = new Map();
   private readonly cancels: Cancel[] = [];
   private stopped = false;
 
@@ -112,13 +112,13 @@
    * Allows versions beside a service's own, for a rollout.
    *
    * @param service - Service that is rolled out.
-   * @param versions - Versions that may get requests.
+   * @param caps - Versions that may get requests, with their limits at one owner.
    */
-  allowVersions(service: string, versions: readonly string[]): void {
-    this.allowed = new Map(this.allowed).set(service, versions);
+  setVersionCaps(service: string, caps: readonly VersionCap[]): void {
+    this.caps = new Map(this.caps).set(service, caps);
     for (const [group, task] of this.tasks) {
       if (parseGroup(group)?.service === service) {
-        task.post({kind: 'versionsAllowed', versions});
+        task.post({kind: 'versionCaps', caps});
       }
     }
   }
@@ -271,7 +271,8 @@
           members.live(zone).map(({id}) => id),
         ),
       target: name => {
-        const allowed = new Set(this.allowed.get(service) ?? []);
+        const caps = this.caps.get(service) ?? [];
+        const allowed = new Set(caps.map(({version}) => version));
         return viewTarget(config(), name, allowed);
       },
       send: (host, message) => this.sendToOwner(host, message),
@@ -396,8 +397,8 @@
       send: (host, message) => this.sendToFollower(host, message),
     });
     this.tasks.set(group, task);
-    const versions = this.allowed.get(name.service);
-    if (versions) task.post({kind: 'versionsAllowed', versions});
+    const caps = this.caps.get(name.service);
+    if (caps) task.post({kind: 'versionCaps', caps});
     this.parts.onOwned?.(group, true);
     return task;
   }
--- a/src/process/groups/permit-table.ts
+++ b/src/process/groups/permit-table.ts
@@ -78,6 +78,15 @@
     return this.counts.get(target) ?? 0;
   }
 
+  /** @returns Number of permits by target, without those of some hosts. */
+  countWithout(hosts: ReadonlySet<string>): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {host, target} of this.permits.values()) {
+      if (!hosts.has(host)) counts.set(target, (counts.get(target) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Number of waiting requests. */
   get waitingCount(): number {
     return this.waiting.size;
--- a/src/process/groups/scheduler-core.ts
+++ b/src/process/groups/scheduler-core.ts
@@ -6,10 +6,13 @@
   OutstandingPermit,
   QueuedRequest,
   TargetView,
+  VersionCap,
 } from '../../request/scheduler/types.js';
 
-/** Decision logic of a group owner, as `GroupTask` uses it. */
+/** Decision logic of a group owner, as `GroupTask` uses it; `GroupScheduler` has this form. */
 export abstract class SchedulerCore {
+  /** Permits that could be granted now. */
+  abstract get freeSlots(): number;
   abstract setTargets(
     targets: readonly TargetView[],
     nowMs: number,
@@ -39,5 +42,11 @@
     event: CacheEvent,
     nowMs: number,
   ): readonly Decision[];
+  /** Lifts the cold limits of a new owner. */
+  abstract recovered(nowMs: number): readonly Decision[];
+  abstract setVersionCaps(
+    caps: readonly VersionCap[],
+    nowMs: number,
+  ): readonly Decision[];
   abstract tick(nowMs: number): readonly Decision[];
 }
