--- a/src/process/groups/permit-node.ts
+++ b/src/process/groups/permit-node.ts
@@ -98,6 +98,7 @@
   /** Applies the current configuration. */
   configChanged(): void {
     if (this.stopped) return;
+    this.guard();
     const state = this.parts.config();
     this.toTasks({kind: 'configChanged', state});
     for (const group of listGroups(state).keys()) {
@@ -295,6 +296,8 @@
 
   private sendToOwner(host: string, message: FollowerMessage): void {
     if (this.stopped) return;
+    // The end of an attempt may be the first thing that runs after a pause.
+    this.guard();
     const {clock, members, transport} = this.parts;
     if (host === members.self.id) {
       this.fromFollower(host, message);
--- a/test/process/groups/permit-failures.test.ts
+++ b/test/process/groups/permit-failures.test.ts
@@ -177,6 +177,19 @@
   assert.ok(own.grant);
 });
 
+test('the end of an attempt just after a pause does not make the former owner grant', async () => {
+  const fleet = await startFleet(13);
+  const owner = fleet.owner();
+  const asked = Array.from({length: 17}, () => fleet.ask(owner));
+  await fleet.run(20);
+  fleet.host(owner).paused = true;
+  await fleet.run(3000);
+  const task = fleet.host(owner).node.owned.get('a/s/0');
+  fleet.release(granted(asked)[0]);
+  assert.notEqual(fleet.host(owner).node.owned.get('a/s/0'), task);
+  assert.equal(granted(asked).length, 16);
+});
+
 test('a zone that goes out and a target that is leaving get nothing new', async () => {
   const fleet = await startFleet(8);
   fleet.put('target', 'a0', {...fleet.target('a', 8), state: 'leaving'}, 500);
