Connect permits over gRPC, spill and target reports

LocalDispatcher counted per host; the request path now asks group owners through PermitDispatcher. Until the membership is connected a host knows only itself and owns the groups of its zone.

--- a/src/process/events/peer-events.ts
+++ b/src/process/events/peer-events.ts
@@ -15,4 +15,17 @@
     level: 'warn',
     message: 'host list unavailable; the last one stays in use',
   },
+  groupOwned: {id: 3010, level: 'info', message: 'group is owned here'},
+  groupGivenUp: {id: 3011, level: 'info', message: 'group is owned elsewhere'},
+  hostPaused: {
+    id: 3012,
+    level: 'warn',
+    message: 'this host was paused and gave up its groups',
+  },
+  permitLinkEnded: {id: 3013, level: 'info', message: 'permit link ended'},
+  requestSpilled: {
+    id: 3014,
+    level: 'debug',
+    message: 'request sent to another zone',
+  },
 } as const;
--- /dev/null
+++ b/src/process/groups/create-permits.ts
@@ -0,0 +1,137 @@
+import type {PermitTransport} from '../../connection/peer/permit-transport.js';
+import type {TargetStatusClient} from '../../connection/target/target-status-client.js';
+import type {RefusalReason} from '../../request/refusals.js';
+import type {ConfigState} from '../../version/config-state.js';
+import type {Clock} from '../clock.js';
+import type {Logger} from '../logger.js';
+import type {MemberView} from '../member-view.js';
+import type {Metrics} from '../metrics.js';
+import {createScheduler} from './create-scheduler.js';
+import {PermitNode} from './permit-node.js';
+import {StatusPoller} from './status-poller.js';
+
+/** Serials start below this number, so that they take at most 6 bytes on the wire for years. */
+const maxFirstSerial = 2 ** 40;
+
+/** What the sharing of permits takes from the process. */
+export interface PermitsParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly members: MemberView;
+  readonly random: () => number;
+  readonly transport: PermitTransport;
+  readonly status: TargetStatusClient;
+  readonly config: () => ConfigState;
+}
+
+/** The permit node of a host with its poller, logs and metrics. */
+export interface Permits {
+  readonly node: PermitNode;
+  readonly onSpill: (zone: string, reason: RefusalReason) => void;
+  readonly start: () => void;
+  readonly stop: () => void;
+}
+
+/**
+ * Connects the permit node with logs, metrics and the targets' load reports.
+ *
+ * @param parts - Parts of the process.
+ * @returns The node, not yet started.
+ */
+export function createPermits(parts: PermitsParts): Permits {
+  const {clock, config, logger, members, metrics, random, transport} = parts;
+  const pauses = metrics.counter(
+    'guavaseam_pauses_total',
+    'Times that this host was paused and gave up its groups',
+    [],
+  );
+  const spills = metrics.counter(
+    'guavaseam_spills_total',
+    'Requests sent to another zone, by zone and reason of the own owner',
+    ['zone', 'reason'],
+  );
+  // The start's own number keeps the permit ids of two starts of one host apart.
+  const firstSerial = Math.floor(random() * maxFirstSerial);
+  let owners = 0;
+  const node = new PermitNode({
+    clock,
+    members,
+    transport,
+    config,
+    firstSerial,
+    createCore: group => {
+      const owner = `${members.self.id}-${firstSerial}-${++owners}`;
+      return createScheduler(group, owner, config(), metrics);
+    },
+    onOwned: (group, owned) =>
+      logger.event(owned ? 'groupOwned' : 'groupGivenUp', {group}),
+    onPaused: gapMs => {
+      pauses.inc();
+      logger.event('hostPaused', {gapMs});
+    },
+    onLinkEnded: (host, reason) =>
+      logger.event('permitLinkEnded', {host, reason}),
+  });
+  const poller = new StatusPoller({
+    clock,
+    client: parts.status,
+    config,
+    owned: () => node.owned.keys(),
+    deliver: (group, message) => node.toOwned(group, message),
+  });
+  declareGauges(metrics, node);
+  return {
+    node,
+    onSpill: (zone, reason) => {
+      spills.inc({zone, reason});
+      logger.event('requestSpilled', {zone, reason});
+    },
+    start: () => {
+      node.start();
+      poller.start();
+    },
+    stop: () => {
+      poller.stop();
+      node.stop();
+    },
+  };
+}
+
+function declareGauges(metrics: Metrics, node: PermitNode): void {
+  const statuses = () => [...node.owned.values()].map(task => task.status);
+  metrics.gauge(
+    'guavaseam_groups_owned',
+    'Target groups whose owner is this host',
+    () => node.owned.size,
+  );
+  metrics.gauge(
+    'guavaseam_groups_recovering',
+    'Owned groups that are within the cold limits, because not all permits are known',
+    () => statuses().filter(({share}) => share.recovering).length,
+  );
+  metrics.gauge(
+    'guavaseam_groups_partial',
+    'Owned groups that hold only a part of the limits',
+    () => statuses().filter(({share}) => share.held < share.hosts).length,
+  );
+  metrics.gauge(
+    'guavaseam_permits_waiting',
+    'Requests that wait at the owned groups',
+    () => statuses().reduce((sum, {waiting}) => sum + waiting, 0),
+  );
+  metrics.gauge(
+    'guavaseam_permits_held',
+    'Permits that this host holds',
+    () => {
+      let held = 0;
+      for (const {permits} of node.followed.values()) held += permits.size;
+      return held;
+    },
+  );
+  metrics.gauge(
+    'guavaseam_cut_off',
+    '1 while this host reaches no other and serves with its static part of the limits',
+    () => Number(node.cutOff),
+  );
+}
--- a/src/process/groups/group-task.ts
+++ b/src/process/groups/group-task.ts
@@ -1,45 +1,12 @@
-import type {
-  CacheEvent,
-  Decision,
-  LoadReport,
-  QueuedRequest,
-  VersionCap,
-} from '../../request/scheduler/types.js';
+import type {Decision, QueuedRequest} from '../../request/scheduler/types.js';
 import type {ConfigState} from '../../version/config-state.js';
-import type {Clock} from '../clock.js';
 import {Task} from '../task.js';
+import type {GroupMessage, GroupParts} from './group-messages.js';
 import {viewGroup} from './group-targets.js';
 import {deathGraceMs, freeSlotsMs} from './permit-limits.js';
 import type {FollowerMessage, OwnerMessage} from './permit-messages.js';
 import {PermitTable, permitKey} from './permit-table.js';
-import type {SchedulerCore} from './scheduler-core.js';
 import {ShareLedger, type Share} from './share-ledger.js';
-import type {ZoneRoster} from './zone-roster.js';
-
-/** Messages to a group owner. */
-export type GroupMessage =
-  | {kind: 'follower'; host: string; message: FollowerMessage}
-  /** The link of a follower ended; its permits stay counted. */
-  | {kind: 'linkClosed'; host: string}
-  | {kind: 'loadReport'; target: string; report: LoadReport}
-  | {kind: 'cacheEvent'; target: string; event: CacheEvent}
-  | {kind: 'configChanged'; state: ConfigState}
-  /** Limits of the versions beside the service's own that a rollout allows. */
-  | {kind: 'versionCaps'; caps: readonly VersionCap[]}
-  | {kind: 'membershipChanged'}
-  | {kind: 'tick'}
-  /** This host is leaving: grants nothing more and sends the followers away. */
-  | {kind: 'handOver'};
-
-/** What a group owner needs. */
-export interface GroupParts {
-  readonly group: string;
-  readonly core: SchedulerCore;
-  readonly clock: Clock;
-  readonly roster: ZoneRoster;
-  readonly config: ConfigState;
-  readonly send: (host: string, message: OwnerMessage) => void;
-}
 
 /** Owner of one group: applies the followers' messages to the scheduler and sends its decisions. */
 export class GroupTask extends Task<GroupMessage> {
@@ -226,7 +193,13 @@
       this.table.addPermit(key, {host, target, permitId, expiresMs});
       this.decide(
         this.parts.core.adopt(
-          {permitId, request: own(request, key, host), target, ageMs, tokens},
+          {
+            permitId,
+            request: this.own(request, key, host),
+            target,
+            ageMs,
+            tokens,
+          },
           this.now,
         ),
       );
@@ -254,7 +227,7 @@
     const key = permitKey(host, serial);
     const expiresMs = this.now + request.timeoutMs;
     if (!this.table.addWaiting(key, {host, expiresMs})) return;
-    const req = own(request, key, host);
+    const req = this.own(request, key, host);
     this.decide(this.parts.core.offer(req, this.now));
   }
 
@@ -399,6 +372,12 @@
     this.parts.send(host, {...message, ref, serial});
   }
 
+  /** The request as the scheduler knows it: named by host and serial. */
+  private own(req: QueuedRequest, key: string, host: string): QueuedRequest {
+    const service = this.parts.group.split('/')[1];
+    return {...req, id: key, host, service};
+  }
+
   private get now(): number {
     return this.parts.clock.nowMs();
   }
@@ -409,8 +388,3 @@
   const slots = Math.floor(limit * part + 1e-9);
   return part > 0.5 ? Math.max(1, slots) : slots;
 }
-
-/** The request as the scheduler knows it: named by host and serial. */
-function own(req: QueuedRequest, key: string, host: string): QueuedRequest {
-  return {...req, id: key, host};
-}
--- /dev/null
+++ b/src/process/groups/permit-links.ts
@@ -0,0 +1,111 @@
+import type {
+  PermitLink,
+  PermitLinkHandlers,
+  PermitTransport,
+} from '../../connection/peer/permit-transport.js';
+import type {Clock} from '../clock.js';
+import type {FollowerMessage, OwnerMessage} from './permit-messages.js';
+import {PermitSession} from './permit-session.js';
+
+type OutSession = PermitSession<FollowerMessage, OwnerMessage>;
+type InSession = PermitSession<OwnerMessage, FollowerMessage>;
+
+/** What the links of a host need, and whom they tell. */
+export interface PermitLinksParts {
+  readonly clock: Clock;
+  readonly transport: PermitTransport;
+  /** Called before anything that arrives is handled. */
+  readonly before: () => void;
+  readonly fromOwner: (host: string, message: OwnerMessage) => void;
+  readonly fromFollower: (host: string, message: FollowerMessage) => void;
+  readonly ownerLost: (host: string, reason: string) => void;
+  readonly followerLost: (host: string, reason: string) => void;
+}
+
+/** Links of this host: one to each owner that it follows and one from each follower. */
+export class PermitLinks {
+  private readonly outgoing = new Map<string, OutSession>();
+  private readonly incoming = new Map<string, InSession>();
+
+  /**
+   * @param parts - Parts of the process.
+   */
+  constructor(private readonly parts: PermitLinksParts) {
+    parts.transport.listen((host, link) => this.accept(host, link));
+  }
+
+  /** Sends to an owner; opens the link if there is none. */
+  toOwner(host: string, message: FollowerMessage): void {
+    const session = this.outgoing.get(host) ?? this.connect(host);
+    session.send(message, this.parts.clock.nowMs());
+  }
+
+  /** Sends to a follower; without a link the message is void. */
+  toFollower(host: string, message: OwnerMessage): void {
+    this.incoming.get(host)?.send(message, this.parts.clock.nowMs());
+  }
+
+  /** Sends heartbeats and ends links on which the peer is silent. */
+  tick(): void {
+    const nowMs = this.parts.clock.nowMs();
+    for (const session of this.outgoing.values()) session.tick(nowMs);
+    for (const session of this.incoming.values()) session.tick(nowMs);
+  }
+
+  /** Closes all links without telling the parts of this host. */
+  close(): void {
+    for (const session of this.outgoing.values()) session.close();
+    for (const session of this.incoming.values()) session.close();
+    this.outgoing.clear();
+    this.incoming.clear();
+  }
+
+  private connect(host: string): OutSession {
+    const {clock, transport, before, fromOwner, ownerLost} = this.parts;
+    const session: OutSession = new PermitSession<
+      FollowerMessage,
+      OwnerMessage
+    >(
+      () => link,
+      message => fromOwner(host, message),
+      reason => {
+        if (this.outgoing.get(host) === session) this.outgoing.delete(host);
+        ownerLost(host, reason);
+      },
+      clock.nowMs(),
+    );
+    const link = transport.connect(host, {
+      frame: frame => {
+        before();
+        session.receive(frame, clock.nowMs());
+      },
+      closed: reason => session.end(reason),
+    });
+    this.outgoing.set(host, session);
+    return session;
+  }
+
+  private accept(host: string, link: PermitLink): PermitLinkHandlers {
+    const {clock, before, fromFollower, followerLost} = this.parts;
+    before();
+    // A host has one link to this one; a new link shows that the old one is broken.
+    this.incoming.get(host)?.end('replaced by a new link');
+    const session: InSession = new PermitSession<OwnerMessage, FollowerMessage>(
+      () => link,
+      message => fromFollower(host, message),
+      reason => {
+        if (this.incoming.get(host) === session) this.incoming.delete(host);
+        followerLost(host, reason);
+      },
+      clock.nowMs(),
+    );
+    this.incoming.set(host, session);
+    return {
+      frame: frame => {
+        before();
+        session.receive(frame, clock.nowMs());
+      },
+      closed: reason => session.end(reason),
+    };
+  }
+}
--- a/src/process/groups/permit-node.ts
+++ b/src/process/groups/permit-node.ts
@@ -1,7 +1,4 @@
-import type {
-  PermitLink,
-  PermitTransport,
-} from '../../connection/peer/permit-transport.js';
+import type {PermitTransport} from '../../connection/peer/permit-transport.js';
 import type {Grant} from '../../request/dispatcher.js';
 import type {QueuedRequest, VersionCap} from '../../request/scheduler/types.js';
 import type {ConfigState} from '../../version/config-state.js';
@@ -14,10 +11,11 @@
 import {GroupFollower} from './group-follower.js';
 import {listGroups, parseGroup} from './group-names.js';
 import {viewTarget} from './group-targets.js';
-import {GroupTask, type GroupMessage} from './group-task.js';
+import type {GroupMessage} from './group-messages.js';
+import {GroupTask} from './group-task.js';
 import {idleGroupMs, maxOwnedGroups, pauseMs, tickMs} from './permit-limits.js';
 import type {FollowerMessage, OwnerMessage} from './permit-messages.js';
-import {PermitSession} from './permit-session.js';
+import {PermitLinks} from './permit-links.js';
 import type {SchedulerCore} from './scheduler-core.js';
 import {ZoneRoster} from './zone-roster.js';
 
@@ -38,9 +36,6 @@
   readonly onLinkEnded?: (host: string, reason: string) => void;
 }
 
-type OutSession = PermitSession<FollowerMessage, OwnerMessage>;
-type InSession = PermitSession<OwnerMessage, FollowerMessage>;
-
 /** Groups that this host owns and follows, and its links to other hosts. */
 export class PermitNode {
   /** Free slots of the groups, as far as they are known. */
@@ -48,8 +43,7 @@
 
   private readonly tasks = new Map<string, GroupTask>();
   private readonly followers = new Map<string, GroupFollower>();
-  private readonly outgoing = new Map<string, OutSession>();
-  private readonly incoming = new Map<string, InSession>();
+  private readonly links: PermitLinks;
   /** Group of each ref that a follower chose, by follower and ref. */
   private readonly groupOfRef = new Map<string, Map<number, string>>();
   private readonly groupOfOwnRef = new Map<number, string>();
@@ -70,7 +64,22 @@
     this.serial = parts.firstSerial;
     this.lastTickMs = clock.nowMs();
     this.roster = new ZoneRoster(members, members.self.zone);
-    transport.listen((host, link) => this.accept(host, link));
+    this.links = new PermitLinks({
+      clock,
+      transport,
+      before: () => this.guard(),
+      fromOwner: (host, message) => this.fromOwner(host, message),
+      fromFollower: (host, message) => this.fromFollower(host, message),
+      ownerLost: (host, reason) => {
+        this.parts.onLinkEnded?.(host, reason);
+        this.toFollowers({kind: 'linkClosed', host});
+      },
+      followerLost: (host, reason) => {
+        this.groupOfRef.delete(host);
+        this.parts.onLinkEnded?.(host, reason);
+        this.toTasks({kind: 'linkClosed', host});
+      },
+    });
   }
 
   /** Starts to follow the groups of this host's zone. */
@@ -232,8 +241,7 @@
     const nowMs = this.parts.clock.nowMs();
     this.lastTickMs = nowMs;
     this.roster.refresh(nowMs);
-    for (const session of this.outgoing.values()) session.tick(nowMs);
-    for (const session of this.incoming.values()) session.tick(nowMs);
+    this.links.tick();
     this.toTasks({kind: 'tick'});
     for (const [group, task] of this.tasks) {
       if (task.idleMs < idleGroupMs) continue;
@@ -298,37 +306,8 @@
     if (this.stopped) return;
     // The end of an attempt may be the first thing that runs after a pause.
     this.guard();
-    const {clock, members, transport} = this.parts;
-    if (host === members.self.id) {
-      this.fromFollower(host, message);
-      return;
-    }
-    let session = this.outgoing.get(host);
-    if (!session) {
-      const created: OutSession = new PermitSession<
-        FollowerMessage,
-        OwnerMessage
-      >(
-        () => link,
-        received => this.fromOwner(host, received),
-        reason => {
-          if (this.outgoing.get(host) === created) this.outgoing.delete(host);
-          this.parts.onLinkEnded?.(host, reason);
-          this.toFollowers({kind: 'linkClosed', host});
-        },
-        clock.nowMs(),
-      );
-      const link: PermitLink = transport.connect(host, {
-        frame: frame => {
-          this.guard();
-          created.receive(frame, clock.nowMs());
-        },
-        closed: reason => created.end(reason),
-      });
-      this.outgoing.set(host, created);
-      session = created;
-    }
-    session.send(message, clock.nowMs());
+    if (host === this.parts.members.self.id) this.fromFollower(host, message);
+    else this.links.toOwner(host, message);
   }
 
   private toFollowers(message: {kind: 'linkClosed'; host: string}): void {
@@ -341,32 +320,6 @@
     this.followers.get(group)?.post({kind: 'fromOwner', host, message});
   }
 
-  private accept(host: string, link: PermitLink) {
-    const {clock} = this.parts;
-    this.guard();
-    // A host has one link to this one; a new link shows that the old one is broken.
-    this.incoming.get(host)?.end('replaced by a new link');
-    const session: InSession = new PermitSession<OwnerMessage, FollowerMessage>(
-      () => link,
-      message => this.fromFollower(host, message),
-      reason => {
-        if (this.incoming.get(host) === session) this.incoming.delete(host);
-        this.groupOfRef.delete(host);
-        this.parts.onLinkEnded?.(host, reason);
-        this.toTasks({kind: 'linkClosed', host});
-      },
-      clock.nowMs(),
-    );
-    this.incoming.set(host, session);
-    return {
-      frame: (frame: Parameters<InSession['receive']>[0]) => {
-        this.guard();
-        session.receive(frame, clock.nowMs());
-      },
-      closed: (reason: string) => session.end(reason),
-    };
-  }
-
   private fromFollower(host: string, message: FollowerMessage): void {
     let refs = this.groupOfRef.get(host);
     if (!refs) this.groupOfRef.set(host, (refs = new Map()));
@@ -407,16 +360,12 @@
   }
 
   private sendToFollower(host: string, message: OwnerMessage): void {
-    const {clock, members} = this.parts;
-    if (host === members.self.id) this.fromOwner(host, message);
-    else this.incoming.get(host)?.send(message, clock.nowMs());
+    if (host === this.parts.members.self.id) this.fromOwner(host, message);
+    else this.links.toFollower(host, message);
   }
 
   private dropLinks(): void {
-    for (const session of this.outgoing.values()) session.close();
-    for (const session of this.incoming.values()) session.close();
-    this.outgoing.clear();
-    this.incoming.clear();
+    this.links.close();
     this.groupOfRef.clear();
   }
 }
--- a/src/process/groups/share-ledger.ts
+++ b/src/process/groups/share-ledger.ts
@@ -100,6 +100,7 @@
   /** Whether permits of other zones' hosts were listed or had the time to be. */
   isSettled(nowMs: number): boolean {
     if (nowMs - this.createdMs >= foreignSettleMs) return true;
+    if (!this.roster.hasForeign) return true;
     const own = [...this.followers.values()].filter(f => !f.foreign);
     return own.length > 0 && own.every(f => f.settled);
   }
--- a/src/process/groups/zone-roster.ts
+++ b/src/process/groups/zone-roster.ts
@@ -62,6 +62,11 @@
     return this.othersDied && this.view.live().length <= 1;
   }
 
+  /** Whether there are live hosts in other zones. */
+  get hasForeign(): boolean {
+    return this.view.live().some(({zone}) => zone !== this.zone);
+  }
+
   /** Ids of the live hosts. */
   get hosts(): readonly string[] {
     return [...this.live];
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -4,14 +4,20 @@
 import {UnknownPathHandler} from './connection/caller/unknown-path-handler.js';
 import {PeerChannels} from './connection/peer/peer-channels.js';
 import {protocolVersion} from './connection/peer/peer-codec.js';
-import {loadPeerCredentials} from './connection/peer/peer-credentials.js';
+import {
+  certifiesHost,
+  loadPeerCredentials,
+} from './connection/peer/peer-credentials.js';
 import {PeerLinks} from './connection/peer/peer-links.js';
 import {PeerServer} from './connection/peer/peer-server.js';
+import {GrpcPermitTransport} from './connection/peer/permit-grpc.js';
 import {HttpHostListClient} from './connection/platform/host-list-client.js';
 import {HttpLogClient} from './connection/platform/http-log-client.js';
 import type {LogClient} from './connection/platform/log-client.js';
 import {TargetClients} from './connection/target/target-clients.js';
+import {HttpTargetStatusClient} from './connection/target/target-status-client.js';
 import {SystemClock, type Clock} from './process/clock.js';
+import {createPermits} from './process/groups/create-permits.js';
 import {Logger} from './process/logger.js';
 import {HostListPoller} from './process/membership/host-list-poller.js';
 import {MembershipTask} from './process/membership/membership-task.js';
@@ -23,7 +29,7 @@
 import type {RandomSource} from './request/backoff.js';
 import {CostEstimator} from './request/cost-estimator.js';
 import {CrashEvidence} from './request/crash-evidence.js';
-import {LocalDispatcher} from './request/local-dispatcher.js';
+import {PermitDispatcher} from './request/permit-dispatcher.js';
 import {loadPrefixHasher, type PrefixHasher} from './request/prefix-hashes.js';
 import {RequestHandler} from './request/request-handler.js';
 import {TokenBucketRetryBudget} from './request/retry-budget.js';
@@ -163,7 +169,23 @@
   );
   const targets = new TargetClients();
   let prefixHasher: PrefixHasher | undefined;
-  const dispatcher = new LocalDispatcher(() => store.state, clock);
+  const permits = createPermits({
+    clock,
+    logger,
+    metrics,
+    members,
+    random,
+    transport: peers.permitTransport,
+    status: new HttpTargetStatusClient(),
+    config: () => store.state,
+  });
+  const dispatcher = new PermitDispatcher({
+    node: permits.node,
+    members,
+    config: () => store.state,
+    clock,
+    onSpill: permits.onSpill,
+  });
   let draining = false;
   /** Whether the configuration was once as new as that of the linked hosts. */
   let relayed = false;
@@ -213,6 +235,7 @@
       peers.membership.post({kind: 'publish', configOffset});
       relay.post({kind: 'advanced'});
       relayed ||= relay.hasCaughtUp(configStream);
+      permits.node.configChanged();
     });
   };
   const unsubscribe = [
@@ -236,6 +259,7 @@
         throw err;
       });
       relay.start();
+      permits.start();
       void feed.start();
       snapshots.start();
       logger.event('hostStarted', {callersPort, peersPort});
@@ -243,10 +267,12 @@
     },
     async stop() {
       draining = true;
+      permits.node.handOver();
       logger.event('drainStarted');
       resources.close();
       const broken = await server.close(settings.drainMs);
       if (broken > 0) logger.event('drainTimedOut', {requests: broken});
+      permits.stop();
       feed.stop();
       snapshots.stop();
       submitter.stop();
@@ -295,6 +321,19 @@
     {...parts, transport},
   );
   transport.serve(server);
+  const permitTransport = new GrpcPermitTransport({
+    fleet,
+    host: id,
+    client: host => {
+      const member = membership.view.live().find(other => other.id === host);
+      return member && channels.get(member.peerAddress);
+    },
+    addService: (definition, implementation) =>
+      server.addService(definition, implementation),
+    certifies: (call, host) => certifiesHost(credentials.mode, call, host),
+    onRejected: (host, reason) =>
+      parts.logger.event('linkRejected', {host, reason}),
+  });
   const {hostListUrl} = settings.platform;
   const hostList = hostListUrl
     ? new HttpHostListClient(hostListUrl)
@@ -311,6 +350,7 @@
     server,
     transport,
     membership,
+    permitTransport,
     async listen(): Promise<number> {
       const port = await server.listen(peers, credentials);
       const host = peers.address.includes(':')
