--- a/src/process/groups/held-grant.ts
+++ b/src/process/groups/held-grant.ts
@@ -36,9 +36,12 @@
     return this.preemption.signal;
   }
 
-  /** Takes the permit back; the request path then releases it. */
+  /**
+   * Takes the permit back; the request path then releases it. An answer of which tokens were
+   * reported is not given up: its caller may have part of it already and would see a broken answer.
+   */
   preempt(): void {
-    this.preemption.abort();
+    if (this.tokens === 0) this.preemption.abort();
   }
 
   progress(tokens: number, firstTokenMs?: number): void {
--- /dev/null
+++ b/test/process/groups/held-grant.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {HeldGrant} from '../../../src/process/groups/held-grant.js';
+import {viewTarget} from '../../../src/process/groups/group-targets.js';
+import type {TargetView} from '../../../src/request/scheduler/types.js';
+import {PermitFleet} from './permit-fleet.js';
+
+test('a preemption does not break an answer of which the caller may have a part', () => {
+  const fleet = new PermitFleet(1);
+  fleet.declare('a', 1, 4);
+  const target = viewTarget(fleet.config, 'a0', new Set()) as TargetView;
+  const released: string[] = [];
+  const create = () =>
+    new HeldGrant(
+      'p',
+      fleet.request(),
+      target,
+      0,
+      0,
+      () => {},
+      ({result}) => released.push(result),
+    );
+  const waiting = create();
+  waiting.preempt();
+  assert.ok(waiting.preempted.aborted);
+  const relayed = create();
+  relayed.tokens = 1;
+  relayed.preempt();
+  assert.ok(!relayed.preempted.aborted);
+  const outcome = {result: 'ok' as const, totalMs: 1, tokens: 1};
+  relayed.release(outcome);
+  relayed.release(outcome);
+  assert.deepEqual(released, ['ok']);
+});
