Report progress less often in long streams

An answer of 14 s, 240 tokens at 58 ms, sent 56 progress messages to the group owner. At 20 requests a second a host would send 1,120 messages a second, well beyond the control budget of 13 KB/s. The interval now doubles from 250 ms to 4 s; the stall threshold of the owner is 10 s.

--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -11,8 +11,13 @@
 const maxEventBytes = 256 * 1024;
 /** End of a stream in which its usage is looked for, in bytes. */
 const maxTailBytes = 4096;
-/** Least time between two progress reports, in milliseconds. */
-const progressIntervalMs = 250;
+/** Time between the first two progress reports, in milliseconds; it doubles with each report. */
+const firstProgressIntervalMs = 250;
+/**
+ * Greatest time between two progress reports, in milliseconds. Owners take a permit without a report
+ * for 10 s as stalled. Reports each 250 ms would be 56 messages for an answer of 14 s.
+ */
+const maxProgressIntervalMs = 4000;
 
 /** What the relay of one request needs to know. */
 export interface RelayOptions {
@@ -32,7 +37,8 @@
   private readonly startMs: number;
   private copy: Buffer[] | undefined;
   private copyBytes = 0;
-  private reportedMs = -Infinity;
+  private nextReportMs = -Infinity;
+  private reportIntervalMs = firstProgressIntervalMs;
   private tokensInUsage: number | undefined;
   private cachedInUsage: number | undefined;
 
@@ -177,8 +183,12 @@
 
   private progress(): void {
     const nowMs = this.options.clock.nowMs();
-    if (nowMs - this.reportedMs < progressIntervalMs) return;
-    this.reportedMs = nowMs;
+    if (nowMs < this.nextReportMs) return;
+    this.nextReportMs = nowMs + this.reportIntervalMs;
+    this.reportIntervalMs = Math.min(
+      2 * this.reportIntervalMs,
+      maxProgressIntervalMs,
+    );
     this.options.onProgress(this.splitter.events, this.firstTokenMs ?? 0);
   }
 
