Add the evidence tests and the rollout decision core

Cause: a version is replaced by hand today, and nothing judges it. Change: counters that hosts exchange, sequential tests of the new version against the old one in the same period, a rollout folded from the log, a planner, and the task that leads rollouts.

--- a/src/process/errors/catalogue.ts
+++ b/src/process/errors/catalogue.ts
@@ -2,6 +2,7 @@
 import {platformFailures, type PlatformFailure} from './platform-failures.js';
 import {requestFailures, type RequestFailure} from './request-failures.js';
 import {resourceFailures, type ResourceFailure} from './resource-failures.js';
+import {rolloutFailures, type RolloutFailure} from './rollout-failures.js';
 import {settingsFailures, type SettingsFailure} from './settings-failures.js';
 
 /** Every failure that the system reports, told apart by `kind`. */
@@ -10,7 +11,8 @@
   | RequestFailure
   | PlatformFailure
   | PeerFailure
-  | ResourceFailure;
+  | ResourceFailure
+  | RolloutFailure;
 
 /** Texts for one kind of failure. */
 export interface FailureText<F> {
@@ -34,6 +36,7 @@
   ...platformFailures,
   ...peerFailures,
   ...resourceFailures,
+  ...rolloutFailures,
 };
 
 /** Carries a typed failure through `throw` and promise rejections. */
--- a/src/process/events/catalogue.ts
+++ b/src/process/events/catalogue.ts
@@ -2,6 +2,7 @@
 import {platformEvents} from './platform-events.js';
 import {processEvents} from './process-events.js';
 import {requestEvents} from './request-events.js';
+import {rolloutEvents} from './rollout-events.js';
 import {versionEvents} from './version-events.js';
 
 /** A numbered log event. */
@@ -13,13 +14,14 @@
   readonly message: string;
 }
 
-/** All log events, by name. Numbers: process 1000, request 2000, peer 3000, platform 4000, version 5000. */
+/** All log events, by name. Numbers: process 1000, request 2000, peer 3000, platform 4000, version 5000, rollout 6000. */
 export const events = {
   ...processEvents,
   ...requestEvents,
   ...peerEvents,
   ...platformEvents,
   ...versionEvents,
+  ...rolloutEvents,
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- /dev/null
+++ b/src/version/evidence/evidence-store.ts
@@ -0,0 +1,289 @@
+import {Sketch} from './sketch.js';
+
+/** Length of a time bucket, in milliseconds of wall time. */
+export const bucketMs = 5000;
+/** Number of buckets that are kept; older ones have been folded into the tests. */
+export const keptBuckets = 24;
+/** Routes of a service that are told apart; the rest counts as one route. */
+const maxRoutes = 32;
+/** Greatest number of summed cells; about 1 KB each with two sketches. */
+const maxCells = 8192;
+/** Latency of a target is not counted for this long after its start, in milliseconds. */
+export const warmUpMs = 20_000;
+/**
+ * Starts of one target whose warm-up is excluded. A target that restarts again and again is slow
+ * because of its version, so later starts are counted.
+ */
+const excludedStarts = 2;
+
+/** One finished attempt. */
+export interface EvidenceSample {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly zone: string;
+  readonly target: string;
+  /** Changes with each start of the target. */
+  readonly targetEpoch: number;
+  /** Attempts that were not started, were refused as busy or were cancelled are no samples. */
+  readonly result: 'ok' | 'failed' | 'crashed';
+  /** Whether the request itself is suspected of crashing targets; its crashes are not counted. */
+  readonly suspect?: boolean;
+  /** Time to first token, in milliseconds. */
+  readonly firstTokenMs?: number;
+  /** Mean time per token after the first, in milliseconds. */
+  readonly tokenMs?: number;
+  /** Speed of the hardware relative to the others of the service; latency is scaled by it. */
+  readonly speed?: number;
+}
+
+/** Counts of one version on one route in one zone and time bucket. */
+export interface Cell {
+  requests: number;
+  failures: number;
+  readonly firstToken: Sketch;
+  readonly token: Sketch;
+}
+
+/** A cell in the form that hosts exchange. */
+export interface ExportedCell {
+  readonly key: string;
+  readonly requests: number;
+  readonly failures: number;
+  readonly firstToken: readonly (readonly [number, number])[];
+  readonly token: readonly (readonly [number, number])[];
+}
+
+/** Counters of one host. They only grow, so a later export replaces an earlier one. */
+export interface EvidenceExport {
+  readonly origin: string;
+  readonly cells: readonly ExportedCell[];
+}
+
+/** Place of a cell. */
+export interface CellKey {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly zone: string;
+  readonly bucket: number;
+}
+
+/**
+ * Counters of a host and of its peers. Each origin's counters are kept apart by `merge`, so that
+ * an export that arrives twice or late is counted once.
+ */
+export class EvidenceStore {
+  private readonly own = new Map<string, Cell>();
+  private readonly peers = new Map<string, Map<string, ExportedCell>>();
+  private readonly sums = new Map<string, Cell & {place: CellKey}>();
+  private readonly byBucket = new Map<string, Set<string>>();
+  private readonly routes = new Map<string, Set<string>>();
+  private readonly starts = new Map<
+    string,
+    {epoch: number; count: number; atMs: number}
+  >();
+  private readonly lastCrash = new Map<string, number>();
+
+  /** Samples that were dropped because the store was full. */
+  dropped = 0;
+
+  /** @param origin - Name and incarnation of this host; a restarted host counts from 0 again. */
+  constructor(readonly origin: string) {}
+
+  /** Number of summed cells. */
+  get size(): number {
+    return this.sums.size;
+  }
+
+  /**
+   * Counts a finished attempt. Crashes seen at one target within one second count once, because a
+   * crash fails all requests that were running there.
+   *
+   * @param sample - What happened.
+   * @param wallMs - Wall time, in milliseconds.
+   */
+  record(sample: EvidenceSample, wallMs: number): void {
+    const warm = this.isWarm(sample, wallMs);
+    if (sample.result === 'crashed') {
+      if (sample.suspect) return;
+      const last = this.lastCrash.get(sample.target) ?? -Infinity;
+      if (wallMs - last < 1000) return;
+      if (this.lastCrash.size > maxCells) this.lastCrash.clear();
+      this.lastCrash.set(sample.target, wallMs);
+    }
+    const key = encode({
+      ...sample,
+      route: this.knownRoute(sample.service, sample.route),
+      bucket: Math.floor(wallMs / bucketMs),
+    });
+    const sum = this.sumCell(key);
+    if (!sum) {
+      this.dropped++;
+      return;
+    }
+    const own = this.own.get(key) ?? newCell();
+    this.own.set(key, own);
+    const speed = sample.speed ?? 1;
+    for (const cell of [own, sum]) {
+      cell.requests++;
+      if (sample.result !== 'ok') cell.failures++;
+      if (!warm) continue;
+      if (sample.firstTokenMs !== undefined)
+        cell.firstToken.add(Sketch.indexOf(sample.firstTokenMs * speed));
+      if (sample.tokenMs !== undefined)
+        cell.token.add(Sketch.indexOf(sample.tokenMs * speed));
+    }
+  }
+
+  /**
+   * Lists this host's counters for its peers.
+   *
+   * @param fromBucket - Oldest bucket wanted.
+   * @returns The counters.
+   */
+  export(fromBucket = 0): EvidenceExport {
+    const cells: ExportedCell[] = [];
+    for (const [key, cell] of this.own) {
+      if (decode(key).bucket < fromBucket) continue;
+      cells.push({
+        key,
+        requests: cell.requests,
+        failures: cell.failures,
+        firstToken: cell.firstToken.entries(),
+        token: cell.token.entries(),
+      });
+    }
+    return {origin: this.origin, cells};
+  }
+
+  /**
+   * Adds the counters of a peer; repeated and older exports have no effect.
+   *
+   * @param other - Counters of the peer.
+   */
+  merge(other: EvidenceExport): void {
+    if (other.origin === this.origin) return;
+    const known =
+      this.peers.get(other.origin) ?? new Map<string, ExportedCell>();
+    this.peers.set(other.origin, known);
+    for (const cell of other.cells) {
+      const before = known.get(cell.key);
+      if (before && before.requests >= cell.requests) continue;
+      const sum = this.sumCell(cell.key);
+      if (!sum) {
+        this.dropped++;
+        continue;
+      }
+      known.set(cell.key, cell);
+      sum.requests += cell.requests - (before?.requests ?? 0);
+      sum.failures += cell.failures - (before?.failures ?? 0);
+      addDifference(sum.firstToken, cell.firstToken, before?.firstToken);
+      addDifference(sum.token, cell.token, before?.token);
+    }
+  }
+
+  /**
+   * Lists the summed cells of one service and bucket.
+   *
+   * @param service - Service.
+   * @param bucket - Time bucket.
+   * @returns Cells with their places.
+   */
+  cells(service: string, bucket: number): (Cell & {place: CellKey})[] {
+    const keys = this.byBucket.get(`${service}\n${bucket}`) ?? [];
+    return [...keys].map(key => this.sums.get(key)!);
+  }
+
+  /**
+   * Drops buckets that are too old.
+   *
+   * @param wallMs - Wall time, in milliseconds.
+   */
+  expire(wallMs: number): void {
+    const oldest = Math.floor(wallMs / bucketMs) - keptBuckets;
+    for (const [key, {place}] of this.sums) {
+      if (place.bucket >= oldest) continue;
+      this.sums.delete(key);
+      this.own.delete(key);
+      for (const [origin, known] of this.peers) {
+        known.delete(key);
+        if (known.size === 0) this.peers.delete(origin);
+      }
+      this.byBucket.delete(`${place.service}\n${place.bucket}`);
+    }
+    for (const [target, start] of this.starts) {
+      if (wallMs - start.atMs > 86_400_000) this.starts.delete(target);
+    }
+  }
+
+  private sumCell(key: string): (Cell & {place: CellKey}) | undefined {
+    const found = this.sums.get(key);
+    if (found) return found;
+    if (this.sums.size >= maxCells) return undefined;
+    const place = decode(key);
+    const cell = {...newCell(), place};
+    this.sums.set(key, cell);
+    const group = `${place.service}\n${place.bucket}`;
+    const keys = this.byBucket.get(group) ?? new Set();
+    this.byBucket.set(group, keys.add(key));
+    return cell;
+  }
+
+  private knownRoute(service: string, route: string): string {
+    const routes = this.routes.get(service) ?? new Set();
+    this.routes.set(service, routes);
+    if (routes.has(route)) return route;
+    if (routes.size >= maxRoutes) return 'other';
+    routes.add(route);
+    return route;
+  }
+
+  private isWarm(sample: EvidenceSample, wallMs: number): boolean {
+    const key = `${sample.target}\n${sample.version}`;
+    const start = this.starts.get(key);
+    if (!start || start.epoch !== sample.targetEpoch) {
+      const count = (start?.count ?? 0) + 1;
+      this.starts.set(key, {epoch: sample.targetEpoch, count, atMs: wallMs});
+      return count > excludedStarts;
+    }
+    return start.count > excludedStarts || wallMs - start.atMs >= warmUpMs;
+  }
+}
+
+function newCell(): Cell {
+  return {
+    requests: 0,
+    failures: 0,
+    firstToken: new Sketch(),
+    token: new Sketch(),
+  };
+}
+
+function encode(place: CellKey): string {
+  const {service, version, route, zone, bucket} = place;
+  return JSON.stringify([service, version, route, zone, bucket]);
+}
+
+function decode(key: string): CellKey {
+  const [service, version, route, zone, bucket] = JSON.parse(key) as [
+    string,
+    string,
+    string,
+    string,
+    number,
+  ];
+  return {service, version, route, zone, bucket};
+}
+
+function addDifference(
+  sum: Sketch,
+  now: ExportedCell['token'],
+  before: ExportedCell['token'] = [],
+): void {
+  const old = new Map(before.map(([index, count]) => [index, count]));
+  for (const [index, count] of now) {
+    const added = count - (old.get(index) ?? 0);
+    if (added > 0) sum.add(index, added);
+  }
+}
--- /dev/null
+++ b/src/version/evidence/metrics.ts
@@ -0,0 +1,174 @@
+import type {Cell} from './evidence-store.js';
+import type {Sketch} from './sketch.js';
+import {rateLogRatios, tableLogRatios} from './sequential.js';
+
+/** What a test compares. */
+export const evidenceMetrics = {
+  failures: 'failures',
+  firstTokenMedian: 'first-token-median',
+  firstTokenTail: 'first-token-tail',
+  tokenMedian: 'token-median',
+  tokenTail: 'token-tail',
+} as const;
+
+/** Value of {@link evidenceMetrics}. */
+export type EvidenceMetric =
+  (typeof evidenceMetrics)[keyof typeof evidenceMetrics];
+
+/** All metrics. */
+export const allMetrics = Object.values(evidenceMetrics);
+
+/** Harm margin on latency as a shift of sketch buckets: 1.05² = 1.10 times the old latency. */
+const harmShift = 2;
+/** Margin of the evidence for growth: 1.05⁶ = 1.34 times the old latency. */
+const growShift = 6;
+/** Margin against a reference of another period: 1.05¹⁰ = 1.63, since load may differ by then. */
+const referenceShift = 10;
+/** Odds ratios of harm. Small ones find slight harm, great ones find total failure early. */
+export const harmOdds = [2, 6, 40] as const;
+/** Odds ratios of no harm. */
+const growOdds = [0.6, 0.3] as const;
+/** Failure rate that a reference test allows on top of the old version's. */
+const referenceRateMargin = 0.02;
+/** Latencies of the old version that a threshold needs. */
+const minReference = 20;
+
+/** The old version's past on one route in one zone. */
+export interface Reference {
+  requests: number;
+  failures: number;
+  readonly firstToken: Sketch;
+  readonly token: Sketch;
+}
+
+/** Whether the load of a period is close enough to that of the reference to compare latency. */
+export interface Comparable {
+  readonly latency: boolean;
+}
+
+const sketchOf = {
+  'first-token-median': 'firstToken',
+  'first-token-tail': 'firstToken',
+  'token-median': 'token',
+  'token-tail': 'token',
+} as const;
+
+function quantileOf(metric: EvidenceMetric): number {
+  return metric.endsWith('median') ? 0.5 : 0.9;
+}
+
+/**
+ * Compares the versions within one cell. Where the old version has hardly any requests left, its
+ * past takes its place, with wider margins.
+ *
+ * @param metric - What to compare.
+ * @param now - Cell of the new version.
+ * @param old - Cell of the old version in the same period, if any.
+ * @param past - Old version before this period.
+ * @param comparable - Whether latency can be compared with the past.
+ * @returns Log likelihood ratio of each of the {@link harmOdds}.
+ */
+export function harmLogRatios(
+  metric: EvidenceMetric,
+  now: Cell,
+  old: Cell | undefined,
+  past: Reference,
+  comparable: Comparable,
+): number[] {
+  const oldRequests = old?.requests ?? 0;
+  if (metric === 'failures') {
+    if (oldRequests >= now.requests * 0.5) {
+      return tableLogRatios(
+        {
+          newTotal: now.requests,
+          newHits: now.failures,
+          oldTotal: oldRequests,
+          oldHits: old?.failures ?? 0,
+        },
+        harmOdds,
+      );
+    }
+    return failuresAgainstPast(now, old, past);
+  }
+  const field = sketchOf[metric];
+  if (past[field].total < minReference) return harmOdds.map(() => 0);
+  const q = quantileOf(metric);
+  const threshold = past[field].quantileIndex(q);
+  if (oldRequests < now.requests * 0.05) {
+    if (!comparable.latency) return harmOdds.map(() => 0);
+    return rateLogRatios(
+      now[field].total,
+      now[field].above(threshold + referenceShift),
+      1 - q,
+      harmOdds.map(odds => rateOf(1 - q, odds)),
+    );
+  }
+  return tableLogRatios(
+    {
+      newTotal: now[field].total,
+      newHits: now[field].above(threshold + harmShift),
+      oldTotal: old?.[field].total ?? 0,
+      oldHits: old?.[field].above(threshold) ?? 0,
+    },
+    harmOdds,
+  );
+}
+
+function failuresAgainstPast(
+  now: Cell,
+  old: Cell | undefined,
+  past: Reference,
+): number[] {
+  const oldRate = old ? old.failures / Math.max(1, old.requests) : 0;
+  // The old version fails as well in this period, so the cause is not the new one.
+  if (old && old.failures >= 2 && oldRate > (now.failures / now.requests) * 0.5)
+    return harmOdds.map(() => 0);
+  const rate = Math.min(
+    0.5,
+    (past.failures + 1) / (past.requests + 50) + referenceRateMargin,
+  );
+  return rateLogRatios(
+    now.requests,
+    now.failures,
+    rate,
+    harmOdds.map(odds => rateOf(rate, odds)),
+  );
+}
+
+/** Rate that has a given odds ratio to another rate. */
+function rateOf(rate: number, ratio: number): number {
+  const odds = (rate / (1 - rate)) * ratio;
+  return odds / (1 + odds);
+}
+
+/**
+ * Evidence within one cell that the new version is less than 1.34 times as slow as the old one.
+ *
+ * @param metric - A latency metric.
+ * @param now - Cell of the new version.
+ * @param old - Cell of the old version in the same period, if any.
+ * @param past - Old version before this period.
+ * @returns Log likelihood ratio of each alternative.
+ */
+export function growLogRatios(
+  metric: Exclude<EvidenceMetric, 'failures'>,
+  now: Cell,
+  old: Cell | undefined,
+  past: Reference,
+): number[] {
+  const field = sketchOf[metric];
+  if (past[field].total < minReference) return growOdds.map(() => 0);
+  const threshold = past[field].quantileIndex(quantileOf(metric));
+  return tableLogRatios(
+    {
+      newTotal: now[field].total,
+      newHits: now[field].above(threshold + growShift),
+      oldTotal: old?.[field].total ?? 0,
+      oldHits: old?.[field].above(threshold) ?? 0,
+    },
+    growOdds,
+  );
+}
+
+/** Number of alternatives of {@link growLogRatios}. */
+export const growAlternatives = growOdds.length;
--- /dev/null
+++ b/src/version/evidence/reference-book.ts
@@ -0,0 +1,100 @@
+import type {Cell} from './evidence-store.js';
+import type {Reference} from './metrics.js';
+import {Sketch} from './sketch.js';
+import type {PairedCell} from './version-judge.js';
+
+/** Latencies after which the past of a place is halved, so that it follows slow changes. */
+const referenceSize = 2000;
+/** Greatest ratio of loads at which latencies of different periods are compared. */
+const loadRatio = 1.5;
+
+/** Past of the old version by place, from closed periods only. */
+export class ReferenceBook {
+  private readonly places = new Map<string, Reference>();
+  private periodLoad: number | undefined;
+
+  /**
+   * Reads the past of a place.
+   *
+   * @param place - Route and zone.
+   * @returns The past, empty if there is none.
+   */
+  get(place: string): Reference {
+    return this.places.get(place) ?? emptyReference();
+  }
+
+  /**
+   * Adds a closed cell of the old version.
+   *
+   * @param place - Route and zone.
+   * @param cell - Counts.
+   */
+  add(place: string, cell: Cell): void {
+    const past = this.places.get(place) ?? emptyReference();
+    this.places.set(place, past);
+    past.requests += cell.requests;
+    past.failures += cell.failures;
+    past.firstToken.merge(cell.firstToken);
+    past.token.merge(cell.token);
+    if (past.firstToken.total > referenceSize) {
+      past.firstToken.decay();
+      past.token.decay();
+      past.requests /= 2;
+      past.failures /= 2;
+    }
+  }
+
+  /** @returns Failure rate of the old version over all places, 0 to 1. */
+  failureRate(): number {
+    let requests = 0;
+    let failures = 0;
+    for (const past of this.places.values()) {
+      requests += past.requests;
+      failures += past.failures;
+    }
+    return requests > 0 ? failures / requests : 0;
+  }
+
+  /**
+   * Learns the usual load while the old version still has most of the requests.
+   *
+   * @param pairs - Cells of a closed period.
+   */
+  closePeriod(pairs: readonly PairedCell[]): void {
+    const {all, old} = load(pairs);
+    if (all === 0 || old < all * 0.5) return;
+    this.periodLoad = (this.periodLoad ?? all) * 0.9 + all * 0.1;
+  }
+
+  /**
+   * Tells whether the load is close to the one at which the old version was measured.
+   *
+   * @param pairs - Cells of a period.
+   * @returns Whether latencies can be compared.
+   */
+  similarLoad(pairs: readonly PairedCell[]): boolean {
+    return (
+      this.periodLoad !== undefined &&
+      load(pairs).all <= this.periodLoad * loadRatio
+    );
+  }
+}
+
+function load(pairs: readonly PairedCell[]): {all: number; old: number} {
+  let all = 0;
+  let old = 0;
+  for (const pair of pairs) {
+    old += pair.old?.requests ?? 0;
+    all += (pair.old?.requests ?? 0) + (pair.now?.requests ?? 0);
+  }
+  return {all, old};
+}
+
+function emptyReference(): Reference {
+  return {
+    requests: 0,
+    failures: 0,
+    firstToken: new Sketch(),
+    token: new Sketch(),
+  };
+}
--- /dev/null
+++ b/src/version/evidence/sequential.ts
@@ -0,0 +1,140 @@
+/** Counts above which a table is scaled down; the loss of information is on the safe side. */
+const maxTable = 300;
+
+/** A 2×2 table of one place and period: hits of the new and of the old version. */
+export interface Table {
+  readonly newTotal: number;
+  readonly newHits: number;
+  readonly oldTotal: number;
+  readonly oldHits: number;
+}
+
+/**
+ * Log likelihood ratios of odds ratios against equal odds, given the margins of the table. The
+ * expectation of each ratio is at most 1 if the odds of the new version are not on the side of the
+ * alternative, whatever the rate that both versions share in this place and period.
+ *
+ * @param table - Counts.
+ * @param odds - Odds ratios of the alternatives.
+ * @returns One value for each alternative, 0 if the table tells nothing.
+ */
+export function tableLogRatios(
+  table: Table,
+  odds: readonly number[],
+): number[] {
+  const all = table.newHits + table.oldHits;
+  const total = table.newTotal + table.oldTotal;
+  if (!table.newTotal || !table.oldTotal || !all || all === total) {
+    return odds.map(() => 0);
+  }
+  const scale = Math.min(1, maxTable / all);
+  const cut = (count: number) => Math.floor(count * scale);
+  const n1 = cut(table.newTotal);
+  const n0 = cut(table.oldTotal);
+  const x = Math.min(cut(table.newHits), n1);
+  const k = x + Math.min(cut(table.oldHits), n0);
+  const from = Math.max(0, k - n0);
+  const to = Math.min(k, n1);
+  if (from === to) return odds.map(() => 0);
+  const logWeights: number[] = [0];
+  for (let j = from; j < to; j++) {
+    const ratio = ((n1 - j) * (k - j)) / ((j + 1) * (n0 - k + j + 1));
+    logWeights.push(logWeights[logWeights.length - 1] + Math.log(ratio));
+  }
+  const base = logSumExp(logWeights);
+  return odds.map(ratio => {
+    const step = Math.log(ratio);
+    const shifted = logWeights.map((weight, i) => weight + (from + i) * step);
+    return x * step - logSumExp(shifted) + base;
+  });
+}
+
+/**
+ * Log likelihood ratios of hit rates against a rate that is known beforehand.
+ *
+ * @param total - Number of trials.
+ * @param hits - Number of hits.
+ * @param rate - Greatest rate without harm.
+ * @param rates - Rates of the alternatives.
+ * @returns One value for each alternative.
+ */
+export function rateLogRatios(
+  total: number,
+  hits: number,
+  rate: number,
+  rates: readonly number[],
+): number[] {
+  return rates.map(
+    other =>
+      hits * Math.log(other / rate) +
+      (total - hits) * Math.log((1 - other) / (1 - rate)),
+  );
+}
+
+/**
+ * Sums numbers that are given by their logarithms.
+ *
+ * @param logs - Logarithms.
+ * @returns Logarithm of the sum.
+ */
+export function logSumExp(logs: readonly number[]): number {
+  let max = -Infinity;
+  for (const value of logs) if (value > max) max = value;
+  if (max === -Infinity) return max;
+  let sum = 0;
+  for (const value of logs) sum += Math.exp(value - max);
+  return max + Math.log(sum);
+}
+
+/** Buckets over which the prior of a late change is spread: two hours of five seconds. */
+const changeBuckets = 1440;
+const logChangeWeight = Math.log(0.5 / changeBuckets);
+
+/**
+ * Product of likelihood ratios over periods, as a mixture over alternatives and over the period
+ * in which harm begins: half of the weight on the first, the rest spread. It exceeds 1/a with a
+ * probability of at most a while there is no harm, at any time of looking.
+ */
+export class EProcess {
+  private readonly fromStart: number[];
+  private readonly fromChange: number[];
+
+  /** @param alternatives - Number of alternatives in the mixture. */
+  constructor(alternatives: number) {
+    this.fromStart = new Array<number>(alternatives).fill(Math.log(0.5));
+    this.fromChange = new Array<number>(alternatives).fill(-Infinity);
+  }
+
+  /**
+   * Folds a closed period into the process.
+   *
+   * @param logRatios - Log likelihood ratio of each alternative.
+   */
+  close(logRatios: readonly number[]): void {
+    logRatios.forEach((ratio, i) => {
+      this.fromStart[i] += ratio;
+      this.fromChange[i] =
+        logSumExp([this.fromChange[i], logChangeWeight]) + ratio;
+    });
+  }
+
+  /**
+   * Evaluates the process with periods that are still open.
+   *
+   * @param open - Log likelihood ratios of the open periods, oldest first.
+   * @returns Logarithm of the evidence.
+   */
+  value(open: readonly (readonly number[])[]): number {
+    const logs: number[] = [];
+    this.fromStart.forEach((start, i) => {
+      let change = this.fromChange[i];
+      let total = start;
+      for (const ratios of open) {
+        total += ratios[i];
+        change = logSumExp([change, logChangeWeight]) + ratios[i];
+      }
+      logs.push(total, change);
+    });
+    return logSumExp(logs) - Math.log(this.fromStart.length);
+  }
+}
--- /dev/null
+++ b/src/version/evidence/version-judge.ts
@@ -0,0 +1,248 @@
+import {
+  bucketMs,
+  keptBuckets,
+  type Cell,
+  type EvidenceStore,
+} from './evidence-store.js';
+import {GrowthTest, type GrowthFinding} from './growth-test.js';
+import {
+  allMetrics,
+  harmLogRatios,
+  harmOdds,
+  type EvidenceMetric,
+} from './metrics.js';
+import {ReferenceBook} from './reference-book.js';
+import {EProcess} from './sequential.js';
+
+/**
+ * Probability that a version without harm is stopped during its whole rollout, over all tests
+ * together. At 1,000 good rollouts one is taken back by chance.
+ */
+export const falseStopRate = 0.001;
+/** Buckets that stay open for the counters of other hosts to arrive. */
+const openBuckets = 2;
+
+/** Sufficient evidence of harm. */
+export interface StopVerdict {
+  readonly metric: EvidenceMetric;
+  /** `overall`, `route:NAME` or `zone:NAME`. */
+  readonly stratum: string;
+  /** Natural logarithm of the evidence. */
+  readonly logEvidence: number;
+  /** Logarithm that was needed. */
+  readonly needed: number;
+  /** Wall time of the verdict, in milliseconds. */
+  readonly atMs: number;
+}
+
+/** What is known of a version. */
+export interface Verdict {
+  readonly stop?: StopVerdict;
+  /** Share of the new version in the last buckets, `undefined` without requests. */
+  readonly measuredShare?: number;
+  /** Requests per second of both versions in the last buckets. */
+  readonly requestsPerSecond: number;
+  /** Requests and failures of the new version since the current step began. */
+  readonly requests: number;
+  readonly failures: number;
+  /** Strongest evidence of harm so far and its threshold, as logarithms. */
+  readonly harm: {readonly logEvidence: number; readonly needed: number};
+  /**
+   * Judges whether the next share is safe.
+   *
+   * @param share - Next share.
+   * @returns What is known and what is missing.
+   */
+  readonly growTo: (share: number) => GrowthFinding;
+}
+
+interface CachedRatios {
+  readonly marker: string;
+  readonly ratios: ReadonlyMap<EvidenceMetric, number[]>;
+}
+
+/** Judges one new version against the old one of its service, from the counters of all hosts. */
+export class VersionJudge {
+  private readonly processes = new Map<string, EProcess>();
+  private readonly references = new ReferenceBook();
+  private readonly cache = new Map<string, CachedRatios>();
+  private growth: GrowthTest;
+  private nextBucket: number | undefined;
+  private stop: StopVerdict | undefined;
+
+  /**
+   * @param store - Counters.
+   * @param service - Service of both versions.
+   * @param oldVersion - Version in effect.
+   * @param newVersion - Version to judge.
+   * @param alpha - Probability of stopping a version without harm.
+   */
+  constructor(
+    private readonly store: EvidenceStore,
+    readonly service: string,
+    readonly oldVersion: string,
+    readonly newVersion: string,
+    private readonly alpha = falseStopRate,
+  ) {
+    this.growth = new GrowthTest(this.references);
+  }
+
+  /** Forgets the evidence for growth, because a step changes the load that was tested. */
+  startStep(): void {
+    this.growth = new GrowthTest(this.references);
+  }
+
+  /**
+   * Takes new counters into account.
+   *
+   * @param wallMs - Wall time, in milliseconds.
+   * @returns The verdict; a stop is final.
+   */
+  update(wallMs: number): Verdict {
+    const current = Math.floor(wallMs / bucketMs);
+    this.nextBucket = Math.max(
+      this.nextBucket ?? current - keptBuckets,
+      current - keptBuckets,
+    );
+    while (this.nextBucket <= current - openBuckets) {
+      this.closeBucket(this.nextBucket++);
+    }
+    const open: Map<string, number[]>[] = [];
+    const growthOpen: PairedCell[][] = [];
+    for (let bucket = this.nextBucket; bucket <= current; bucket++) {
+      const pairs = this.pairs(bucket);
+      open.push(this.strata(pairs));
+      growthOpen.push(pairs);
+    }
+    const harm = this.strongest(open);
+    if (!this.stop && harm.logEvidence >= harm.needed) {
+      this.stop = {...harm, atMs: wallMs};
+    }
+    const growth = this.growth.withOpen(growthOpen.flat());
+    return {
+      ...(this.stop && {stop: this.stop}),
+      ...this.measure(current, wallMs),
+      requests: growth.requests,
+      failures: growth.failures,
+      harm,
+      growTo: share => growth.judge(share),
+    };
+  }
+
+  private strongest(open: readonly Map<string, number[]>[]) {
+    const names = new Set(this.processes.keys());
+    for (const strata of open)
+      for (const name of strata.keys()) names.add(name);
+    const needed = Math.log(Math.max(1, names.size) / this.alpha);
+    const none = harmOdds.map(() => 0);
+    let best = {name: 'failures overall', logEvidence: -Infinity};
+    for (const name of names) {
+      const process = this.processes.get(name) ?? new EProcess(harmOdds.length);
+      const logEvidence = process.value(
+        open.map(strata => strata.get(name) ?? none),
+      );
+      if (logEvidence > best.logEvidence) best = {name, logEvidence};
+    }
+    const at = best.name.indexOf(' ');
+    return {
+      metric: best.name.slice(0, at) as EvidenceMetric,
+      stratum: best.name.slice(at + 1),
+      logEvidence: best.logEvidence === -Infinity ? 0 : best.logEvidence,
+      needed,
+    };
+  }
+
+  private closeBucket(bucket: number): void {
+    const pairs = this.pairs(bucket);
+    const strata = this.strata(pairs);
+    for (const name of strata.keys()) {
+      if (!this.processes.has(name))
+        this.processes.set(name, new EProcess(harmOdds.length));
+    }
+    const none = harmOdds.map(() => 0);
+    for (const [name, process] of this.processes) {
+      process.close(strata.get(name) ?? none);
+    }
+    this.growth.close(pairs);
+    for (const {old, place} of pairs) if (old) this.references.add(place, old);
+    this.references.closePeriod(pairs);
+    this.cache.clear();
+  }
+
+  private pairs(bucket: number): PairedCell[] {
+    const found = new Map<string, {now?: Cell; old?: Cell; place: string}>();
+    for (const cell of this.store.cells(this.service, bucket)) {
+      const place = `${cell.place.route}\n${cell.place.zone}`;
+      const pair = found.get(place) ?? {place};
+      found.set(place, pair);
+      if (cell.place.version === this.newVersion) pair.now = cell;
+      if (cell.place.version === this.oldVersion) pair.old = cell;
+    }
+    return [...found.values()].map(pair => ({...pair, bucket}));
+  }
+
+  /** Sums the log ratios of the cells into strata; a metric and a stratum name each sum. */
+  private strata(pairs: readonly PairedCell[]): Map<string, number[]> {
+    const strata = new Map<string, number[]>();
+    const comparable = {latency: this.references.similarLoad(pairs)};
+    for (const pair of pairs) {
+      if (!pair.now) continue;
+      const [route, zone] = pair.place.split('\n');
+      const ratios = this.cellRatios(pair, comparable);
+      for (const metric of allMetrics) {
+        const values = ratios.get(metric)!;
+        for (const stratum of ['overall', `route:${route}`, `zone:${zone}`]) {
+          const name = `${metric} ${stratum}`;
+          const sum = strata.get(name);
+          if (!sum) strata.set(name, [...values]);
+          else values.forEach((value, i) => (sum[i] += value));
+        }
+      }
+    }
+    return strata;
+  }
+
+  private cellRatios(
+    {now, old, place, bucket}: PairedCell,
+    comparable: {latency: boolean},
+  ): ReadonlyMap<EvidenceMetric, number[]> {
+    const key = `${bucket} ${place}`;
+    const marker = `${now!.requests} ${now!.failures} ${old?.requests} ${old?.failures} ${comparable.latency}`;
+    const cached = this.cache.get(key);
+    if (cached?.marker === marker) return cached.ratios;
+    const past = this.references.get(place);
+    const ratios = new Map(
+      allMetrics.map(metric => [
+        metric,
+        harmLogRatios(metric, now!, old, past, comparable),
+      ]),
+    );
+    this.cache.set(key, {marker, ratios});
+    return ratios;
+  }
+
+  private measure(current: number, wallMs: number) {
+    let all = 0;
+    let fresh = 0;
+    for (let bucket = current - 2; bucket <= current; bucket++) {
+      for (const cell of this.store.cells(this.service, bucket)) {
+        all += cell.requests;
+        if (cell.place.version === this.newVersion) fresh += cell.requests;
+      }
+    }
+    const seconds = (wallMs - (current - 2) * bucketMs) / 1000;
+    return {
+      ...(all > 0 && {measuredShare: fresh / all}),
+      requestsPerSecond: all / seconds,
+    };
+  }
+}
+
+/** Cells of both versions on one route in one zone and period. */
+export interface PairedCell {
+  readonly now?: Cell;
+  readonly old?: Cell;
+  /** Route and zone. */
+  readonly place: string;
+  readonly bucket: number;
+}
--- /dev/null
+++ b/src/version/rollout/decide-step.ts
@@ -0,0 +1,248 @@
+import {nextLoads, type LoadOrder} from './in-place.js';
+import {minStepMs, planRollout, takeBackTimeMs} from './plan.js';
+import {
+  activeRollout,
+  type RolloutChange,
+  type RolloutEntry,
+} from './rollout-state.js';
+import {entryOf, readyPart, type RolloutView} from './rollout-view.js';
+
+/** What a leader shall do next. */
+export type RolloutDecision =
+  | {readonly kind: 'record'; readonly change: RolloutChange}
+  | LoadOrder
+  | {readonly kind: 'wait'; readonly reason: string};
+
+/** Share of requests that counts as all; the rest is still on its way. */
+const allShare = 0.99;
+
+/**
+ * Decides what the leader of a rollout does next.
+ *
+ * @param view - Everything that the decision depends on.
+ * @returns Decisions; at most one of them is a record.
+ */
+export function decideStep(view: RolloutView): RolloutDecision[] {
+  const entry = entryOf(view);
+  if (!entry || entry.phase === 'queued') return admission(view, entry);
+  switch (entry.phase) {
+    case 'progressing':
+      return progressing(view, entry);
+    case 'completed':
+      return watching(view, entry);
+    case 'taking-back':
+      return takingBack(view, entry);
+    case 'done':
+      return stragglers(view, entry, entry.spec.version);
+    case 'taken-back':
+    case 'superseded':
+      return stragglers(view, entry, entry.oldVersion);
+    case 'refused':
+      return [];
+  }
+}
+
+function admission(
+  view: RolloutView,
+  entry: RolloutEntry | undefined,
+): RolloutDecision[] {
+  const {spec, name} = view.declared;
+  const refuse = (
+    reason: (RolloutChange & {type: 'refuse'})['reason'],
+  ): RolloutDecision[] => [record({type: 'refuse', spec, reason})];
+  if (view.state.banned.has(`${spec.service}/${spec.version}`))
+    return refuse('version-taken-back');
+  const other = activeRollout(view.state, spec.service);
+  if (other && other.name !== name) {
+    if (spec.onConflict === 'refuse' && !entry) return refuse('conflict');
+    if (entry?.behind === other.name) return [wait(`rollout ${other.name}`)];
+    return [record({type: 'queue', spec, behind: other.name})];
+  }
+  if (spec.control === 'take-back' || spec.control === 'pause')
+    return [wait('the operator')];
+  const oldVersion =
+    view.state.inEffect.get(spec.service) ?? view.serviceVersion;
+  if (oldVersion === spec.version) return refuse('already-in-effect');
+  const plan = planRollout({
+    spec,
+    targets: view.targets,
+    estimates: view.estimates,
+    requestsPerSecond: view.verdict.requestsPerSecond,
+    nowMs: view.wallMs,
+  });
+  if (!plan) return refuse('deadline-too-near');
+  return [record({type: 'start', spec, oldVersion, steps: plan.steps})];
+}
+
+function progressing(
+  view: RolloutView,
+  entry: RolloutEntry,
+): RolloutDecision[] {
+  const back = mustTakeBack(view, entry);
+  if (back) return [record(back)];
+  const {control} = view.declared.spec;
+  if ((control === 'pause') !== entry.paused)
+    return [record({type: control === 'pause' ? 'pause' : 'resume'})];
+  if (entry.paused) return [wait('the operator to resume')];
+  const ready = readyPart(view.targets, entry);
+  const loads = loadsFor(view, entry);
+  const next = entry.step + 1;
+  if (entry.step < 0) {
+    if (ready > 0)
+      return [record({type: 'step', step: 0, evidence: 'canary'}), ...loads];
+    return [...loads, wait('a ready target of the new version')];
+  }
+  const forced = control === 'force-forward';
+  const reason = forced ? undefined : growthBlock(view, entry, ready);
+  if (reason) return [...loads, wait(reason)];
+  if (next < entry.steps.length)
+    return [
+      record({type: 'step', step: next, evidence: evidenceText(view, forced)}),
+    ];
+  const lacking = unfinished(view, entry);
+  if (lacking) return [...loads, wait(lacking)];
+  return [record({type: 'complete', evidence: evidenceText(view, forced)})];
+}
+
+/** Reasons to take back, the strongest first. */
+function mustTakeBack(
+  view: RolloutView,
+  entry: RolloutEntry,
+): RolloutChange | undefined {
+  const {stop} = view.verdict;
+  if (stop) {
+    const reason = entry.phase === 'completed' ? 'late-fault' : 'evidence';
+    const evidence = `${stop.metric} ${stop.stratum}: ${stop.logEvidence.toFixed(1)} of ${stop.needed.toFixed(1)}`;
+    return {type: 'take-back', reason, evidence};
+  }
+  const {declared} = view;
+  if (declared.spec.control === 'take-back')
+    return {type: 'take-back', reason: 'operator', evidence: ''};
+  if (entry.phase === 'completed') return undefined;
+  if (supersededBy(view, entry))
+    return {type: 'take-back', reason: 'superseded', evidence: ''};
+  const backMs = takeBackTimeMs(entry.spec, view.targets, view.estimates);
+  const deadlineMs = Date.parse(declared.spec.deadline);
+  if (view.wallMs >= deadlineMs - backMs) {
+    const missing = view.verdict.growTo(1).missing.join(', ');
+    return {type: 'take-back', reason: 'deadline', evidence: missing};
+  }
+  return undefined;
+}
+
+/** A later rollout of the service that shall replace this one. */
+function supersededBy(view: RolloutView, entry: RolloutEntry): boolean {
+  for (const other of view.state.entries.values()) {
+    if (
+      other.phase === 'queued' &&
+      other.behind === entry.name &&
+      other.spec.onConflict === 'supersede'
+    )
+      return true;
+  }
+  return false;
+}
+
+/** Why the share does not grow now. */
+function growthBlock(
+  view: RolloutView,
+  entry: RolloutEntry,
+  ready: number,
+): string | undefined {
+  const share = entry.steps[entry.step];
+  const {verdict} = view;
+  if (entry.step > 0 && ready < share - 1e-9)
+    return `targets for a share of ${share}`;
+  if (view.wallMs - entry.stepAtMs < minStepMs) return 'counters of this step';
+  // The canary is bounded by its number of requests in flight, so its share may stay far below.
+  if (entry.step > 0 && (verdict.measuredShare ?? 0) < share * 0.7)
+    return `measured share ${(verdict.measuredShare ?? 0).toFixed(2)} to reach ${share}`;
+  const finding = verdict.growTo(entry.steps[entry.step + 1] ?? 1);
+  return finding.ready ? undefined : finding.missing.join(', ');
+}
+
+/** What is missing for completion. */
+function unfinished(
+  view: RolloutView,
+  entry: RolloutEntry,
+): string | undefined {
+  const {version, strategy} = entry.spec;
+  if (strategy === 'in-place') {
+    const open = view.targets.filter(
+      target =>
+        target.zoneIn &&
+        (target.version !== version || !target.ready || target.loading),
+    );
+    if (open.length > 0) return `${open.length} targets to load`;
+  }
+  if ((view.verdict.measuredShare ?? 0) < allShare)
+    return 'requests to leave the old version';
+  return undefined;
+}
+
+function loadsFor(view: RolloutView, entry: RolloutEntry): LoadOrder[] {
+  if (entry.spec.strategy !== 'in-place') return [];
+  const share = entry.steps[Math.max(0, entry.step)];
+  const size = view.targets.filter(target => target.zoneIn).length;
+  // Capacity for the next share is loaded only after the evidence has allowed that share.
+  return nextLoads(view, entry.spec.version, Math.ceil(size * share - 1e-9));
+}
+
+function watching(view: RolloutView, entry: RolloutEntry): RolloutDecision[] {
+  const back = mustTakeBack(view, entry);
+  if (back) return [record(back)];
+  const endMs =
+    (entry.completedAtMs ?? 0) + entry.spec.watchPeriodSeconds * 1000;
+  if (view.wallMs >= endMs) return [record({type: 'done'})];
+  return [
+    ...stragglers(view, entry, entry.spec.version),
+    wait('the end of the watch period'),
+  ];
+}
+
+function takingBack(view: RolloutView, entry: RolloutEntry): RolloutDecision[] {
+  if (entry.spec.strategy === 'in-place') {
+    const {version} = entry.spec;
+    const bad = view.targets.filter(
+      target =>
+        target.zoneIn &&
+        (target.version === version || target.loading !== undefined),
+    );
+    if (bad.length > 0)
+      return [
+        ...nextLoads(view, entry.oldVersion, Infinity, true),
+        wait(`${bad.length} targets to load ${entry.oldVersion}`),
+      ];
+  }
+  if (view.newInFlight > 0)
+    return [wait(`${view.newInFlight} requests to end`)];
+  return [record({type: 'taken-back'})];
+}
+
+/** Targets of a zone that came back after the rollout has ended. */
+function stragglers(
+  view: RolloutView,
+  entry: RolloutEntry,
+  version: string,
+): LoadOrder[] {
+  const {service, strategy} = entry.spec;
+  if (strategy !== 'in-place') return [];
+  if (view.state.inEffect.get(service) !== version) return [];
+  const active = activeRollout(view.state, service);
+  if (active && active.name !== entry.name) return [];
+  return nextLoads(view, version, Infinity, true);
+}
+
+function evidenceText(view: RolloutView, forced: boolean): string {
+  if (forced) return 'forced by the operator';
+  const {requests, failures, harm} = view.verdict;
+  return `${failures} failures in ${requests} requests, evidence of harm ${harm.logEvidence.toFixed(1)} of ${harm.needed.toFixed(1)}`;
+}
+
+function record(change: RolloutChange): RolloutDecision {
+  return {kind: 'record', change};
+}
+
+function wait(reason: string): RolloutDecision {
+  return {kind: 'wait', reason};
+}
