--- a/src/version/evidence/evidence-store.ts
+++ b/src/version/evidence/evidence-store.ts
@@ -74,7 +74,7 @@
  * an export that arrives twice or late is counted once.
  */
 export class EvidenceStore {
-  private readonly own = new Map<string, Cell>();
+  private readonly own = new Map<string, Cell & {place: CellKey}>();
   private readonly peers = new Map<string, Map<string, ExportedCell>>();
   private readonly sums = new Map<string, Cell & {place: CellKey}>();
   private readonly byBucket = new Map<string, Set<string>>();
@@ -122,7 +122,7 @@
       this.dropped++;
       return;
     }
-    const own = this.own.get(key) ?? newCell();
+    const own = this.own.get(key) ?? {...newCell(), place: sum.place};
     this.own.set(key, own);
     const speed = sample.speed ?? 1;
     for (const cell of [own, sum]) {
@@ -145,7 +145,7 @@
   export(fromBucket = 0): EvidenceExport {
     const cells: ExportedCell[] = [];
     for (const [key, cell] of this.own) {
-      if (decode(key).bucket < fromBucket) continue;
+      if (cell.place.bucket < fromBucket) continue;
       cells.push({
         key,
         requests: cell.requests,
--- a/src/version/evidence/growth-test.ts
+++ b/src/version/evidence/growth-test.ts
@@ -101,9 +101,10 @@
    * Judges the step to a share.
    *
    * @param share - Next share.
+   * @param latency - Whether latency counts.
    * @returns Whether the evidence suffices.
    */
-  judge(share: number): GrowthFinding {
+  judge(share: number, latency: boolean): GrowthFinding {
     const missing: string[] = [];
     let requestsMissing = 0;
     let all = 0;
@@ -121,7 +122,7 @@
       missing.push(`${Math.ceil(lack)} requests on ${name}`);
       requestsMissing = Math.max(requestsMissing, lack / weight);
     }
-    for (const metric of latencyMetrics) {
+    for (const metric of latency ? latencyMetrics : []) {
       if (this.latencySamples === 0 && this.requests >= 200) continue;
       const sum = this.latency.get(metric) ?? zeros();
       const value = logSumExp(sum) - Math.log(sum.length);
--- a/src/version/evidence/sketch.ts
+++ b/src/version/evidence/sketch.ts
@@ -12,6 +12,7 @@
 /** Histogram with logarithmic buckets, mergeable by sum. */
 export class Sketch {
   private readonly counts = new Map<number, number>();
+  private readonly quantiles = new Map<number, number>();
   private sum = 0;
 
   /** Number of values. */
@@ -39,6 +40,7 @@
   add(index: number, count = 1): void {
     this.counts.set(index, (this.counts.get(index) ?? 0) + count);
     this.sum += count;
+    if (this.quantiles.size > 0) this.quantiles.clear();
   }
 
   /**
@@ -69,18 +71,24 @@
    * @returns The bucket that holds it, 0 if the sketch is empty.
    */
   quantileIndex(q: number): number {
+    const known = this.quantiles.get(q);
+    if (known !== undefined) return known;
     const sorted = [...this.counts].sort(([a], [b]) => a - b);
     let left = q * this.sum;
+    let found = 0;
     for (const [index, count] of sorted) {
       left -= count;
-      if (left <= 0) return index;
+      found = index;
+      if (left <= 0) break;
     }
-    return 0;
+    this.quantiles.set(q, found);
+    return found;
   }
 
   /** Halves all counts, so that old values lose weight against new ones. */
   decay(): void {
     this.sum = 0;
+    this.quantiles.clear();
     for (const [index, count] of [...this.counts]) {
       const half = Math.floor(count / 2);
       if (half > 0) this.counts.set(index, half);
--- a/src/version/evidence/store-evidence.ts
+++ b/src/version/evidence/store-evidence.ts
@@ -8,6 +8,10 @@
 /** Evidence from the counters of this host and its peers. */
 export class StoreEvidence extends EvidenceSource {
   private readonly judges = new Map<string, VersionJudge>();
+  private readonly latest = new Map<
+    VersionJudge,
+    {atMs: number; verdict: Verdict}
+  >();
 
   /** @param store - Counters. */
   constructor(private readonly store: EvidenceStore) {
@@ -20,7 +24,12 @@
     newVersion: string,
     wallMs: number,
   ): Verdict {
-    return this.judge(service, oldVersion, newVersion).update(wallMs);
+    const judge = this.judge(service, oldVersion, newVersion);
+    const known = this.latest.get(judge);
+    if (known?.atMs === wallMs) return known.verdict;
+    const verdict = judge.update(wallMs);
+    this.latest.set(judge, {atMs: wallMs, verdict});
+    return verdict;
   }
 
   override startStep(
@@ -28,7 +37,9 @@
     oldVersion: string,
     newVersion: string,
   ): void {
-    this.judge(service, oldVersion, newVersion).startStep();
+    const judge = this.judge(service, oldVersion, newVersion);
+    judge.startStep();
+    this.latest.delete(judge);
   }
 
   private judge(
@@ -41,9 +52,14 @@
     if (!judge) {
       judge = new VersionJudge(this.store, service, oldVersion, newVersion);
       this.judges.set(key, judge);
-      if (this.judges.size > maxJudges)
-        this.judges.delete(this.judges.keys().next().value as string);
+      if (this.judges.size > maxJudges) this.dropOldest();
     }
     return judge;
   }
+
+  private dropOldest(): void {
+    const [key, judge] = this.judges.entries().next().value!;
+    this.judges.delete(key);
+    this.latest.delete(judge);
+  }
 }
--- a/src/version/rollout/decide-step.ts
+++ b/src/version/rollout/decide-step.ts
@@ -2,6 +2,7 @@
 import {minStepMs, planRollout, takeBackTimeMs} from './plan.js';
 import {
   activeRollout,
+  isCanary,
   type RolloutChange,
   type RolloutEntry,
 } from './rollout-state.js';
@@ -151,13 +152,16 @@
 ): string | undefined {
   const share = entry.steps[entry.step];
   const {verdict} = view;
-  if (entry.step > 0 && ready < share - 1e-9)
+  const canary = isCanary(entry);
+  if (!canary && ready < share - 1e-9)
     return `targets for a share of ${share}`;
   if (view.wallMs - entry.stepAtMs < minStepMs) return 'counters of this step';
   // The canary is bounded by its number of requests in flight, so its share may stay far below.
-  if (entry.step > 0 && (verdict.measuredShare ?? 0) < share * 0.7)
+  if (!canary && (verdict.measuredShare ?? 0) < share * 0.7)
     return `measured share ${(verdict.measuredShare ?? 0).toFixed(2)} to reach ${share}`;
-  const finding = verdict.growTo(entry.steps[entry.step + 1] ?? 1);
+  const next = entry.steps[entry.step + 1];
+  // At the last step the old version has no requests to compare with; the harm tests go on.
+  const finding = verdict.growTo(next ?? 1, next !== undefined);
   return finding.ready ? undefined : finding.missing.join(', ');
 }
 
--- a/src/version/rollout/in-place.ts
+++ b/src/version/rollout/in-place.ts
@@ -58,16 +58,22 @@
   return orders;
 }
 
-/** Targets that lack a version, those of zones with the fewest absent targets first. */
+/** Targets that lack a version, those of zones with the fewest that have it first. */
 function byNeed(
   targets: readonly RolloutTarget[],
   version: string,
   absent: ReadonlyMap<string, number>,
 ): RolloutTarget[] {
+  const having = new Map<string, number>();
+  for (const {zone, loading, version: running} of targets) {
+    if ((loading ?? running) === version)
+      having.set(zone, (having.get(zone) ?? 0) + 1);
+  }
   return targets
     .filter(target => !target.loading && target.version !== version)
     .sort(
       (a, b) =>
+        (having.get(a.zone) ?? 0) - (having.get(b.zone) ?? 0) ||
         (absent.get(a.zone) ?? 0) - (absent.get(b.zone) ?? 0) ||
         (a.name < b.name ? -1 : 1),
     );
--- a/src/version/rollout/plan.ts
+++ b/src/version/rollout/plan.ts
@@ -8,8 +8,12 @@
 /** Greatest part of a zone's capacity that loads at the same time; at least one target. */
 export const zoneLossBound = 0.34;
 
-/** Sets of steps, the one with the least risk first. */
+/**
+ * Sets of steps, the one with the least risk first. The first begins below the canary share,
+ * because a version that is bad at once is mostly found by its first few dozen requests.
+ */
 const ladders: readonly (readonly number[])[] = [
+  [0.01, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1],
   [0.1, 0.2, 0.35, 0.5, 0.75, 1],
   [0.1, 0.25, 0.5, 1],
   [0.25, 1],
@@ -132,7 +136,9 @@
   const canary = Math.min(spec.canaryShare, 0.05);
   let last: RolloutPlan | undefined;
   for (const ladder of ladders) {
-    const steps = [canary, ...ladder.filter(share => share > canary)];
+    const probe = ladder.filter(share => share < canary / 2);
+    const rest = ladder.filter(share => share > canary);
+    const steps = [...probe, canary, ...rest];
     last = {steps, estimatedMs: all + evidenceTimeMs(steps, input)};
     if (last.estimatedMs <= availableMs * plannedPart) return last;
   }
--- a/src/version/rollout/rollout-state.ts
+++ b/src/version/rollout/rollout-state.ts
@@ -77,7 +77,7 @@
   /** Version that is replaced; empty before the start. */
   readonly oldVersion: string;
   readonly steps: readonly number[];
-  /** Index into `steps`; -1 before the canary step. */
+  /** Index into `steps`; -1 before the first. */
   readonly step: number;
   readonly paused: boolean;
   readonly startedAtMs: number;
@@ -161,3 +161,17 @@
   if (entry.phase !== 'progressing') return 0;
   return entry.step < 0 ? 0 : entry.steps[entry.step];
 }
+
+/**
+ * Tells whether a rollout has not grown beyond its canary share, so that the bound on requests in
+ * flight holds.
+ *
+ * @param entry - Rollout.
+ * @returns Whether it is a canary.
+ */
+export function isCanary(entry: RolloutEntry): boolean {
+  return (
+    entry.phase === 'progressing' &&
+    allowedShare(entry) <= entry.spec.canaryShare
+  );
+}
--- a/src/version/rollout/rollout-view.ts
+++ b/src/version/rollout/rollout-view.ts
@@ -88,3 +88,44 @@
   const all = inPlace ? fresh + old : Math.max(fresh, old);
   return all > 0 ? fresh / all : 0;
 }
+
+/**
+ * Divides a share of all requests between the zones that can serve the new version: zones without
+ * ready targets get nothing, the others more, at most the part of their capacity that is ready.
+ * The capacity of a zone stands for its part of the requests.
+ *
+ * @param targets - Targets of the service.
+ * @param entry - Rollout.
+ * @param share - Wanted share of all requests, 0 to 1.
+ * @returns Share of the new version in each zone that is in.
+ */
+export function zoneShares(
+  targets: readonly RolloutTarget[],
+  entry: RolloutEntry,
+  share: number,
+): Map<string, number> {
+  const zones = new Map<string, RolloutTarget[]>();
+  for (const target of targets) {
+    if (!target.zoneIn) continue;
+    const list = zones.get(target.zone) ?? [];
+    zones.set(target.zone, list);
+    list.push(target);
+  }
+  const parts = [...zones].map(([zone, list]) => ({
+    zone,
+    weight: list.reduce((sum, {capacity}) => sum + capacity, 0),
+    ready: readyPart(list, entry),
+  }));
+  const total = parts.reduce((sum, {weight}) => sum + weight, 0);
+  let left = share * total;
+  let weights = total;
+  const shares = new Map<string, number>();
+  // In ascending order each zone takes its ready part or an equal share of what is left.
+  for (const {zone, weight, ready} of parts.sort((a, b) => a.ready - b.ready)) {
+    const taken = Math.min(ready, weights > 0 ? left / weights : 0);
+    shares.set(zone, taken);
+    left -= taken * weight;
+    weights -= weight;
+  }
+  return shares;
+}
--- a/src/version/rollout/version-caps.ts
+++ b/src/version/rollout/version-caps.ts
@@ -2,9 +2,11 @@
 import {
   activeRollout,
   allowedShare,
+  isCanary,
+  type RolloutEntry,
   type RolloutState,
 } from './rollout-state.js';
-import {readyPart, type RolloutTarget} from './rollout-view.js';
+import {zoneShares, type RolloutTarget} from './rollout-view.js';
 
 /** Caps of one service. */
 export interface ServiceCaps {
@@ -37,73 +39,66 @@
  */
 export function versionCaps(input: CapInput): ServiceCaps {
   const {state, service, zones} = input;
-  const shares = new Map<string, number>();
-  let inFlight = unbounded;
-  let canaryVersion: string | undefined;
-  for (const entry of state.entries.values()) {
-    if (entry.spec.service !== service) continue;
-    shares.set(entry.spec.version, 0);
-    if (entry.oldVersion) shares.set(entry.oldVersion, 0);
-  }
-  const inEffect = state.inEffect.get(service);
-  if (inEffect !== undefined) shares.set(inEffect, 1);
+  const base = baseShares(state, service);
   const entry = activeRollout(state, service);
-  if (entry) {
-    const {version} = entry.spec;
-    const share = shareNow(input);
-    shares.set(version, share);
-    shares.set(entry.oldVersion, share >= 1 ? 0 : 1);
-    if (entry.phase === 'progressing' && entry.step <= 0) {
-      canaryVersion = version;
-      inFlight = entry.spec.canaryInFlight;
+  const shares = entry ? sharesNow(entry, input) : new Map<string, number>();
+  const canary = entry !== undefined && isCanary(entry);
+  const serving = [...zones].sort().filter(zone => (shares.get(zone) ?? 0) > 0);
+  const caps = new Map<string, VersionCap[]>();
+  for (const zone of zones) {
+    const zoneCaps = new Map(base);
+    const share = shares.get(zone) ?? 0;
+    if (entry) {
+      zoneCaps.set(entry.spec.version, share);
+      zoneCaps.set(entry.oldVersion, share >= 1 ? 0 : 1);
     }
+    const list = [...zoneCaps].map(([version, cap]) => {
+      if (cap === 0 || state.banned.has(`${service}/${version}`))
+        return {version, share: 0, inFlight: 0};
+      const bounded = canary && version === entry?.spec.version;
+      const inFlight = bounded
+        ? part(
+            entry.spec.canaryInFlight,
+            serving.indexOf(zone),
+            serving.length,
+          )
+        : unbounded;
+      return {version, share: cap, inFlight};
+    });
+    caps.set(zone, list);
+  }
+  return {service, zones: caps};
+}
+
+/** Shares of the versions without the rollout in progress. */
+function baseShares(state: RolloutState, service: string): Map<string, number> {
+  const shares = new Map<string, number>();
+  for (const {spec, oldVersion} of state.entries.values()) {
+    if (spec.service !== service || !oldVersion) continue;
+    shares.set(spec.version, 0);
+    shares.set(oldVersion, 0);
   }
   for (const banned of state.banned) {
-    const [name, version] = splitBanned(banned);
-    if (name === service) shares.set(version, 0);
+    const at = banned.indexOf('/');
+    if (banned.slice(0, at) === service) shares.set(banned.slice(at + 1), 0);
   }
-  const sorted = [...zones].sort();
-  return {
-    service,
-    zones: new Map(
-      sorted.map((zone, i) => [
-        zone,
-        [...shares].map(([version, share]) => ({
-          version,
-          share,
-          inFlight:
-            share === 0
-              ? 0
-              : version === canaryVersion
-                ? part(inFlight, i, sorted.length)
-                : unbounded,
-        })),
-      ]),
-    ),
-  };
+  const inEffect = state.inEffect.get(service);
+  if (inEffect !== undefined) shares.set(inEffect, 1);
+  return shares;
 }
 
-function shareNow({
-  state,
-  service,
-  targets,
-  stopped,
-  wallMs,
-}: CapInput): number {
-  const entry = activeRollout(state, service);
-  if (!entry || stopped.has(entry.spec.version)) return 0;
+/** Share of the new version in each zone. */
+function sharesNow(
+  entry: RolloutEntry,
+  {targets, stopped, zones, wallMs}: CapInput,
+): Map<string, number> {
+  if (stopped.has(entry.spec.version)) return new Map();
   const share = allowedShare(entry);
+  if (entry.phase !== 'progressing')
+    return new Map(zones.map(zone => [zone, share]));
   // Without a durable completion the deadline takes the share back, even while the log is down.
-  if (entry.phase === 'progressing') {
-    if (wallMs >= Date.parse(entry.spec.deadline)) return 0;
-    return Math.min(share, readyPart(targets, entry));
-  }
-  return share;
-}
-
-function splitBanned(text: string): [string, string] {
-  const at = text.indexOf('/');
-  return [text.slice(0, at), text.slice(at + 1)];
+  if (wallMs >= Date.parse(entry.spec.deadline)) return new Map();
+  return zoneShares(targets, entry, share);
 }
 
 /** Part of a whole number that falls to one of several zones. */
