--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
   config: () => import('./config.js'),
   membership: () => import('./membership.js'),
   dispatch: () => import('./dispatch/dispatch-bench.js'),
+  rollout: () => import('./rollout/main.js'),
 };
 
 const [name] = process.argv.slice(2);
--- a/src/version/rollout/rollout-view.ts
+++ b/src/version/rollout/rollout-view.ts
@@ -66,7 +66,8 @@
 }
 
 /**
- * Computes which part of the needed capacity runs the new version and is ready.
+ * Computes which part of the ready capacity runs the new version. Targets that load do not count,
+ * because neither version can be served by them.
  *
  * @param targets - Targets of the service.
  * @param entry - Rollout.
@@ -79,9 +80,8 @@
   let fresh = 0;
   let old = 0;
   for (const target of targets) {
-    if (!target.zoneIn) continue;
-    if (target.version === entry.spec.version && target.ready)
-      fresh += target.capacity;
+    if (!target.zoneIn || !target.ready || target.loading) continue;
+    if (target.version === entry.spec.version) fresh += target.capacity;
     else old += target.capacity;
   }
   const inPlace = entry.spec.strategy === 'in-place';
