--- a/src/version/evidence/sequential.ts
+++ b/src/version/evidence/sequential.ts
@@ -98,6 +98,7 @@
 export class EProcess {
   private readonly fromStart: number[];
   private readonly fromChange: number[];
+  private closedValue: number | undefined;
 
   /** @param alternatives - Number of alternatives in the mixture. */
   constructor(alternatives: number) {
@@ -111,10 +112,10 @@
    * @param logRatios - Log likelihood ratio of each alternative.
    */
   close(logRatios: readonly number[]): void {
+    this.closedValue = undefined;
     logRatios.forEach((ratio, i) => {
       this.fromStart[i] += ratio;
-      this.fromChange[i] =
-        logSumExp([this.fromChange[i], logChangeWeight]) + ratio;
+      this.fromChange[i] = logAdd(this.fromChange[i], logChangeWeight) + ratio;
     });
   }
 
@@ -125,16 +126,29 @@
    * @returns Logarithm of the evidence.
    */
   value(open: readonly (readonly number[])[]): number {
-    const logs: number[] = [];
-    this.fromStart.forEach((start, i) => {
+    if (open.length > 0) return this.mixture(open);
+    return (this.closedValue ??= this.mixture(open));
+  }
+
+  private mixture(open: readonly (readonly number[])[]): number {
+    let sum = -Infinity;
+    for (let i = 0; i < this.fromStart.length; i++) {
       let change = this.fromChange[i];
-      let total = start;
+      let total = this.fromStart[i];
       for (const ratios of open) {
         total += ratios[i];
-        change = logSumExp([change, logChangeWeight]) + ratios[i];
+        change = logAdd(change, logChangeWeight) + ratios[i];
       }
-      logs.push(total, change);
-    });
-    return logSumExp(logs) - Math.log(this.fromStart.length);
+      sum = logAdd(sum, logAdd(total, change));
+    }
+    return sum - Math.log(this.fromStart.length);
   }
 }
+
+/** Logarithm of the sum of two numbers that are given by their logarithms. */
+function logAdd(a: number, b: number): number {
+  if (a === -Infinity) return b;
+  if (b === -Infinity) return a;
+  const max = a > b ? a : b;
+  return max + Math.log1p(Math.exp((a > b ? b : a) - max));
+}
--- a/src/version/evidence/version-judge.ts
+++ b/src/version/evidence/version-judge.ts
@@ -140,11 +140,13 @@
       for (const name of strata.keys()) names.add(name);
     const needed = Math.log(Math.max(1, names.size) / this.alpha);
     const none = harmOdds.map(() => 0);
+    const unstarted = new EProcess(harmOdds.length);
     let best = {name: 'failures overall', logEvidence: -Infinity};
     for (const name of names) {
-      const process = this.processes.get(name) ?? new EProcess(harmOdds.length);
+      const process = this.processes.get(name) ?? unstarted;
+      const touched = open.some(strata => strata.has(name));
       const logEvidence = process.value(
-        open.map(strata => strata.get(name) ?? none),
+        touched ? open.map(strata => strata.get(name) ?? none) : [],
       );
       if (logEvidence > best.logEvidence) best = {name, logEvidence};
     }
