--- a/bench/rollout/report.ts
+++ b/bench/rollout/report.ts
@@ -22,7 +22,9 @@
 export function renderReport(outcomes: readonly Outcome[]): string {
   const lines: string[] = [];
   for (const goal of goals(outcomes))
-    lines.push(`${goal.met ? 'met   ' : 'MISSED'}  ${goal.name}: ${goal.figure}`);
+    lines.push(
+      `${goal.met ? 'met   ' : 'MISSED'}  ${goal.name}: ${goal.figure}`,
+    );
   lines.push('', ...kindTable(outcomes), '', ...misses(outcomes));
   return lines.join('\n') + '\n';
 }
--- a/bench/rollout/scenario.ts
+++ b/bench/rollout/scenario.ts
@@ -55,7 +55,8 @@
   const bad = index % 2 === 1;
   const version = bad ? badKinds[(index >> 1) % badKinds.length] : 'good';
   const himalchuli = rng.next() < 0.5;
-  const fault = faultKinds[Math.floor(index / 2 + index / 14) % faultKinds.length];
+  const fault =
+    faultKinds[Math.floor(index / 2 + index / 14) % faultKinds.length];
   const later = version === 'after-completion' ? [20, 80] : [60, 300];
   return {
     seed,
--- a/bench/rollout/sim-engines.ts
+++ b/bench/rollout/sim-engines.ts
@@ -47,7 +47,10 @@
   ) {
     const surge = scenario.spec.strategy === 'surge';
     for (let i = 0; i < scenario.engines; i++) {
-      const base = {zone: zones[i % zones.length], speed: i % 4 === 3 ? 0.8 : 1};
+      const base = {
+        zone: zones[i % zones.length],
+        speed: i % 4 === 3 ? 0.8 : 1,
+      };
       this.add(`engine-${i}`, 'v1', -60_000, base);
       if (surge)
         this.add(`engine-${i}-new`, 'v2', rng.between(20_000, 60_000), base);
--- a/bench/rollout/sim-traffic.ts
+++ b/bench/rollout/sim-traffic.ts
@@ -8,7 +8,15 @@
 /** Length of a simulation step, in milliseconds. */
 export const stepMs = 100;
 
-const routes = ['chat', 'chat', 'chat', 'chat', 'summary', 'summary', 'tagging'];
+const routes = [
+  'chat',
+  'chat',
+  'chat',
+  'chat',
+  'summary',
+  'summary',
+  'tagging',
+];
 
 interface Running {
   readonly engine: SimEngine;
--- a/bench/rollout/simulate.ts
+++ b/bench/rollout/simulate.ts
@@ -147,7 +147,10 @@
     this.traffic.total = 0;
     this.traffic.shed = 0;
     const limitMs =
-      startMs + this.scenario.deadlineMs + spec.watchPeriodSeconds * 1000 + 300_000;
+      startMs +
+      this.scenario.deadlineMs +
+      spec.watchPeriodSeconds * 1000 +
+      300_000;
     let endMs: number | undefined;
     while (this.clock.nowMs() < limitMs) {
       await this.advance(500);
@@ -262,8 +265,7 @@
     if (fault === 'log-down') this.log.down = active;
     if (fault === 'lost-answers') this.log.lostAnswers = 0.2;
     if (fault === 'load-jump') this.traffic.loadFactor = active ? 3 : 1;
-    if (fault === 'zone-out')
-      this.zonesIn = active ? zones.slice(0, 2) : zones;
+    if (fault === 'zone-out') this.zonesIn = active ? zones.slice(0, 2) : zones;
     if (fault !== 'leader-killed' && fault !== 'leader-paused') return;
     if (active && !this.faultDone) {
       const leader = this.hosts.find(({task}) => task.leads(rolloutName));
@@ -320,9 +322,7 @@
     const startWall = this.clock.wallMs() - (this.clock.nowMs() - startMs);
     const endWall = entry?.completedAtMs ?? entry?.changedAtMs ?? Infinity;
     const good = scenario.version === 'good';
-    const wanted = good
-      ? ['completed', 'done']
-      : ['taken-back', 'refused'];
+    const wanted = good ? ['completed', 'done'] : ['taken-back', 'refused'];
     const late = entry?.takeBackReason === 'late-fault';
     const endMs = endWall - startWall;
     const inTime =
--- a/bench/rollout/status-check.ts
+++ b/bench/rollout/status-check.ts
@@ -1,4 +1,7 @@
-import {bucketMs, type EvidenceStore} from '../../src/version/evidence/evidence-store.js';
+import {
+  bucketMs,
+  type EvidenceStore,
+} from '../../src/version/evidence/evidence-store.js';
 import {isCanary} from '../../src/version/rollout/rollout-state.js';
 import type {RolloutStatus} from '../../src/version/rollout/status.js';
 import type {Simulation} from './simulate.js';
--- a/src/version/rollout/decide-step.ts
+++ b/src/version/rollout/decide-step.ts
@@ -153,8 +153,7 @@
   const share = entry.steps[entry.step];
   const {verdict} = view;
   const canary = isCanary(entry);
-  if (!canary && ready < share - 1e-9)
-    return `targets for a share of ${share}`;
+  if (!canary && ready < share - 1e-9) return `targets for a share of ${share}`;
   if (view.wallMs - entry.stepAtMs < minStepMs) return 'counters of this step';
   // The canary is bounded by its number of requests in flight, so its share may stay far below.
   if (!canary && (verdict.measuredShare ?? 0) < share * 0.7)
--- a/src/version/rollout/version-caps.ts
+++ b/src/version/rollout/version-caps.ts
@@ -57,11 +57,7 @@
         return {version, share: 0, inFlight: 0};
       const bounded = canary && version === entry?.spec.version;
       const inFlight = bounded
-        ? part(
-            entry.spec.canaryInFlight,
-            serving.indexOf(zone),
-            serving.length,
-          )
+        ? part(entry.spec.canaryInFlight, serving.indexOf(zone), serving.length)
         : unbounded;
       return {version, share: cap, inFlight};
     });
