--- a/src/version/evidence/evidence-store.ts
+++ b/src/version/evidence/evidence-store.ts
@@ -8,6 +8,8 @@
 const maxRoutes = 32;
 /** Greatest number of summed cells; about 1 KB each with two sketches. */
 const maxCells = 8192;
+/** Stops that are remembered. */
+const maxStops = 64;
 /** Latency of a target is not counted for this long after its start, in milliseconds. */
 export const warmUpMs = 20_000;
 /**
@@ -54,10 +56,25 @@
   readonly token: readonly (readonly [number, number])[];
 }
 
+/** Sufficient evidence of harm. */
+export interface StopVerdict {
+  readonly metric: string;
+  /** `overall`, `route:NAME` or `zone:NAME`. */
+  readonly stratum: string;
+  /** Natural logarithm of the evidence. */
+  readonly logEvidence: number;
+  /** Logarithm that was needed. */
+  readonly needed: number;
+  /** Wall time of the verdict, in milliseconds. */
+  readonly atMs: number;
+}
+
 /** Counters of one host. They only grow, so a later export replaces an earlier one. */
 export interface EvidenceExport {
   readonly origin: string;
   readonly cells: readonly ExportedCell[];
+  /** Stops by service, old and new version. */
+  readonly stops: readonly (readonly [string, StopVerdict])[];
 }
 
 /** Place of a cell. */
@@ -85,6 +102,8 @@
   >();
   private readonly lastCrash = new Map<string, number>();
 
+  private readonly stops = new Map<string, StopVerdict>();
+
   /** Samples that were dropped because the store was full. */
   dropped = 0;
 
@@ -154,7 +173,7 @@
         token: cell.token.entries(),
       });
     }
-    return {origin: this.origin, cells};
+    return {origin: this.origin, cells, stops: [...this.stops]};
   }
 
   /**
@@ -164,6 +183,8 @@
    */
   merge(other: EvidenceExport): void {
     if (other.origin === this.origin) return;
+    for (const [comparison, stop] of other.stops)
+      this.noteStop(comparison, stop);
     const known =
       this.peers.get(other.origin) ?? new Map<string, ExportedCell>();
     this.peers.set(other.origin, known);
@@ -183,6 +204,30 @@
     }
   }
 
+  /**
+   * Notes a stop, so that the other hosts stop as well: each sees the counters at other moments,
+   * and evidence close to the threshold would stop a version on some hosts only.
+   *
+   * @param comparison - Service, old and new version.
+   * @param stop - Verdict.
+   */
+  noteStop(comparison: string, stop: StopVerdict): void {
+    if (this.stops.has(comparison)) return;
+    this.stops.set(comparison, stop);
+    if (this.stops.size > maxStops)
+      this.stops.delete(this.stops.keys().next().value as string);
+  }
+
+  /**
+   * Finds a stop that this host or a peer has noted.
+   *
+   * @param comparison - Service, old and new version.
+   * @returns The verdict, if there is one.
+   */
+  stopOf(comparison: string): StopVerdict | undefined {
+    return this.stops.get(comparison);
+  }
+
   /**
    * Lists the summed cells of one service and bucket.
    *
--- a/src/version/evidence/version-judge.ts
+++ b/src/version/evidence/version-judge.ts
@@ -3,6 +3,7 @@
   keptBuckets,
   type Cell,
   type EvidenceStore,
+  type StopVerdict,
 } from './evidence-store.js';
 import {GrowthTest, type GrowthFinding} from './growth-test.js';
 import {
@@ -22,19 +23,6 @@
 /** Buckets that stay open for the counters of other hosts to arrive. */
 const openBuckets = 2;
 
-/** Sufficient evidence of harm. */
-export interface StopVerdict {
-  readonly metric: EvidenceMetric;
-  /** `overall`, `route:NAME` or `zone:NAME`. */
-  readonly stratum: string;
-  /** Natural logarithm of the evidence. */
-  readonly logEvidence: number;
-  /** Logarithm that was needed. */
-  readonly needed: number;
-  /** Wall time of the verdict, in milliseconds. */
-  readonly atMs: number;
-}
-
 /** What is known of a version. */
 export interface Verdict {
   readonly stop?: StopVerdict;
@@ -73,7 +61,7 @@
   >();
   private growth: GrowthTest;
   private nextBucket: number | undefined;
-  private stop: StopVerdict | undefined;
+  private readonly comparison: string;
 
   /**
    * @param store - Counters.
@@ -90,6 +78,7 @@
     private readonly alpha = falseStopRate,
   ) {
     this.growth = new GrowthTest(this.references);
+    this.comparison = JSON.stringify([service, oldVersion, newVersion]);
   }
 
   /** Forgets the evidence for growth, because a step changes the load that was tested. */
@@ -120,12 +109,12 @@
       growthOpen.push(pairs);
     }
     const harm = this.strongest(open);
-    if (!this.stop && harm.logEvidence >= harm.needed) {
-      this.stop = {...harm, atMs: wallMs};
-    }
+    if (harm.logEvidence >= harm.needed)
+      this.store.noteStop(this.comparison, {...harm, atMs: wallMs});
+    const stop = this.store.stopOf(this.comparison);
     const growth = this.growth.withOpen(growthOpen.flat());
     return {
-      ...(this.stop && {stop: this.stop}),
+      ...(stop && {stop}),
       ...this.measure(current, wallMs),
       requests: growth.requests,
       failures: growth.failures,
--- a/src/version/status/resource-status.ts
+++ b/src/version/status/resource-status.ts
@@ -2,6 +2,7 @@
 import type {ConfigState} from '../config-state.js';
 import {checkReferences} from '../references.js';
 import type {Resource} from '../resources/kinds.js';
+import type {RolloutStatus} from '../rollout/status.js';
 import type {ZoneOffset, ZoneOffsets} from './zone-offsets.js';
 
 /** One statement about a resource. */
@@ -31,6 +32,8 @@
   readonly observedGeneration: number;
   readonly conditions: readonly Condition[];
   readonly zones: readonly ZoneStatus[];
+  /** Progress and evidence of a rollout. */
+  readonly rollout?: RolloutStatus;
   /** Host that computed the status. */
   readonly answeredBy: string;
 }
@@ -53,6 +56,8 @@
   readonly config: () => ConfigState;
   readonly zones: ZoneOffsets;
   readonly sources: readonly ConditionSource[];
+  /** Computes the progress of a rollout by its name. */
+  readonly rollout?: (name: string) => RolloutStatus | undefined;
 }
 
 /**
@@ -69,6 +74,8 @@
   const zones = parts.zones
     .list()
     .map(zone => toZoneStatus(parts.zones, zone, resource.offset));
+  const rollout =
+    resource.kind === 'rollout' ? parts.rollout?.(resource.name) : undefined;
   return {
     observedGeneration: resource.generation,
     conditions: [
@@ -77,6 +84,7 @@
       ...parts.sources.flatMap(source => source.conditions(resource)),
     ],
     zones,
+    ...(rollout && {rollout}),
     answeredBy: parts.host,
   };
 }
