Compare failures with the old version's rate of the same period

Change: the test against the past takes the higher of the past rate and the old version's rate in the same period, pooled over the service and over the zone.

--- a/src/version/evidence/metrics.ts
+++ b/src/version/evidence/metrics.ts
@@ -41,11 +41,26 @@
   readonly token: Sketch;
 }
 
-/** Whether the load of a period is close enough to that of the reference to compare latency. */
-export interface Comparable {
+/** Counts of one version over several cells of a period. */
+export interface PooledCounts {
+  requests: number;
+  failures: number;
+}
+
+/** What is known of the period of a cell. */
+export interface Period {
+  /** Whether the load is close enough to that of the past to compare latency. */
   readonly latency: boolean;
+  /** Old version over the whole service, and in the zone of the cell. */
+  readonly old: PooledCounts;
+  readonly oldInZone: PooledCounts;
+  /** Requests of both versions over the whole service. */
+  readonly requests: number;
 }
 
+/** Requests of a period before which a test against the past waits for the old version's. */
+const minPeriod = 10;
+
 const sketchOf = {
   'first-token-median': 'firstToken',
   'first-token-tail': 'firstToken',
@@ -65,7 +80,7 @@
  * @param now - Cell of the new version.
  * @param old - Cell of the old version in the same period, if any.
  * @param past - Old version before this period.
- * @param comparable - Whether latency can be compared with the past.
+ * @param period - What else is known of the period.
  * @returns Log likelihood ratio of each of the {@link harmOdds}.
  */
 export function harmLogRatios(
@@ -73,7 +88,7 @@
   now: Cell,
   old: Cell | undefined,
   past: Reference,
-  comparable: Comparable,
+  period: Period,
 ): number[] {
   const oldRequests = old?.requests ?? 0;
   if (metric === 'failures') {
@@ -88,14 +103,14 @@
         harmOdds,
       );
     }
-    return failuresAgainstPast(now, old, past);
+    return failuresAgainstPast(now, past, period);
   }
   const field = sketchOf[metric];
   if (past[field].total < minReference) return harmOdds.map(() => 0);
   const q = quantileOf(metric);
   const threshold = past[field].quantileIndex(q);
   if (oldRequests < now.requests * 0.05) {
-    if (!comparable.latency) return harmOdds.map(() => 0);
+    if (!period.latency) return harmOdds.map(() => 0);
     return rateLogRatios(
       now[field].total,
       now[field].above(threshold + referenceShift),
@@ -114,18 +129,23 @@
   );
 }
 
+/**
+ * The rate to exceed is that of the past, or that of the old version in the same period if it is
+ * higher: an outage that hits both versions is no fault of the new one.
+ */
 function failuresAgainstPast(
   now: Cell,
-  old: Cell | undefined,
   past: Reference,
+  {old, oldInZone, requests}: Period,
 ): number[] {
-  const oldRate = old ? old.failures / Math.max(1, old.requests) : 0;
-  // The old version fails as well in this period, so the cause is not the new one.
-  if (old && old.failures >= 2 && oldRate > (now.failures / now.requests) * 0.5)
-    return harmOdds.map(() => 0);
+  if (requests < minPeriod) return harmOdds.map(() => 0);
   const rate = Math.min(
-    0.5,
-    (past.failures + 1) / (past.requests + 50) + referenceRateMargin,
+    0.9,
+    Math.max(
+      (past.failures + 1) / (past.requests + 50) + referenceRateMargin,
+      cautiousRate(old),
+      cautiousRate(oldInZone),
+    ),
   );
   return rateLogRatios(
     now.requests,
@@ -135,6 +155,11 @@
   );
 }
 
+/** Failure rate on the high side, because few requests may show no failure by chance. */
+function cautiousRate({requests, failures}: PooledCounts): number {
+  return requests > 0 ? (failures + 1) / (requests + 4) : 0;
+}
+
 /** Rate that has a given odds ratio to another rate. */
 function rateOf(rate: number, ratio: number): number {
   const odds = (rate / (1 - rate)) * ratio;
--- a/src/version/evidence/version-judge.ts
+++ b/src/version/evidence/version-judge.ts
@@ -11,6 +11,8 @@
   harmLogRatios,
   harmOdds,
   type EvidenceMetric,
+  type Period,
+  type PooledCounts,
 } from './metrics.js';
 import {ReferenceBook} from './reference-book.js';
 import {EProcess} from './sequential.js';
@@ -180,10 +182,10 @@
   /** Sums the log ratios of the cells into strata; a metric and a stratum name each sum. */
   private strata(pairs: readonly PairedCell[]): Map<string, number[]> {
     const strata = new Map<string, number[]>();
-    const comparable = {latency: this.references.similarLoad(pairs)};
+    const periods = periodsOf(pairs, this.references.similarLoad(pairs));
     for (const pair of pairs) {
       if (!pair.now) continue;
-      const ratios = this.cellRatios(pair, comparable);
+      const ratios = this.cellRatios(pair, periods(pair.place));
       for (const [metric, names] of this.strataOf(pair.place)) {
         const values = ratios.get(metric)!;
         for (const name of names) {
@@ -212,17 +214,17 @@
 
   private cellRatios(
     {now, old, place, bucket}: PairedCell,
-    comparable: {latency: boolean},
+    period: Period,
   ): ReadonlyMap<EvidenceMetric, number[]> {
     const key = `${bucket} ${place}`;
-    const marker = `${now!.requests} ${now!.failures} ${old?.requests} ${old?.failures} ${comparable.latency}`;
+    const marker = `${now!.requests} ${now!.failures} ${old?.requests} ${old?.failures} ${period.latency} ${period.requests} ${period.old.failures}`;
     const cached = this.cache.get(key);
     if (cached?.marker === marker) return cached.ratios;
     const past = this.references.get(place);
     const ratios = new Map(
       allMetrics.map(metric => [
         metric,
-        harmLogRatios(metric, now!, old, past, comparable),
+        harmLogRatios(metric, now!, old, past, period),
       ]),
     );
     this.cache.set(key, {marker, ratios});
@@ -254,3 +256,31 @@
   readonly place: string;
   readonly bucket: number;
 }
+
+/** Sums the old version's counts over a period, and over each zone in it. */
+function periodsOf(
+  pairs: readonly PairedCell[],
+  latency: boolean,
+): (place: string) => Period {
+  const old: PooledCounts = {requests: 0, failures: 0};
+  const zones = new Map<string, PooledCounts>();
+  let requests = 0;
+  for (const pair of pairs) {
+    requests += (pair.now?.requests ?? 0) + (pair.old?.requests ?? 0);
+    if (!pair.old) continue;
+    const zone = pair.place.split('\n')[1];
+    const sum = zones.get(zone) ?? {requests: 0, failures: 0};
+    zones.set(zone, sum);
+    for (const counts of [old, sum]) {
+      counts.requests += pair.old.requests;
+      counts.failures += pair.old.failures;
+    }
+  }
+  const none = {requests: 0, failures: 0};
+  return place => ({
+    latency,
+    old,
+    oldInZone: zones.get(place.split('\n')[1]) ?? none,
+    requests,
+  });
+}
