--- a/bench/rollout/simulate.ts
+++ b/bench/rollout/simulate.ts
@@ -115,8 +115,11 @@
   private shownAtMs: number | undefined;
   private faultDone = false;
 
-  /** Creates the simulation of a scenario. */
-  constructor(readonly scenario: Scenario) {
+  /** Creates the simulation of a scenario; `observe` is called every 500 ms of virtual time. */
+  constructor(
+    readonly scenario: Scenario,
+    private readonly observe: (sim: Simulation) => void = () => {},
+  ) {
     const rng = new Random(scenario.seed);
     this.rng = rng;
     this.engines = new SimEngines(scenario, this.clock, rng, zones);
@@ -156,6 +159,7 @@
       await this.advance(500);
       this.applyFault(this.clock.nowMs() - startMs);
       this.check.look();
+      this.observe(this);
       const entry = this.entry();
       const ended = ['done', 'taken-back', 'refused'].includes(
         entry?.phase ?? '',
