--- /dev/null
+++ b/src/version/rollout/version-caps.ts
@@ -0,0 +1,105 @@
+import type {VersionCap} from '../../request/scheduler/types.js';
+import {
+  activeRollout,
+  allowedShare,
+  isCanary,
+  type RolloutEntry,
+  type RolloutState,
+} from './rollout-state.js';
+import {zoneShares, type RolloutTarget} from './rollout-view.js';
+
+/** Caps of one service. */
+export interface ServiceCaps {
+  readonly service: string;
+  /** Caps for the owners of each zone. */
+  readonly zones: ReadonlyMap<string, readonly VersionCap[]>;
+}
+
+/** What the caps depend on. */
+export interface CapInput {
+  readonly state: RolloutState;
+  readonly service: string;
+  readonly targets: readonly RolloutTarget[];
+  /** Zones of the service. */
+  readonly zones: readonly string[];
+  /** Version that this host has stopped by itself. */
+  readonly stopped: ReadonlySet<string>;
+  /** Whether this host was paused and may not know of a stop yet; it uses no growing version. */
+  readonly outdated?: boolean;
+  readonly wallMs: number;
+}
+
+/** No bound on the requests in flight. */
+const unbounded = Number.MAX_SAFE_INTEGER;
+
+/**
+ * Computes the caps of a service's versions for each zone. The bound on requests in flight of a
+ * canary is divided between the zones, so that it holds over all hosts together.
+ *
+ * @param input - What the caps depend on.
+ * @returns The caps; empty lists if the service never had a rollout.
+ */
+export function versionCaps(input: CapInput): ServiceCaps {
+  const {state, service, zones} = input;
+  const base = baseShares(state, service);
+  const entry = activeRollout(state, service);
+  const shares = entry ? sharesNow(entry, input) : new Map<string, number>();
+  const canary = entry !== undefined && isCanary(entry);
+  const serving = [...zones].sort().filter(zone => (shares.get(zone) ?? 0) > 0);
+  const caps = new Map<string, VersionCap[]>();
+  for (const zone of zones) {
+    const zoneCaps = new Map(base);
+    const share = shares.get(zone) ?? 0;
+    if (entry) {
+      zoneCaps.set(entry.spec.version, share);
+      zoneCaps.set(entry.oldVersion, share >= 1 ? 0 : 1);
+    }
+    const list = [...zoneCaps].map(([version, cap]) => {
+      if (cap === 0 || state.banned.has(`${service}/${version}`))
+        return {version, share: 0, inFlight: 0};
+      const bounded = canary && version === entry?.spec.version;
+      const inFlight = bounded
+        ? part(entry.spec.canaryInFlight, serving.indexOf(zone), serving.length)
+        : unbounded;
+      return {version, share: cap, inFlight};
+    });
+    caps.set(zone, list);
+  }
+  return {service, zones: caps};
+}
+
+/** Shares of the versions without the rollout in progress. */
+function baseShares(state: RolloutState, service: string): Map<string, number> {
+  const shares = new Map<string, number>();
+  for (const {spec, oldVersion} of state.entries.values()) {
+    if (spec.service !== service || !oldVersion) continue;
+    shares.set(spec.version, 0);
+    shares.set(oldVersion, 0);
+  }
+  for (const banned of state.banned) {
+    const at = banned.indexOf('/');
+    if (banned.slice(0, at) === service) shares.set(banned.slice(at + 1), 0);
+  }
+  const inEffect = state.inEffect.get(service);
+  if (inEffect !== undefined) shares.set(inEffect, 1);
+  return shares;
+}
+
+/** Share of the new version in each zone. */
+function sharesNow(
+  entry: RolloutEntry,
+  {targets, stopped, outdated, zones, wallMs}: CapInput,
+): Map<string, number> {
+  if (stopped.has(entry.spec.version)) return new Map();
+  const share = allowedShare(entry);
+  if (entry.phase !== 'progressing')
+    return new Map(zones.map(zone => [zone, share]));
+  // Without a durable completion the deadline takes the share back, even while the log is down.
+  if (outdated || wallMs >= Date.parse(entry.spec.deadline)) return new Map();
+  return zoneShares(targets, entry, share);
+}
+
+/** Part of a whole number that falls to one of several zones. */
+function part(total: number, index: number, count: number): number {
+  return Math.floor(total / count) + (index < total % count ? 1 : 0);
+}
