--- a/src/version/claims/claim-writer.ts
+++ b/src/version/claims/claim-writer.ts
@@ -238,8 +238,10 @@
   private decideHeld(): void {
     for (const {entry} of this.findHeld()) {
       const holder = this.ledger.holder(entry.scopeHash);
+      // Another host may have written this very claim before its own host turned here.
+      const won = holder?.attempt === entry.attempt;
       this.settle(entryKey(entry), item =>
-        item.resolve({kind: 'lost', holder}),
+        item.resolve(won ? {kind: 'won'} : {kind: 'lost', holder}),
       );
     }
   }
@@ -266,8 +268,9 @@
       const {entry, sent} = item;
       // Even an old holder tells more about an earlier request with this key than a refusal.
       const holder = this.ledger.holder(entry.scopeHash);
-      if (!sent && holder) item.resolve({kind: 'lost', holder});
-      else item.reject(new ClaimUndecided(sent));
+      const own = holder?.attempt === entry.attempt;
+      if (!sent && holder && !own) item.resolve({kind: 'lost', holder});
+      else item.reject(new ClaimUndecided(sent || own));
     });
   }
 
--- a/src/version/claims/routed-claim-submitter.ts
+++ b/src/version/claims/routed-claim-submitter.ts
@@ -43,11 +43,13 @@
 
 /**
  * Sends entries to the owner of their partition, so that claims of many hosts share appends. The
- * log decides; during a change of the owner two hosts may write to one partition.
+ * log decides, so two hosts may write to one partition: during a change of the owner, and when a
+ * host writes a claim itself because the owner did not decide it.
  */
 export class RoutedClaimSubmitter extends ClaimSubmitter {
   private readonly owners = new Map<number, string | undefined>();
-  private ownersOf = '';
+  private ownersOf: string | undefined;
+  private owned = 0;
   private stopped = false;
 
   /**
@@ -59,14 +61,13 @@
 
   /** Share of the partitions that this host owns, 0..1. */
   get ownedShare(): number {
-    const {members, partitions} = this.parts;
-    let owned = 0;
-    for (let partition = 0; partition < partitions; partition++) {
-      if (this.owner(partition) === members.self.id) owned++;
-    }
-    return owned / partitions;
+    this.refresh();
+    return this.owned / this.parts.partitions;
   }
 
+  /** Claims that this host wrote itself because the owner did not decide them. */
+  fallbacks = 0;
+
   override async submit(
     partition: number,
     entry: LedgerEntry,
@@ -88,26 +89,52 @@
     this.stopped = true;
   }
 
-  private send(partition: number, entry: LedgerEntry): Promise<LedgerDecision> {
+  private async send(
+    partition: number,
+    entry: LedgerEntry,
+  ): Promise<LedgerDecision> {
     const {members, transport, local} = this.parts;
-    const owner = this.owner(partition);
-    return owner === undefined || owner === members.self.id
-      ? local.submit(partition, entry)
-      : transport.submit(owner, partition, entry);
+    this.refresh();
+    const owner = this.owners.get(partition);
+    if (owner === undefined || owner === members.self.id) {
+      return local.submit(partition, entry);
+    }
+    try {
+      return await transport.submit(owner, partition, entry);
+    } catch (err) {
+      if (!(err instanceof ClaimUndecided) || entry.op !== 'claim') throw err;
+      this.fallbacks++;
+      return this.writeSelf(partition, entry, err.maybeAppended);
+    }
   }
 
-  /** Owner of a partition; computed once for each set of live hosts. */
-  private owner(partition: number): string | undefined {
-    const ids = this.parts.members.live().map(({id}) => id);
-    const key = ids.join('\n');
-    if (key !== this.ownersOf) {
-      this.owners.clear();
-      this.ownersOf = key;
+  private async writeSelf(
+    partition: number,
+    entry: LedgerEntry,
+    maybeAppended: boolean,
+  ): Promise<LedgerDecision> {
+    try {
+      return await this.parts.local.submit(partition, entry);
+    } catch (err) {
+      if (!(err instanceof ClaimUndecided)) throw err;
+      // The owner may still append the entry, whatever became of the own attempt.
+      throw new ClaimUndecided(maybeAppended || err.maybeAppended);
     }
-    if (!this.owners.has(partition)) {
-      this.owners.set(partition, findOwner(claimStream(partition), ids));
+  }
+
+  /** Computes the owners of all partitions, once for each set of live hosts. */
+  private refresh(): void {
+    const {members, partitions} = this.parts;
+    const ids = members.live().map(({id}) => id);
+    const key = ids.join('\n');
+    if (key === this.ownersOf) return;
+    this.ownersOf = key;
+    this.owned = 0;
+    for (let partition = 0; partition < partitions; partition++) {
+      const owner = findOwner(claimStream(partition), ids);
+      this.owners.set(partition, owner);
+      if (owner === members.self.id) this.owned++;
     }
-    return this.owners.get(partition);
   }
 
   private backOff(attempt: number): Promise<void> {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -34,20 +34,12 @@
 import {RequestHandler} from './request/request-handler.js';
 import {TokenBucketRetryBudget} from './request/retry-budget.js';
 import {listResources} from './version/config-state.js';
-import {
-  claimAppendsPerSecond,
-  LocalClaimSubmitter,
-} from './version/claims/claim-submitter.js';
-import {
-  claimKeepMs,
-  LogClaimGate,
-  NoAnswerSource,
-} from './version/claims/log-claim-gate.js';
 import {ConfigFeed} from './version/config-feed.js';
 import {ConfigStore, configStream} from './version/config-store.js';
 import {ConfigWriter} from './version/config-writer.js';
 import {SnapshotWriter} from './version/snapshots/snapshot-writer.js';
 import {ZoneOffsets} from './version/status/zone-offsets.js';
+import {createPeerServices} from './wiring/peer-services.js';
 
 /** Parts that a caller of {@link createHost} may replace. */
 export interface HostParts {
@@ -106,12 +98,27 @@
     sink: store.sink,
     streams: [configStream],
   });
+  /** Whether the configuration was once as new as that of the linked hosts. */
+  let relayed = false;
+  const complete = () => feed.complete || relayed;
+  const services = createPeerServices(settings, {
+    ...peers,
+    clock,
+    logger,
+    metrics,
+    random,
+    log,
+    members,
+    config: () => store.state,
+    ready: () => complete(),
+  });
   const feed = new ConfigFeed({
     log: new PacedLogClient(log, relay, clock),
     store,
     clock,
     logger,
     random,
+    peers: services.snapshots,
   });
   const zones = new ZoneOffsets(members, () => store.state, clock);
   const logUp = () => feed.logUp;
@@ -145,28 +152,11 @@
     },
     logUp,
   });
-  const submitter = new LocalClaimSubmitter({
-    log,
-    clock,
-    random,
-    keepMs: claimKeepMs(settings.claims.retentionMs),
-    appendsPerSecond: () => claimAppendsPerSecond / members.live().length,
-  });
   metrics.gauge(
     'guavaseam_config_offset',
     'Offset of the configuration in effect',
     () => store.state.offset,
   );
-  metrics.gauge(
-    'guavaseam_claim_appends_total',
-    'Records appended to claim streams by this host',
-    () => submitter.appends,
-  );
-  metrics.gauge(
-    'guavaseam_claim_keys',
-    'Idempotency keys remembered by this host',
-    () => submitter.keys,
-  );
   const targets = new TargetClients();
   let prefixHasher: PrefixHasher | undefined;
   const permits = createPermits({
@@ -187,13 +177,11 @@
     onSpill: permits.onSpill,
   });
   let draining = false;
-  /** Whether the configuration was once as new as that of the linked hosts. */
-  let relayed = false;
   const server = new CallerServer(
     settings.callers,
     {clock, logger, metrics},
     [
-      new HealthHandler(metrics, () => (feed.complete || relayed) && !draining),
+      new HealthHandler(metrics, () => complete() && !draining),
       resources,
       new RequestHandler({
         host: settings.host,
@@ -206,13 +194,7 @@
         random,
         retryBudget: new TokenBucketRetryBudget(),
         crashEvidence: new CrashEvidence(),
-        claims: new LogClaimGate({
-          host: settings.host,
-          clock,
-          submitter,
-          answers: new NoAnswerSource(),
-          ...settings.claims,
-        }),
+        claims: services.claims,
         costs: new CostEstimator(),
         prefixes: () => prefixHasher,
         maxBodyBytes: settings.callers.maxBodyBytes,
@@ -275,7 +257,7 @@
       permits.stop();
       feed.stop();
       snapshots.stop();
-      submitter.stop();
+      services.stop();
       for (const end of unsubscribe) end();
       relay.stop();
       await peers.close();
@@ -346,6 +328,7 @@
       onHosts: hosts => membership.post({kind: 'listed', hosts}),
     });
   return {
+    mode: credentials.mode,
     channels,
     server,
     transport,
--- a/test/commands/demo.test.ts
+++ b/test/commands/demo.test.ts
@@ -27,6 +27,8 @@
     assert.ok(whole > requests / 2, stdout);
     assert.equal(whole + refused, requests, stdout);
     assert.deepEqual([lost, duplicate], [0, 0], stdout);
+    // A host that cannot ask the one that ran the first request does not know its outcome.
+    assert.doesNotMatch(stdout, /outcome-unknown/);
   });
   await Promise.all(runs);
 });
