Give up undecided claims after a pause and release them before the exit

A host that was paused or taken for dead kept its groups until the permit node found the gap by itself, and granted a claim whose decision it read late from another host. A host that stopped lost releases that were not read back, so that resends of requests that never ran were outcome-unknown.

SelfPaused of the membership now reaches the permit node and the routed claims; what they still win is released. The drain waits for releases within its bound (at least 0.5 s) and logs what is left.

--- a/src/process/events/version-events.ts
+++ b/src/process/events/version-events.ts
@@ -35,4 +35,9 @@
     level: 'warn',
     message: 'resource API refused a credential',
   },
+  claimsNotReleased: {
+    id: 5008,
+    level: 'warn',
+    message: 'host stopped before the release of claims was read back',
+  },
 } as const;
--- a/src/process/groups/permit-node.ts
+++ b/src/process/groups/permit-node.ts
@@ -219,6 +219,8 @@
    * paused: its followers may have moved, and its permits may have been counted as ended.
    */
   selfPaused(): void {
+    // One pause may be found here and by the membership.
+    this.lastTickMs = this.parts.clock.nowMs();
     this.dropLinks();
     for (const group of this.tasks.keys()) this.parts.onOwned?.(group, false);
     this.tasks.clear();
--- a/src/version/claims/log-claim-gate.ts
+++ b/src/version/claims/log-claim-gate.ts
@@ -86,6 +86,7 @@
   private readonly ended = new Set<string>();
   private answerBytes = 0;
   private abandoned = 0;
+  private readonly releases = new Set<Promise<unknown>>();
 
   /**
    * @param parts - Parts of the process.
@@ -186,6 +187,16 @@
     }
   }
 
+  /** Claims that were given up and whose release is not known to stand in the log. */
+  get unreleased(): number {
+    return this.releases.size;
+  }
+
+  /** Waits until all claims that were given up are released. */
+  async released(): Promise<void> {
+    while (this.releases.size > 0) await Promise.all(this.releases);
+  }
+
   /** Finds a running or ended request of this process, so that the log need not be asked. */
   private findOwn(scopeHash: string): Attempt | undefined {
     const own = this.byScope.get(scopeHash);
@@ -246,7 +257,7 @@
     own.state = 'abandoned';
     this.forgetScope(own);
     this.abandoned++;
-    own.released = submitter
+    const released = submitter
       .submit(partitionOf(scopeHash, partitions), {
         op: 'release',
         scopeHash,
@@ -259,7 +270,12 @@
         // The writer was stopped: the claim stays, and a resend is answered as unknown.
         () => {},
       )
-      .finally(() => this.abandoned--);
+      .finally(() => {
+        this.abandoned--;
+        this.releases.delete(released);
+      });
+    own.released = released;
+    this.releases.add(released);
   }
 
   /** Keeps an ended attempt for later questions, and forgets the oldest ones beyond the bounds. */
--- a/src/version/claims/routed-claim-submitter.ts
+++ b/src/version/claims/routed-claim-submitter.ts
@@ -8,6 +8,8 @@
 /** First and greatest upper bound of the delay before a release is sent again, in milliseconds. */
 const firstDelayMs = 100;
 const lastDelayMs = 5000;
+/** A decision that comes later than this was read by a host that was paused, in milliseconds. */
+const lateMs = 5000;
 
 /** Carries entries to the owner of a partition. */
 export abstract class ClaimTransport {
@@ -51,6 +53,7 @@
   private ownersOf: string | undefined;
   private owned = 0;
   private stopped = false;
+  private pauses = 0;
 
   /**
    * @param parts - Parts of the process.
@@ -72,7 +75,7 @@
     partition: number,
     entry: LedgerEntry,
   ): Promise<LedgerDecision> {
-    if (entry.op === 'claim') return this.send(partition, entry);
+    if (entry.op === 'claim') return this.claim(partition, entry);
     for (let attempt = 0; !this.stopped; attempt++) {
       try {
         return await this.send(partition, entry);
@@ -84,11 +87,35 @@
     throw new ClaimUndecided(true);
   }
 
+  /**
+   * Gives up all claims that are not decided: this host was paused or taken for dead. What it wins
+   * by them is released.
+   */
+  selfPaused(): void {
+    this.pauses++;
+  }
+
   /** Ends the repetition of releases. */
   stop(): void {
     this.stopped = true;
   }
 
+  private async claim(
+    partition: number,
+    entry: LedgerEntry,
+  ): Promise<LedgerDecision> {
+    const {clock} = this.parts;
+    const {pauses} = this;
+    const startMs = clock.nowMs();
+    const decision = await this.send(partition, entry);
+    // After a pause the answers that waited in the sockets may come before the timers.
+    const late = clock.nowMs() - startMs > lateMs;
+    if (decision.kind === 'won' && (late || pauses !== this.pauses)) {
+      throw new ClaimUndecided(true);
+    }
+    return decision;
+  }
+
   private async send(
     partition: number,
     entry: LedgerEntry,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -41,6 +41,9 @@
 import {ZoneOffsets} from './version/status/zone-offsets.js';
 import {createPeerServices} from './wiring/peer-services.js';
 
+/** Wait for the releases of claims when the requests took the whole drain time, in milliseconds. */
+const minReleaseMs = 500;
+
 /** Parts that a caller of {@link createHost} may replace. */
 export interface HostParts {
   readonly clock?: Clock;
@@ -229,6 +232,10 @@
     }),
     subscribe(store.installed, followUp),
     subscribe(members.changes, () => zones.refresh()),
+    subscribe(peers.membership.selfPaused, () => {
+      permits.node.selfPaused();
+      services.selfPaused();
+    }),
   ];
 
   return {
@@ -249,11 +256,16 @@
     },
     async stop() {
       draining = true;
+      const endMs = clock.nowMs() + settings.drainMs;
       permits.node.handOver();
       logger.event('drainStarted');
       resources.close();
       const broken = await server.close(settings.drainMs);
       if (broken > 0) logger.event('drainTimedOut', {requests: broken});
+      const claims = await services.drain(
+        Math.max(minReleaseMs, endMs - clock.nowMs()),
+      );
+      if (claims > 0) logger.event('claimsNotReleased', {claims});
       permits.stop();
       feed.stop();
       snapshots.stop();
--- a/src/wiring/peer-services.ts
+++ b/src/wiring/peer-services.ts
@@ -15,7 +15,7 @@
   serveSnapshots,
 } from '../connection/peer/snapshot-calls.js';
 import type {LogClient} from '../connection/platform/log-client.js';
-import type {Clock} from '../process/clock.js';
+import type {Cancel, Clock} from '../process/clock.js';
 import type {Logger} from '../process/logger.js';
 import type {MemberView} from '../process/member-view.js';
 import type {Metrics} from '../process/metrics.js';
@@ -57,6 +57,18 @@
   readonly claims: LogClaimGate;
   readonly snapshots: PeerSnapshots;
 
+  /** Gives up what is undecided: this host was paused or taken for dead. */
+  selfPaused(): void;
+
+  /**
+   * Waits until the claims that were given up are released. A claim without its release makes
+   * resends `outcome-unknown` although the request was not run.
+   *
+   * @param boundMs - Longest wait, in milliseconds.
+   * @returns Claims that are still not released.
+   */
+  drain(boundMs: number): Promise<number>;
+
   /** Ends the writing of claims. */
   stop(): void;
 }
@@ -133,6 +145,16 @@
   return {
     claims: gate,
     snapshots: new GrpcPeerSnapshots(calls, members),
+    selfPaused: () => submitter.selfPaused(),
+    async drain(boundMs) {
+      let cancel: Cancel = () => {};
+      const bound = new Promise<void>(resolve => {
+        cancel = clock.after(boundMs, resolve);
+      });
+      await Promise.race([gate.released(), bound]);
+      cancel();
+      return gate.unreleased;
+    },
     stop() {
       submitter.stop();
       local.stop();
--- a/test/version/claims/routed-claim-submitter.test.ts
+++ b/test/version/claims/routed-claim-submitter.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {FailureError} from '../../../src/process/errors/catalogue.js';
 import {MemberView, type Member} from '../../../src/process/member-view.js';
 import {Subject} from '../../../src/process/subject.js';
 import type {LedgerEntry} from '../../../src/version/claims/claim-ledger.js';
@@ -194,3 +195,51 @@
   release();
   assert.equal((await runUntil(clock, slow)).kind, 'granted');
 });
+
+test('a claim that is decided across a pause of the host is not granted but released', async () => {
+  const {clock, shared, transport, hosts} = fleet(['a', 'b']);
+  const jump = {
+    told: () => hosts[0].submitter.selfPaused(),
+    // The answer that waited in the socket comes before any timer.
+    'not told': () => {
+      const nowMs = clock.nowMs.bind(clock);
+      clock.nowMs = () => nowMs() + 60_000;
+    },
+  };
+  for (const [i, pause] of Object.values(jump).entries()) {
+    const [key] = keysOwnedBy('b', ['a', 'b'], i + 1).slice(-1);
+    let answer: () => void = () => {};
+    transport.hold = new Promise<void>(resolve => (answer = resolve));
+    const claim = hosts[0].gate.claim(req(key, `q${i}`));
+    const refused = assert.rejects(claim, FailureError);
+    while (shared.appends === 2 * i) await settle();
+    transport.hold = undefined;
+    pause();
+    answer();
+    await refused;
+    await runUntil(clock, hosts[0].gate.released());
+    const again = await runUntil(clock, hosts[1].gate.claim(req(key, 'again')));
+    assert.equal(again.kind, 'granted');
+    shared.appends = 2 * (i + 1);
+  }
+});
+
+test('a host that stops waits until the claims that it gave up are released', async () => {
+  const {clock, hosts} = fleet(['a', 'b']);
+  const {gate, log} = hosts[0];
+  const [key] = keysOwnedBy('a', ['a', 'b'], 1);
+  const result = await runUntil(clock, gate.claim(req(key, 'q')));
+  assert.ok(result.kind === 'granted');
+  log.down = true;
+  gate.release(result.token);
+  let done = false;
+  const released = gate.released().then(() => (done = true));
+  for (let i = 0; i < 20; i++) {
+    await settle();
+    clock.advance(100);
+  }
+  assert.deepEqual([done, gate.unreleased], [false, 1]);
+  log.down = false;
+  await runUntil(clock, released);
+  assert.equal(gate.unreleased, 0);
+});
