--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,8 @@
   membership: () => import('./membership.js'),
   dispatch: () => import('./dispatch/dispatch-bench.js'),
   rollout: () => import('./rollout/main.js'),
+  fleet: () => import('./fleet/fleet-bench.js'),
+  soak: () => import('./soak/soak-bench.js'),
 };
 
 const [name] = process.argv.slice(2);
