--- a/bench/fleet/fleet-bench.ts
+++ b/bench/fleet/fleet-bench.ts
@@ -1,3 +1,4 @@
+import {rmSync} from 'node:fs';
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -43,6 +44,13 @@
   const example = await readExample('himalchuli');
   const standIns = await StandIns.start();
   const hosts: HostProcess[] = [];
+  const interrupt = () => {
+    for (const host of hosts) host.signal('SIGKILL');
+    standIns.stop();
+    rmSync(folder, {recursive: true, force: true});
+    process.exit(130);
+  };
+  process.once('SIGINT', interrupt).once('SIGTERM', interrupt);
   try {
     const plans = await planHosts(example, hostsPerZone, standIns.platform);
     for (const plan of plans) {
