--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,8 @@
 /** Loads one bench by name, so that a run pays only for what it measures. */
 const benches: Record<string, () => Promise<{run(): Promise<void>}>> = {
   // One line for each bench: 'name': () => import('./name.js'),
+  capacity: () => import('./capacity.js'),
+  permits: () => import('./permits.js'),
   'token-relay': () => import('./token-relay.js'),
   'request-overhead': () => import('./request-overhead.js'),
   config: () => import('./config.js'),
