--- /dev/null
+++ b/bench/fleet/fleet-bench.ts
@@ -0,0 +1,1 @@
+export async function run(): Promise<void> {}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,8 @@
   config: () => import('./config.js'),
   membership: () => import('./membership.js'),
   dispatch: () => import('./dispatch/dispatch-bench.js'),
+  fleet: () => import('./fleet/fleet-bench.js'),
+  soak: () => import('./soak/soak-bench.js'),
 };
 
 const [name] = process.argv.slice(2);
