--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,7 +52,7 @@
     },
   },
   {
-    files: ['eslint.config.js', 'scripts/*.js'],
+    files: ['eslint.config.js', 'scripts/*.js', 'examples/**/*.js'],
     languageOptions: {
       sourceType: 'module',
       globals: {process: 'readonly', console: 'readonly'},
--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -83,7 +83,10 @@
     this.server.maxConnections = cfg.maxConnections;
     this.server.on('connection', socket => {
       this.sockets++;
-      socket.once('close', () => this.sockets--);
+      socket.once('close', () => {
+        this.sockets--;
+        process.nextTick(() => this.closeQueued(socket));
+      });
     });
     parts.metrics.gauge(
       'guavaseam_caller_connections',
@@ -222,6 +225,18 @@
     return own.size;
   }
 
+  /**
+   * Closes the responses that waited for earlier ones of a connection that is gone. Node.js only
+   * closes the response that has the connection at that time; without this, the others would stay
+   * in progress, hold their targets and delay a drain up to its bound.
+   */
+  private closeQueued(socket: Socket): void {
+    for (const res of [...(this.inProgress.get(socket) ?? [])]) {
+      res.destroy();
+      res.emit('close');
+    }
+  }
+
   private onProtocolError(err: NodeJS.ErrnoException, stream: Duplex): void {
     const socket = stream as Socket;
     const responses = [...(this.inProgress.get(socket) ?? [])];
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -332,3 +332,28 @@
   });
   assert.deepEqual(headers, {'set-cookie': ['a', 'b'], 'x-good': 'c'});
 });
+
+test(
+  'responses queued behind another one are given up with their connection',
+  hangGuard,
+  async t => {
+    const {server, port, handler, arrival} = await startServer(t);
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => {});
+    let closed = 0;
+    for (let i = 0; i < 3; i++) {
+      const arrived = arrival();
+      socket.write('GET /test HTTP/1.1\r\nhost: h\r\n\r\n');
+      await arrived;
+      handler.serving[i].res.once('close', () => closed++);
+    }
+    assert.equal(server.requests, 3);
+    socket.resetAndDestroy();
+    await once(handler.serving[0].req.socket, 'close');
+    await new Promise(resolve => setImmediate(resolve));
+    assert.deepEqual([server.requests, closed], [0, 3]);
+    // A caller that has left is noticed when its answer is written.
+    const sink = new HttpAnswerSink(handler.serving[2].res);
+    assert.throws(() => sink.write(Buffer.alloc(1_000_000)));
+  },
+);
