--- a/test/package/bench-judges.test.ts
+++ b/test/package/bench-judges.test.ts
@@ -18,13 +18,21 @@
   bodySha256: createHash('sha256').update(body).digest('hex'),
   answerSha256,
 });
+const common = {
+  atMs: 0,
+  host: 0,
+  tier: 0,
+  token: '',
+  method: 'POST',
+  path: '',
+  targetPath: '/dispatch',
+  resent: false,
+  streamed: false,
+  timeoutMs: 1,
+} as const;
 const judge = (outcomes: SendingOutcome[], answers: string[]) => {
   const request = {
-    req: {
-      ...{atMs: 0, host: 0, tier: 0, token: '', method: 'POST', key: 'k'},
-      ...{path: '', targetPath: '/dispatch', body, resent: false},
-      ...{streamed: false, timeoutMs: 1},
-    } as const,
+    req: {...common, body, key: 'k'},
     sendings: outcomes.map(outcome => ({
       ...{host: 'h', sentMs: 0, endMs: 0, firstByteMs: 0, outcome},
     })),
