--- a/bench/fleet/fleet-bench.ts
+++ b/bench/fleet/fleet-bench.ts
@@ -239,10 +239,11 @@
         authorization: `Bearer ${this.example.operatorToken}`,
         'content-type': 'application/merge-patch+json',
       },
-      body: JSON.stringify({state}),
+      body: JSON.stringify({spec: {state}}),
     });
     const text = await res.body.text();
-    if (res.statusCode !== 200) throw new Error(`zone not changed: ${text}`);
+    const {change} = JSON.parse(text) as {change?: string};
+    if (change !== 'updated') throw new Error(`zone not changed: ${text}`);
     return Date.now();
   }
 
