Exchange crash evidence between hosts

A request that crashed one target at each of two hosts was not refused, because each host knew one crash only.

--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -28,7 +28,6 @@
 import {subscribe} from './process/subject.js';
 import type {RandomSource} from './request/backoff.js';
 import {CostEstimator} from './request/cost-estimator.js';
-import {CrashEvidence} from './request/crash-evidence.js';
 import {PermitDispatcher} from './request/permit-dispatcher.js';
 import {loadPrefixHasher, type PrefixHasher} from './request/prefix-hashes.js';
 import {RequestHandler} from './request/request-handler.js';
@@ -196,7 +195,7 @@
         client: (target, type) => targets.get(target, type),
         random,
         retryBudget: new TokenBucketRetryBudget(),
-        crashEvidence: new CrashEvidence(),
+        crashEvidence: services.crashEvidence,
         claims: services.claims,
         costs: new CostEstimator(),
         prefixes: () => prefixHasher,
@@ -248,6 +247,7 @@
         throw err;
       });
       relay.start();
+      services.start();
       permits.start();
       void feed.start();
       snapshots.start();
--- a/src/wiring/peer-services.ts
+++ b/src/wiring/peer-services.ts
@@ -7,6 +7,7 @@
   serveClaims,
 } from '../connection/peer/claim-calls.js';
 import type {PeerChannels} from '../connection/peer/peer-channels.js';
+import {CrashGossip} from '../connection/peer/crash-gossip.js';
 import {PeerCalls} from '../connection/peer/peer-calls.js';
 import type {PeerCredentials} from '../connection/peer/peer-credentials.js';
 import type {PeerServer} from '../connection/peer/peer-server.js';
@@ -18,9 +19,12 @@
 import type {Cancel, Clock} from '../process/clock.js';
 import type {Logger} from '../process/logger.js';
 import type {MemberView} from '../process/member-view.js';
+import type {MembershipTask} from '../process/membership/membership-task.js';
+import type {PeerTransport} from '../process/membership/peer-transport.js';
 import type {Metrics} from '../process/metrics.js';
 import type {Settings} from '../process/settings.js';
 import type {RandomSource} from '../request/backoff.js';
+import {CrashEvidence} from '../request/crash-evidence.js';
 import {
   claimAppendsPerSecond,
   LocalClaimSubmitter,
@@ -44,6 +48,8 @@
   readonly random: RandomSource;
   readonly log: LogClient;
   readonly members: MemberView;
+  readonly membership: MembershipTask;
+  readonly transport: PeerTransport;
   readonly channels: PeerChannels;
   readonly mode: PeerCredentials['mode'];
   readonly server: PeerServer;
@@ -55,8 +61,12 @@
 /** What hosts do for each other by unary calls. */
 export interface PeerServices {
   readonly claims: LogClaimGate;
+  readonly crashEvidence: CrashEvidence;
   readonly snapshots: PeerSnapshots;
 
+  /** Starts the exchange with the linked hosts. */
+  start(): void;
+
   /** Gives up what is undecided: this host was paused or taken for dead. */
   selfPaused(): void;
 
@@ -69,7 +79,7 @@
    */
   drain(boundMs: number): Promise<number>;
 
-  /** Ends the writing of claims. */
+  /** Ends the writing of claims and the exchange. */
   stop(): void;
 }
 
@@ -142,8 +152,16 @@
     'Claims that this host wrote itself because the owner of the partition did not decide them',
     () => submitter.fallbacks,
   );
+  const crashEvidence = new CrashEvidence();
+  const crashGossip = new CrashGossip(crashEvidence, {
+    clock,
+    transport: parts.transport,
+    neighbours: () => parts.membership.neighbours,
+  });
   return {
     claims: gate,
+    crashEvidence,
+    start: () => crashGossip.start(),
     snapshots: new GrpcPeerSnapshots(calls, members),
     selfPaused: () => submitter.selfPaused(),
     async drain(boundMs) {
@@ -156,6 +174,7 @@
       return gate.unreleased;
     },
     stop() {
+      crashGossip.stop();
       submitter.stop();
       local.stop();
     },
