Ask for offsets of the own zone whose update got lost

An update of details is passed on a few times only and is left out of a message without room; with 45 hosts in a zone the repair of one member in turn took more than 30 s, so the zone's least offset stayed too low.

A ping now names one member of the zone that the sender knows below its own offset, and the ack carries it if the receiver knows better. The status still comes from versions that the members issued, so it is never ahead.

--- a/src/connection/peer/peer-codec.ts
+++ b/src/connection/peer/peer-codec.ts
@@ -92,6 +92,7 @@
 function isValidProbe(probe: Probe): boolean {
   return (
     Number.isSafeInteger(probe.incarnation) &&
+    (probe.lagging ?? '').length <= maxNameLength &&
     probe.updates.length <= maxUpdates &&
     probe.zones.length <= maxZones &&
     probe.offsets.length <= maxOffsets &&
--- a/src/process/membership/member-table.ts
+++ b/src/process/membership/member-table.ts
@@ -94,6 +94,27 @@
     return 'old';
   }
 
+  /**
+   * Chooses a member of the own zone whose offset is not known up to that of this host. Passed on
+   * updates get lost when a message has no room for them, and with many members of a zone the
+   * repair in turn takes long.
+   *
+   * @param own - This host.
+   * @param zone - Zone of the host that is asked; those of other zones know less.
+   * @param random - Source of numbers from 0 to 1.
+   * @returns Id of the member; empty if there is none.
+   */
+  chooseLagging(own: MemberUpdate, zone: string, random: () => number): string {
+    if (zone !== this.selfZone) return '';
+    const ids: string[] = [];
+    for (const entry of this.entries.values()) {
+      const {id, zone, configOffset} = entry.update;
+      if (zone !== this.selfZone || !mayLive(entry)) continue;
+      if (configOffset < own.configOffset) ids.push(id);
+    }
+    return ids[Math.floor(random() * ids.length)] ?? '';
+  }
+
   /**
    * Notes that a zone was heard.
    *
--- a/src/process/membership/membership-core.ts
+++ b/src/process/membership/membership-core.ts
@@ -174,11 +174,11 @@
       return this.finish(nowMs);
     const probe = message.ping ?? message.ack;
     if (probe) this.takeProbe(from, probe, nowMs);
-    if (message.ping) {
-      if (probe?.sync) this.sendAll(from, nowMs);
+    if (probe && message.ping) {
+      if (probe.sync) this.sendAll(from, nowMs);
       if (message.ping.sequence > 0) {
         const ack = this.own.probe(message.ping.sequence);
-        this.send(from, {ack: this.writer.fill(ack, from.id, nowMs, true)});
+        this.send(from, {ack: this.writer.answer(ack, from, probe, nowMs)});
       }
     } else if (message.ack) {
       const {reached, sequence} = message.ack;
@@ -331,7 +331,9 @@
     const to = this.table.get(id)?.update;
     if (!to) return;
     const sync = this.zonesToSync.delete(to.zone);
-    const head = {...this.own.probe(sequence), sync};
+    const {table, own, random} = this;
+    const lagging = table.chooseLagging(own.update, to.zone, random);
+    const head = {...this.own.probe(sequence), sync, lagging};
     this.send(to, {ping: this.writer.fill(head, id, nowMs, false)});
   }
 
--- a/src/process/membership/messages.ts
+++ b/src/process/membership/messages.ts
@@ -58,6 +58,8 @@
   readonly sync: boolean;
   /** Host that an intermediate reached; empty in a direct ack. */
   readonly reached: string;
+  /** Member of the common zone that the sender of a ping knows only with an old offset. */
+  readonly lagging?: string;
 }
 
 /** Message on a link; exactly one field is set. */
@@ -146,6 +148,7 @@
     fieldBytes(probe.summary.length) +
     offsets +
     2 + // sync
-    fieldBytes(probe.reached.length)
+    fieldBytes(probe.reached.length) +
+    fieldBytes(probe.lagging?.length ?? 0)
   );
 }
--- a/src/process/membership/probe-writer.ts
+++ b/src/process/membership/probe-writer.ts
@@ -4,6 +4,7 @@
   updateBytes,
   zoneAgeBytes,
   type MemberUpdate,
+  type PeerIdentity,
   type Probe,
   type ZoneAge,
 } from './messages.js';
@@ -36,9 +37,16 @@
    * @param to - Id of the receiver; empty if unknown.
    * @param nowMs - Monotonic time in milliseconds.
    * @param refresh - Whether to add a member whose state is old, to repair lost updates.
+   * @param wanted - Member that the receiver asked for.
    * @returns The probe to send.
    */
-  fill(head: Probe, to: string, nowMs: number, refresh: boolean): Probe {
+  fill(
+    head: Probe,
+    to: string,
+    nowMs: number,
+    refresh: boolean,
+    wanted?: MemberUpdate,
+  ): Probe {
     let bytes = probeHeadBytes(head);
     const reserve = (size: number): boolean => {
       if (bytes + size > bounds.messageBytes) return false;
@@ -51,6 +59,7 @@
     if (known && known.state !== 'alive' && reserve(updateBytes(known))) {
       updates.push(known);
     }
+    if (wanted && reserve(updateBytes(wanted))) updates.push(wanted);
     updates.push(...this.queue.take(update => reserve(updateBytes(update))));
     const zones = this.zoneAges(to, nowMs).filter(entry =>
       reserve(zoneAgeBytes(entry)),
@@ -62,6 +71,23 @@
     return {...head, updates, zones};
   }
 
+  /**
+   * Fills the ack of a ping, with the member that the ping asks for if its offset is known here up
+   * to that of the sender.
+   *
+   * @param ack - Ack without updates and zone ages.
+   * @param to - Sender of the ping.
+   * @param ping - Ping to answer.
+   * @param nowMs - Monotonic time in milliseconds.
+   * @returns The ack to send.
+   */
+  answer(ack: Probe, to: PeerIdentity, ping: Probe, nowMs: number): Probe {
+    const known = this.table.get(ping.lagging ?? '')?.update;
+    const later =
+      known?.zone === to.zone && known.configOffset >= ping.configOffset;
+    return this.fill(ack, to.id, nowMs, true, later ? known : undefined);
+  }
+
   /**
    * Splits all members into pages of the bounded size.
    *
--- a/test/process/membership/membership-core.test.ts
+++ b/test/process/membership/membership-core.test.ts
@@ -263,3 +263,33 @@
   assert.equal(core.zoneView('z1').configOffset, 9);
   assert.equal(core.zoneView('z9').state, 'unknown');
 });
+
+test('an offset whose update got lost is asked for and known within 4 s, and never ahead', () => {
+  for (let seed = 1; seed <= 3; seed++) {
+    const {network, clock} = startFleet({
+      zones: 1,
+      perZone: 45,
+      seed,
+      loss: 0.02,
+    });
+    const hosts = [...network.hosts.values()];
+    for (let round = 1; round <= 3; round++) {
+      const last = hosts[(seed * 7 + round) % hosts.length];
+      const advance = ({core}: (typeof hosts)[0]) =>
+        core.publish({configOffset: round});
+      for (const host of hosts) if (host !== last) advance(host);
+      network.run(4000);
+      for (const {core} of hosts) {
+        const view = core.zoneView('z0');
+        assert.equal(view.configOffset, round - 1, 'ahead of the last host');
+      }
+      advance(last);
+      network.run(4000);
+      for (const {core, identity} of hosts) {
+        const {configOffset} = core.zoneView('z0');
+        const where = `${identity.id}, seed ${seed}, ${clock.nowMs()} ms`;
+        assert.equal(configOffset, round, where);
+      }
+    }
+  }
+});
