Refuse by an estimated deadline only with evidence, and not the top tier while lower tiers run

Cause: the time to a complete answer was judged from default speeds and from the limits of cold targets, so tier 2 was refused in the first seconds; a preempted request that returned to the queue was refused by the same estimate and its caller was told that the outcome is unknown.

--- a/src/request/scheduler/deadline-estimate.ts
+++ b/src/request/scheduler/deadline-estimate.ts
@@ -1,4 +1,5 @@
 import type {LengthEstimates} from './length-estimates.js';
+import type {PermitTable} from './permit.js';
 import type {RequestQueue} from './request-queue.js';
 import type {ServiceRate} from './service-rate.js';
 import type {TargetTable} from './target-table.js';
@@ -8,19 +9,34 @@
 export class DeadlineEstimate {
   /**
    * @param queue - Requests that wait.
+   * @param permits - Work that runs.
    * @param targets - Targets with their learnt speeds.
    * @param rate - Observed rate of service.
    * @param lengths - Learnt output lengths.
    */
   constructor(
     private readonly queue: RequestQueue,
+    private readonly permits: PermitTable,
     private readonly targets: TargetTable,
     private readonly rate: ServiceRate,
     private readonly lengths: LengthEstimates,
   ) {}
 
+  /**
+   * Whether requests of a tier may be refused by an estimate: not before answers were observed, and
+   * not in the top tier while lower tiers run or wait.
+   */
+  mayRefuse(tier: number): boolean {
+    if (!this.rate.hasEvidence) return false;
+    const lowerWaits = this.queue.size > this.queue.tiers[0].size;
+    return tier > 0 || !(lowerWaits || this.permits.runsBelow(0));
+  }
+
   /** Whether a new request can be answered in time behind those that wait. */
   canMeet(item: WaitingRequest, nowMs: number): boolean {
+    const {attempt, tier} = item.request;
+    // After an attempt the caller would be told that the outcome is unknown.
+    if (attempt > 0 || !this.mayRefuse(tier)) return true;
     const waitMs = this.waitMs(item);
     return nowMs + waitMs + this.typicalMs(item) <= item.deadlineMs;
   }
@@ -34,7 +50,7 @@
 
   private waitMs(item: WaitingRequest): number {
     const {tier, organisation, weight} = item.request;
-    const rate = this.rate.forTier(tier, this.targets.slots);
+    const rate = this.rate.forTier(tier, this.targets.warmSlots);
     if (!rate) return 0;
     const queue = this.queue.tiers[tier];
     let ahead = queue.costAhead(organisation, weight, item.deadlineMs);
--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -78,6 +78,7 @@
     );
     this.deadlines = new DeadlineEstimate(
       this.queue,
+      this.permits,
       this.targets,
       this.rate,
       this.lengths,
@@ -176,11 +177,9 @@
     else if (!this.deadlines.canMeet(item, nowMs)) {
       this.refuse(item, 'deadline-unreachable');
     } else {
-      const {accepted, displaced} = this.queue.offer(
-        item,
-        // Preemption will make room, so a full queue is no reason to refuse the top tier.
-        req.tier === 0 && this.permits.hasVictim(0),
-      );
+      // Preemption will make room, so a full queue is no reason to refuse the top tier.
+      const mustAccept = req.tier === 0 && this.permits.hasVictim(0);
+      const {accepted, displaced} = this.queue.offer(item, mustAccept);
       if (!accepted) this.refuse(item, 'queue-full');
       if (displaced) {
         const lower = displaced.request.tier > req.tier;
--- a/src/request/scheduler/permit.ts
+++ b/src/request/scheduler/permit.ts
@@ -56,6 +56,8 @@
   );
   /** Preempted permits that have not ended, by the tier for which they were preempted. */
   private readonly pending = new Map<string, number>();
+  /** Permits of idempotent requests by tier. */
+  private readonly idempotent = new Array<number>(tierCount).fill(0);
   private readonly pendingCounts = new Array<number>(tierCount).fill(0);
 
   /** Number of permits. */
@@ -70,6 +72,11 @@
     return count;
   }
 
+  /** Whether idempotent work of a lower tier runs, preempted work that has not ended included. */
+  runsBelow(tier: number): boolean {
+    return this.idempotent.some((count, lower) => lower > tier && count > 0);
+  }
+
   /** Whether work of a lower tier runs that could be preempted. */
   hasVictim(tier: number): boolean {
     return this.victims.some((heap, lower) => lower > tier && heap.size > 0);
@@ -90,6 +97,7 @@
     this.permits.set(permit.id, permit);
     if (permit.request.idempotent) {
       this.victims[permit.request.tier].put(permit);
+      this.idempotent[permit.request.tier]++;
     }
   }
 
@@ -101,7 +109,8 @@
 
   /** Removes a permit. */
   remove(permit: Permit): void {
-    this.permits.delete(permit.id);
+    if (!this.permits.delete(permit.id)) return;
+    if (permit.request.idempotent) this.idempotent[permit.request.tier]--;
     this.victims[permit.request.tier].remove(permit);
     const forTier = this.pending.get(permit.id);
     if (forTier === undefined) return;
--- a/src/request/scheduler/service-rate.ts
+++ b/src/request/scheduler/service-rate.ts
@@ -5,14 +5,24 @@
 /** Share of the rate assumed for a tier however much higher tiers take. */
 const minTierShare = 0.02;
 
+/** Complete answers without which the estimate is a guess: the first ones are the shortest. */
+const minAnswers = 4;
+
 /** Observed rate at which a group serves cost. */
 export class ServiceRate {
   private cost = 0;
   private timeMs = 0;
+  private answers = 0;
   private readonly granted = new Array<number>(tierCount).fill(0);
 
+  /** Whether enough answers were observed for an estimate. */
+  get hasEvidence(): boolean {
+    return this.answers >= minAnswers;
+  }
+
   /** Learns from a complete answer. */
   completed(cost: number, totalMs: number): void {
+    this.answers++;
     this.cost = this.cost * decay + cost;
     this.timeMs = this.timeMs * decay + Math.max(totalMs, 0.01);
   }
--- a/src/request/scheduler/target-state.ts
+++ b/src/request/scheduler/target-state.ts
@@ -26,7 +26,7 @@
   needsProbe = false;
   /** Part of the prompt in the cache during a choice, 0 to 1. */
   cachedShare = 0;
-  /** Requests that may run at once under this owner, for the running total. */
+  /** Requests that may run at once under this owner when warm, for the running total. */
   counted = 0;
   private readonly routes = new Map<string, CircuitBreaker>();
   private jumps = 0;
--- a/src/request/scheduler/target-table.ts
+++ b/src/request/scheduler/target-table.ts
@@ -12,7 +12,7 @@
   readonly groupRates: TargetRates;
   private readonly states = new Map<string, TargetState>();
   private readonly hardwareRates = new Map<string, TargetRates>();
-  private allowedTotal = 0;
+  private warmTotal = 0;
   private share = 1;
 
   /**
@@ -33,9 +33,9 @@
     );
   }
 
-  /** Permits that this owner may have outstanding at usable targets. */
-  get slots(): number {
-    return this.allowedTotal;
+  /** Permits that this owner may have outstanding once cold limits have risen. */
+  get warmSlots(): number {
+    return this.warmTotal;
   }
 
   /** Permits that could be granted now. */
@@ -138,9 +138,10 @@
     state.updateCosts();
     const healthy = state.breaker.allows(nowMs);
     const allowed = this.allowed(state);
-    this.allowedTotal -= state.counted;
-    state.counted = healthy || state.inFlight > 0 ? allowed : 0;
-    this.allowedTotal += state.counted;
+    this.warmTotal -= state.counted;
+    const counts = healthy || state.inFlight > 0;
+    state.counted = counts ? this.warm(state, allowed) : 0;
+    this.warmTotal += state.counted;
     if (healthy && state.inFlight < allowed) this.free.add(state);
     else this.free.delete(state);
   }
@@ -150,6 +151,14 @@
     return state.allowed(this.share, this.recovering);
   }
 
+  /** What the owner may use of a target once its limit and the owner's share have risen. */
+  private warm({view, limit}: TargetState, allowed: number): number {
+    if (!view.usable) return allowed;
+    if (this.recovering) return view.maxConcurrency;
+    const warm = limit.cold ? view.maxConcurrency * this.share : 0;
+    return Math.max(allowed, warm);
+  }
+
   private put(view: TargetView, nowMs: number): void {
     const known = this.states.get(view.name);
     const state = known ?? this.create(view);
--- a/src/request/scheduler/tier-placement.ts
+++ b/src/request/scheduler/tier-placement.ts
@@ -84,7 +84,7 @@
           continue;
         }
         elsewhere.push({item, lostTokens});
-      } else if (choice && this.parts.deadlines.typicalMs(item) > leftMs) {
+      } else if (choice && this.isHopeless(item, leftMs)) {
         this.parts.queue.remove(item);
         this.parts.refuse(item);
         continue;
@@ -97,6 +97,15 @@
     return this.placeElsewhere(elsewhere, nowMs) || granted;
   }
 
+  /** Whether a request is refused because its deadline can't be met on any target. */
+  private isHopeless(item: WaitingRequest, leftMs: number): boolean {
+    const {deadlines} = this.parts;
+    return (
+      deadlines.typicalMs(item) > leftMs &&
+      deadlines.mayRefuse(item.request.tier)
+    );
+  }
+
   /**
    * Time for which a request waits for a busy target that holds its prefix. An idle slot costs a
    * small part of a batch, but prompt processing delays everything that runs on its target.
--- a/test/request/scheduler/refusals.test.ts
+++ b/test/request/scheduler/refusals.test.ts
@@ -134,3 +134,70 @@
     assert.deepEqual(refusals(decisions), []);
   }
 });
+
+/** A warm target of one slot that took 10 s for each of several answers, and runs one request. */
+function slow(running: Parameters<typeof request>[1], answers: number) {
+  const scheduler = schedulerWith([view('t')]);
+  let [{permitId}] = grants(scheduler.offer(request('r', running), 0));
+  for (let i = 1; i <= answers; i++) {
+    scheduler.offer(request(`q${i}`, running), i);
+    const done = outcome('ok', {totalMs: 10_000, tokens: 10});
+    [{permitId}] = grants(scheduler.complete(permitId, done, i));
+  }
+  return {scheduler, permitId};
+}
+
+test('no request is refused by an estimate before answers were observed', () => {
+  const {scheduler} = slow({tier: 1}, 2);
+  for (let i = 0; i < 9; i++) {
+    const decisions = scheduler.offer(
+      request(`w${i}`, {tier: 1, timeoutMs: 5000, maxTokens: 4000}),
+      10,
+    );
+    assert.deepEqual(refusals(decisions), []);
+  }
+});
+
+test('the top tier is not refused by an estimate while lower tiers run or wait', () => {
+  const top = (id: string) => request(id, {tier: 0, timeoutMs: 15_000});
+  const fixed = {tier: 0, idempotent: false} as const;
+  const alone = slow(fixed, 5).scheduler;
+  alone.offer(top('a'), 10);
+  alone.offer(top('b'), 10);
+  assert.deepEqual(refusals(alone.offer(top('c'), 10)), [
+    'c deadline-unreachable',
+  ]);
+  const lower = slow(fixed, 5).scheduler;
+  lower.offer(request('low', {tier: 3}), 9);
+  const runs = slow({tier: 3}, 5).scheduler;
+  for (const scheduler of [lower, runs]) {
+    for (const id of ['a', 'b', 'c', 'd']) {
+      assert.deepEqual(refusals(scheduler.offer(top(id), 10)), []);
+    }
+  }
+});
+
+test('preempted work that returns to the queue is not refused by an estimate', () => {
+  const {scheduler} = slow({tier: 0, idempotent: false}, 5);
+  const late = {tier: 1, timeoutMs: 9000} as const;
+  scheduler.offer(request('ahead', {tier: 1}), 10);
+  const first = scheduler.offer(request('first', late), 10);
+  assert.deepEqual(refusals(first), ['first deadline-unreachable']);
+  const again = scheduler.offer(request('again', {...late, attempt: 1}), 10);
+  assert.deepEqual(refusals(again), []);
+});
+
+test('limits that still rise do not make deadlines look unreachable', () => {
+  const cold = {coldConcurrency: 1, maxConcurrency: 16};
+  const scheduler = schedulerWith([view('t', cold)]);
+  let [{permitId}] = grants(scheduler.offer(request('r'), 0));
+  for (let i = 1; i <= 5; i++) {
+    scheduler.offer(request(`q${i}`), i);
+    const done = outcome('ok', {totalMs: 2000, tokens: 10});
+    [{permitId}] = grants(scheduler.complete(permitId, done, i));
+  }
+  for (let i = 0; i < 8; i++) {
+    const req = request(`w${i}`, {timeoutMs: 6000});
+    assert.deepEqual(refusals(scheduler.offer(req, 10)), []);
+  }
+});
