Let followers decline a preemption, and force one only for a top-tier request at risk

Cause: a follower ignored a preemption once tokens were reported; the owner counted on the slot and the top-tier request waited. Change: a follower declines if part of the answer was relayed and says so (Declined), the owner takes another victim at once, unrelayed work first. A top-tier request that waited half of its first-token target, or whose deadline is near, forces the lowest tier's least progress; that caller sees a broken stream, counted in guavaseam_broken_answers_total{reason="preempted"}.

--- a/src/process/groups/group-follower.ts
+++ b/src/process/groups/group-follower.ts
@@ -187,7 +187,7 @@
         this.refuse(message.serial, message.reason, message.retryAfterMs);
         break;
       case 'preempt':
-        this.held.get(message.serial)?.preempt();
+        this.preempt(message.serial, message.force);
         break;
       case 'handOver':
         this.passOver(host);
@@ -199,6 +199,11 @@
     }
   }
 
+  private preempt(serial: number, force: boolean): void {
+    const taken = this.held.get(serial)?.preempt(force) ?? true;
+    if (!taken) this.tell({kind: 'declined', ref: this.ref, serial});
+  }
+
   /** The former owner no longer uses this host's share; the present one may. */
   private moved(
     host: string,
--- a/src/process/groups/group-task.ts
+++ b/src/process/groups/group-task.ts
@@ -146,6 +146,11 @@
         );
         break;
       }
+      case 'declined': {
+        const permit = this.table.get(permitKey(host, message.serial));
+        if (permit) this.decide(core.declined(permit.permitId, this.now));
+        break;
+      }
       case 'release': {
         const key = permitKey(host, message.serial);
         const permit = this.table.removePermit(key);
@@ -340,7 +345,10 @@
     if (decision.kind === 'preempt') {
       const key = this.table.keyOf(decision.permitId);
       const permit = key === undefined ? undefined : this.table.get(key);
-      if (permit) this.send(key as string, permit.host, {kind: 'preempt'});
+      const {force} = decision;
+      if (permit) {
+        this.send(key as string, permit.host, {kind: 'preempt', force});
+      }
       return;
     }
     const key = decision.requestId;
@@ -362,7 +370,7 @@
     key: string,
     host: string,
     message:
-      | {kind: 'preempt'}
+      | Omit<Extract<OwnerMessage, {kind: 'preempt'}>, 'ref' | 'serial'>
       | Omit<Extract<OwnerMessage, {kind: 'grant'}>, 'ref' | 'serial'>
       | Omit<Extract<OwnerMessage, {kind: 'refuse'}>, 'ref' | 'serial'>,
   ): void {
--- a/src/process/groups/held-grant.ts
+++ b/src/process/groups/held-grant.ts
@@ -9,6 +9,8 @@
 export class HeldGrant implements Grant {
   /** Tokens reported so far. */
   tokens = 0;
+  /** Whether the caller may have part of the answer. */
+  private partRelayed = false;
   private readonly preemption = new AbortController();
   private released = false;
 
@@ -37,11 +39,19 @@
   }
 
   /**
-   * Takes the permit back; the request path then releases it. An answer of which tokens were
-   * reported is not given up: its caller may have part of it already and would see a broken answer.
+   * Takes the permit back; the request path then releases it.
+   *
+   * @param force - Whether the answer is given up even if its caller would see a broken one.
+   * @returns Whether it was taken back; false if part of the answer was relayed.
    */
-  preempt(): void {
-    if (this.tokens === 0) this.preemption.abort();
+  preempt(force: boolean): boolean {
+    if (this.partRelayed && !force) return false;
+    this.preemption.abort();
+    return true;
+  }
+
+  relayed(): void {
+    this.partRelayed = true;
   }
 
   progress(tokens: number, firstTokenMs?: number): void {
--- a/src/process/groups/permit-messages.ts
+++ b/src/process/groups/permit-messages.ts
@@ -49,6 +49,8 @@
       tokens: number;
       firstTokenMs?: number;
     }
+  /** The follower keeps a preempted permit, because part of the answer was relayed. */
+  | {kind: 'declined'; ref: number; serial: number}
   | {kind: 'release'; ref: number; serial: number; outcome: AttemptOutcome}
   | {kind: 'unfollow'; ref: number}
   | {kind: 'zoneHosts'; ref: number; zoneHosts: number};
@@ -69,7 +71,8 @@
       reason: RefusalReason;
       retryAfterMs?: number;
     }
-  | {kind: 'preempt'; ref: number; serial: number}
+  /** Takes a permit back; without `force` the follower may decline. */
+  | {kind: 'preempt'; ref: number; serial: number; force: boolean}
   /** The owner no longer uses the follower's share; `held` says whether it had it. */
   | {kind: 'unfollowed'; ref: number; held: boolean; settled: boolean}
   /** The owner is leaving; the follower moves to the next one. */
--- a/src/process/groups/scheduler-core.ts
+++ b/src/process/groups/scheduler-core.ts
@@ -26,6 +26,8 @@
     firstTokenMs: number | undefined,
     nowMs: number,
   ): readonly Decision[];
+  /** Notes that a follower declined a preemption. */
+  abstract declined(permitId: string, nowMs: number): readonly Decision[];
   abstract complete(
     permitId: string,
     outcome: AttemptOutcome,
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,5 +1,6 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 import {Counter, Gauge, Registry} from 'prom-client';
+import type {BreakReason} from '../request/answer-sink.js';
 import type {RefusalReason, RetryReason} from '../request/refusals.js';
 import {tierCount, type Tier} from '../version/resources/kinds.js';
 
@@ -33,6 +34,11 @@
     'Requests answered whole, by tier',
     ['tier'],
   );
+  private readonly brokenAnswers = this.counter(
+    'guavaseam_broken_answers_total',
+    'Answers broken off after a part was relayed, by reason and tier',
+    ['reason', 'tier'],
+  );
   private readonly invariants = this.counter(
     'guavaseam_invariant_violations_total',
     'Violations of an invariant, by name',
@@ -93,6 +99,16 @@
     this.refusals.inc({reason, tier: tier ?? 'none'});
   }
 
+  /**
+   * Counts an answer that was broken off after a part of it was relayed.
+   *
+   * @param reason - Why it was broken off.
+   * @param tier - Tier of the request.
+   */
+  broken(reason: BreakReason, tier: Tier): void {
+    this.brokenAnswers.inc({reason, tier});
+  }
+
   /**
    * Counts a repeated attempt.
    *
--- a/src/request/attempt-run.ts
+++ b/src/request/attempt-run.ts
@@ -5,6 +5,7 @@
 import {FailureError} from '../process/errors/catalogue.js';
 import type {AttemptDecision, Observation} from './attempt.js';
 import type {AttemptParts, Job, StopReason} from './attempt-loop.js';
+import type {BreakReason} from './answer-sink.js';
 import type {Grant} from './dispatcher.js';
 import {Relay} from './relay.js';
 import type {AttemptOutcome} from './scheduler/types.js';
@@ -75,6 +76,7 @@
       sink: job.sink,
       model: type === 'model',
       record: job.record,
+      onStart: () => attempt.grant.relayed(),
       onProgress: (tokens, firstTokenMs) =>
         attempt.grant.progress(tokens, firstTokenMs),
     });
@@ -206,7 +208,7 @@
     } else {
       await this.confirmEnd();
     }
-    if (decision.kind === 'break') this.job.sink.breakOff('answer-broken');
+    if (decision.kind === 'break') this.breakOff('answer-broken');
     return decision;
   }
 
@@ -253,13 +255,19 @@
       false,
     );
     if (decision.kind === 'break') {
-      this.job.sink.breakOff(
+      this.breakOff(
         reason === 'preempted' ? 'preempted' : 'deadline-exceeded-running',
       );
     }
     return decision;
   }
 
+  private breakOff(reason: BreakReason): void {
+    const {admitted, sink} = this.job;
+    this.parts.metrics.broken(reason, admitted.tier);
+    sink.breakOff(reason);
+  }
+
   /** Stops an attempt at the engine. A plain service ends a request with its connection. */
   private async confirmEnd(): Promise<void> {
     if (!this.client.resumable) return;
--- a/src/request/dispatcher.ts
+++ b/src/request/dispatcher.ts
@@ -21,6 +21,9 @@
    */
   progress(tokens: number, firstTokenMs?: number): void;
 
+  /** Notes that the caller may have part of the answer, so that it can't be run again unseen. */
+  relayed(): void;
+
   /**
    * Returns the permit. Must be called exactly once.
    *
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -22,6 +22,8 @@
   readonly model: boolean;
   /** Whether to keep a copy of the answer for replays. */
   readonly record: boolean;
+  /** Called before the first byte is relayed to the caller. */
+  readonly onStart: () => void;
   /** Receives the number of tokens so far and the time to the first one, in milliseconds. */
   readonly onProgress: (tokens: number, firstTokenMs: number) => void;
 }
@@ -172,7 +174,9 @@
   private start(answer: TargetAnswer): void {
     this.first();
     const {sink} = this.options;
-    if (!sink.started) sink.head(answer.status, this.headers);
+    if (sink.started) return;
+    this.options.onStart();
+    sink.head(answer.status, this.headers);
   }
 
   private progress(): void {
--- a/src/request/scheduler/deadline-estimate.ts
+++ b/src/request/scheduler/deadline-estimate.ts
@@ -5,6 +5,11 @@
 import type {TargetTable} from './target-table.js';
 import type {WaitingRequest} from './waiting-request.js';
 
+/** Part of the first-token target after which a waiting top-tier request is at risk. */
+const riskPart = 0.5;
+/** Typical answer times left before the deadline from which a request is at risk. */
+const nearFactor = 2;
+
 /** Estimates whether requests can be answered by their deadlines. */
 export class DeadlineEstimate {
   /**
@@ -13,6 +18,7 @@
    * @param targets - Targets with their learnt speeds.
    * @param rate - Observed rate of service.
    * @param lengths - Learnt output lengths.
+   * @param firstTokenTargetMs - Wanted time to first token, in milliseconds.
    */
   constructor(
     private readonly queue: RequestQueue,
@@ -20,8 +26,18 @@
     private readonly targets: TargetTable,
     private readonly rate: ServiceRate,
     private readonly lengths: LengthEstimates,
+    private readonly firstTokenTargetMs: number,
   ) {}
 
+  /** Waiting top-tier requests that will be late unless they get a slot soon. */
+  topTierAtRisk(nowMs: number): number {
+    return this.queue.tiers[0].count(
+      item =>
+        nowMs - item.offeredMs > riskPart * this.firstTokenTargetMs ||
+        item.deadlineMs - nowMs < nearFactor * this.typicalMs(item),
+    );
+  }
+
   /**
    * Whether requests of a tier may be refused by an estimate: not before answers were observed, and
    * not in the top tier while lower tiers run or wait.
--- a/src/request/scheduler/decision-list.ts
+++ b/src/request/scheduler/decision-list.ts
@@ -26,9 +26,9 @@
   }
 
   /** Adds a preemption. */
-  preempt(permit: Permit): void {
-    const {id, request} = permit;
-    this.items.push({kind: 'preempt', permitId: id, requestId: request.id});
+  preempt({id, request}: Permit, force: boolean): void {
+    const requestId = request.id;
+    this.items.push({kind: 'preempt', permitId: id, requestId, force});
   }
 
   /** Takes all decisions. */
--- a/src/request/scheduler/fair-queue.ts
+++ b/src/request/scheduler/fair-queue.ts
@@ -48,6 +48,16 @@
     this.order(account);
   }
 
+  /** Waiting requests that meet a condition. */
+  count(condition: (item: WaitingRequest) => boolean): number {
+    let count = 0;
+    for (const {first, retries} of this.accounts.values()) {
+      for (const item of first.values) if (condition(item)) count++;
+      for (const item of retries.values) if (condition(item)) count++;
+    }
+    return count;
+  }
+
   /** Next request in order, which stays in the queue. */
   peek(): WaitingRequest | undefined {
     const first = this.firstTries.peek();
--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -4,6 +4,7 @@
 import {DeadlineEstimate} from './deadline-estimate.js';
 import {
   checkGrant,
+  checkPreemption,
   ThrowingInvariantSink,
   type InvariantSink,
 } from './invariants.js';
@@ -24,7 +25,6 @@
 } from './scheduler-config.js';
 import {ServiceRate} from './service-rate.js';
 import type {Choice} from './target-choice.js';
-import type {TargetState} from './target-state.js';
 import {TargetTable} from './target-table.js';
 import {TierPlacement} from './tier-placement.js';
 import type {
@@ -82,6 +82,7 @@
       this.targets,
       this.rate,
       this.lengths,
+      this.cfg.firstTokenTargetMs,
     );
     this.placement = new TierPlacement({
       firstTokenTargetMs: this.cfg.firstTokenTargetMs,
@@ -135,12 +136,7 @@
 
   /** Lifts the cold limits of a new owner: all outstanding permits are known. */
   recovered(nowMs: number): Decision[] {
-    // Targets that generate tokens for adopted permits are proven to bear that many.
-    const proven = new Map<TargetState, number>();
-    for (const {target, tokens} of this.permits.values()) {
-      if (tokens > 0) proven.set(target, (proven.get(target) ?? 0) + 1);
-    }
-    for (const [target, count] of proven) target.limit.proven(count);
+    this.permits.proveLimits();
     this.targets.recovered(nowMs);
     return this.decide(nowMs);
   }
@@ -213,6 +209,14 @@
     return this.decide(nowMs);
   }
 
+  /** Notes that a follower declined a preemption; another victim is chosen at once. */
+  declined(permitId: string, nowMs: number): Decision[] {
+    const permit = this.permits.get(permitId);
+    if (!permit?.preempted) return [];
+    this.permits.declined(permit);
+    return this.decide(nowMs);
+  }
+
   /** Takes a permit back; only now is its slot free. */
   complete(
     permitId: string,
@@ -291,7 +295,8 @@
     }
     for (const permit of this.permits.values()) {
       const stalled = this.learner.checkStalled(permit, nowMs);
-      if (stalled && permit.request.idempotent && !permit.preempted) {
+      const {preempted, declined, request} = permit;
+      if (stalled && request.idempotent && !preempted && !declined) {
         this.permits.preempt(permit, undefined);
         this.notifyPreempted(permit);
       }
@@ -327,9 +332,12 @@
     const victims = preemptFor(this.permits, {
       tier,
       waiting: this.queue.sizeUpTo(tier) - reserved - held - expected,
-      useful: permit => this.isUseful(permit.target, nowMs),
+      atRisk: () => (tier === 0 ? this.deadlines.topTierAtRisk(nowMs) : 0),
+      useful: ({target}) =>
+        this.targets.gains(target, nowMs) &&
+        this.caps.allows(target.view.version),
     });
-    for (const victim of victims) this.notifyPreempted(victim);
+    for (const {permit, force} of victims) this.notifyPreempted(permit, force);
     return held;
   }
 
@@ -374,21 +382,9 @@
     }
   }
 
-  /** Whether the end of one more permit at the target would give a slot to a waiting request. */
-  private isUseful(target: TargetState, nowMs: number): boolean {
-    const left = target.inFlight - target.preempting - 1;
-    return (
-      target.breaker.allows(nowMs) &&
-      left < this.targets.allowed(target) &&
-      this.caps.allows(target.view.version)
-    );
-  }
-
-  private notifyPreempted(permit: Permit): void {
-    if (!permit.request.idempotent) {
-      this.invariants.violated('preempt-non-idempotent', permit.id);
-    }
-    this.decisions.preempt(permit);
+  private notifyPreempted(permit: Permit, force = false): void {
+    checkPreemption(this.invariants, permit);
+    this.decisions.preempt(permit, force);
   }
 
   private refuse(item: WaitingRequest, reason: RefusalReason): void {
--- a/src/request/scheduler/invariants.ts
+++ b/src/request/scheduler/invariants.ts
@@ -49,3 +49,18 @@
   if (!check.usable) sink.violated('grant-to-unusable-target', target);
   if (check.duplicate) sink.violated('duplicate-permit', permitId);
 }
+
+/**
+ * Reports a preemption of work that must not run twice.
+ *
+ * @param sink - Receives the violation.
+ * @param permit - Permit to take back.
+ */
+export function checkPreemption(
+  sink: InvariantSink,
+  permit: {id: string; request: {idempotent: boolean}},
+): void {
+  if (!permit.request.idempotent) {
+    sink.violated('preempt-non-idempotent', permit.id);
+  }
+}
--- a/src/request/scheduler/permit.ts
+++ b/src/request/scheduler/permit.ts
@@ -24,6 +24,8 @@
   /** Number of progress reports after the first token. */
   reports: number;
   preempted: boolean;
+  /** Whether the follower declined a preemption: part of the answer was relayed. */
+  declined: boolean;
   suspected: boolean;
 }
 
@@ -40,6 +42,7 @@
     lastProgressMs: nowMs,
     reports: 0,
     preempted: false,
+    declined: false,
     suspected: false,
   };
 }
@@ -87,6 +90,15 @@
     return this.permits.values();
   }
 
+  /** Raises limits: targets that generate tokens for adopted permits bear that many. */
+  proveLimits(): void {
+    const proven = new Map<TargetState, number>();
+    for (const {target, tokens} of this.permits.values()) {
+      if (tokens > 0) proven.set(target, (proven.get(target) ?? 0) + 1);
+    }
+    for (const [target, count] of proven) target.limit.proven(count);
+  }
+
   /** Finds a permit. */
   get(id: string): Permit | undefined {
     return this.permits.get(id);
@@ -112,10 +124,16 @@
     if (!this.permits.delete(permit.id)) return;
     if (permit.request.idempotent) this.idempotent[permit.request.tier]--;
     this.victims[permit.request.tier].remove(permit);
-    const forTier = this.pending.get(permit.id);
-    if (forTier === undefined) return;
-    this.pending.delete(permit.id);
-    this.pendingCounts[forTier]--;
+    this.settle(permit.id);
+  }
+
+  /** Notes that the follower keeps a permit; only a forced preemption can take it now. */
+  declined(permit: Permit): void {
+    permit.declined = true;
+    permit.preempted = false;
+    permit.target.preempting--;
+    this.settle(permit.id);
+    this.victims[permit.request.tier].put(permit);
   }
 
   /** Marks a permit as preempted; `forTier` is undefined if no request waits for its slot. */
@@ -133,10 +151,12 @@
    *
    * @param tier - Only lower tiers than this are considered.
    * @param useful - Whether a slot at the permit's target would help.
+   * @param force - Whether work of which a part was relayed is considered, too.
    */
   victim(
     tier: number,
     useful: (permit: Permit) => boolean,
+    force = false,
   ): Permit | undefined {
     for (let lower = tierCount - 1; lower > tier; lower--) {
       const heap = this.victims[lower];
@@ -144,7 +164,7 @@
       let found: Permit | undefined;
       while (!found && passed.length < maxInspected) {
         const permit = heap.peek();
-        if (!permit) break;
+        if (!permit || (isRelayed(permit) && !force)) break;
         if (useful(permit)) found = permit;
         else {
           heap.remove(permit);
@@ -156,6 +176,18 @@
     }
     return undefined;
   }
+
+  private settle(id: string): void {
+    const forTier = this.pending.get(id);
+    if (forTier === undefined) return;
+    this.pending.delete(id);
+    this.pendingCounts[forTier]--;
+  }
+}
+
+/** Whether part of the answer is known to be relayed; only then are tokens reported. */
+function isRelayed(permit: Permit): boolean {
+  return permit.declined || permit.tokens > 0;
 }
 
 /** Prompt tokens processed and tokens generated that would be lost. */
@@ -167,6 +199,7 @@
 }
 
 function wastesLess(a: Permit, b: Permit): boolean {
+  if (isRelayed(a) !== isRelayed(b)) return isRelayed(b);
   const difference = waste(a) - waste(b);
   if (difference !== 0) return difference < 0;
   if (a.grantedMs !== b.grantedMs) return a.grantedMs > b.grantedMs;
--- a/src/request/scheduler/target-table.ts
+++ b/src/request/scheduler/target-table.ts
@@ -151,6 +151,12 @@
     return state.allowed(this.share, this.recovering);
   }
 
+  /** Whether the end of one more permit at a target would give a slot to a waiting request. */
+  gains(state: TargetState, nowMs: number): boolean {
+    const left = state.inFlight - state.preempting - 1;
+    return state.breaker.allows(nowMs) && left < this.allowed(state);
+  }
+
   /** What the owner may use of a target once its limit and the owner's share have risen. */
   private warm({view, limit}: TargetState, allowed: number): number {
     if (!view.usable) return allowed;
--- a/src/request/scheduler/types.ts
+++ b/src/request/scheduler/types.ts
@@ -122,4 +122,10 @@
       reason: RefusalReason;
       retryAfterMs?: number;
     }
-  | {kind: 'preempt'; permitId: string; requestId: string};
+  | {
+      kind: 'preempt';
+      permitId: string;
+      requestId: string;
+      /** Whether the follower must obey even if part of the answer was relayed. */
+      force: boolean;
+    };
--- a/test/process/groups/fifo-core.ts
+++ b/test/process/groups/fifo-core.ts
@@ -61,6 +61,10 @@
     return [];
   }
 
+  override declined(): Decision[] {
+    return [];
+  }
+
   override recovered() {
     this.recovering = false;
     return this.grant();
--- /dev/null
+++ b/test/process/groups/permit-preemption.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {
+  FollowerMessage,
+  OwnerMessage,
+} from '../../../src/process/groups/permit-messages.js';
+import {GroupScheduler} from '../../../src/request/scheduler/group-scheduler.js';
+import {PermitFleet} from './permit-fleet.js';
+
+const ids = ['h1', 'h2', 'h3'];
+
+/** Fills two targets of one slot with tier-3 work of one follower and notes the messages on preemption. */
+async function fillTargets(seed: number) {
+  let cores = 0;
+  const fleet = new PermitFleet(
+    seed,
+    () => new GroupScheduler({owner: `o${++cores}`, recovering: true}),
+  );
+  fleet.declare('a', 2, 1);
+  fleet.start('a', ids);
+  await fleet.run(1000);
+  const [host] = ids.filter(id => id !== fleet.owner());
+  const low = () => ({...fleet.request(), tier: 3 as const});
+  const running = [fleet.ask(host, low()), fleet.ask(host, low())];
+  await fleet.run(20);
+  const seen: string[] = [];
+  fleet.network.filter = (_from, _to, frame) => {
+    const body = frame.body as FollowerMessage | OwnerMessage | undefined;
+    if (body?.kind === 'declined') seen.push('declined');
+    if (body?.kind === 'preempt') {
+      seen.push(body.force ? 'forced' : 'preempt');
+    }
+    return true;
+  };
+  const askTop = () => fleet.ask(host, {...fleet.request(), tier: 0 as const});
+  return {fleet, running, seen, askTop};
+}
+
+test('a follower declines for a relayed answer and the owner takes the other permit', async () => {
+  const {fleet, running, seen, askTop} = await fillTargets(21);
+  const [a, b] = running.map(({grant}) => grant);
+  assert.ok(a && b, 'both slots are taken');
+  // The owner does not know yet that the answer it would take first is relayed.
+  b.relayed();
+  const top = askTop();
+  await fleet.run(50);
+  assert.deepEqual(seen, ['preempt', 'declined', 'preempt']);
+  assert.ok(a.preempted.aborted && !b.preempted.aborted);
+  a.release({result: 'cancelled', totalMs: 1, tokens: 0});
+  await fleet.run(20);
+  assert.ok(top.grant);
+});
+
+test('a top-tier request at risk gets the slot of a relayed answer', async () => {
+  const {fleet, running, seen, askTop} = await fillTargets(22);
+  for (const {grant} of running) grant?.relayed();
+  const top = askTop();
+  await fleet.run(200);
+  assert.deepEqual(seen, ['preempt', 'declined', 'preempt', 'declined']);
+  await fleet.run(200);
+  assert.deepEqual(seen.slice(4), ['forced']);
+  const broken = running.filter(({grant}) => grant?.preempted.aborted);
+  assert.equal(broken.length, 1);
+  broken[0].grant?.release({result: 'cancelled', totalMs: 1, tokens: 5});
+  await fleet.run(20);
+  assert.ok(top.grant);
+});
--- a/test/request/attempt-fakes.ts
+++ b/test/request/attempt-fakes.ts
@@ -106,6 +106,8 @@
   readonly outcomes: AttemptOutcome['result'][] = [];
   readonly released: AttemptOutcome[] = [];
   readonly preempt: AbortController[] = [];
+  /** Times that an attempt said that the caller may have part of its answer. */
+  relayed = 0;
   /** Refuses from this request on. */
   refuseFrom = Infinity;
   waiting = false;
@@ -127,6 +129,7 @@
       cachedTokens: 0,
       preempted: preempt.signal,
       progress: () => {},
+      relayed: () => this.relayed++,
       release: outcome => {
         this.outcomes.push(outcome.result);
         this.released.push(outcome);
--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {PassThrough} from 'node:stream';
 import {test} from 'node:test';
 import {FailureError} from '../../src/process/errors/catalogue.js';
 import {
@@ -132,6 +133,34 @@
   assert.deepEqual(t.dispatcher.requests[1].avoid, []);
 });
 
+test('the owner learns that a stream is relayed, but not of an answer that is held back', async () => {
+  const stream = setUp([() => answer(200, sse, [event(0), event(1)])]);
+  await stream.run();
+  assert.equal(stream.dispatcher.relayed, 1);
+  const json = {'content-type': 'application/json'};
+  const held = setUp([() => answer(200, json, ['{"choices":'], true), broken]);
+  await held.run().catch(() => {});
+  assert.equal(held.dispatcher.relayed, 0);
+});
+
+test('a stream that is preempted after part was relayed ends with a visible error and is counted', async () => {
+  const body = new PassThrough();
+  body.write(event(0));
+  const headers = {'transfer-encoding': 'chunked', ...sse};
+  const t = setUp([() => ({status: 200, headers, body})]);
+  const run = t.run();
+  await tick();
+  await tick();
+  assert.equal(t.dispatcher.relayed, 1);
+  t.dispatcher.preempt[0].abort();
+  // The client ends the body of an aborted request.
+  body.destroy(broken());
+  assert.equal((await run).whole, false);
+  assert.equal(t.sink.brokenBy, 'preempted');
+  assert.ok(t.client.calls.includes('cancel r'));
+  assert.match(await t.metrics.render(), /broken_answers_total.*preempted.* 1/);
+});
+
 test('a refusal after an attempt that may have run does not say not-run', async () => {
   const t = setUp([broken, unreachable]);
   t.dispatcher.refuseFrom = 1;
