--- a/test/request/relay.test.ts
+++ b/test/request/relay.test.ts
@@ -29,6 +29,7 @@
     sink: new DiscardingSink(),
     model: true,
     record: false,
+    onStart: () => {},
     onProgress: tokens => reports.push({atMs: clock.nowMs(), tokens}),
   });
   async function* events() {
