--- a/src/connection/peer/permit-codec.ts
+++ b/src/connection/peer/permit-codec.ts
@@ -1,8 +1,4 @@
-import {existsSync} from 'node:fs';
-import {dirname, join} from 'node:path';
-import {fileURLToPath} from 'node:url';
-import type {MethodDefinition, ServiceDefinition} from '@grpc/grpc-js';
-import {loadSync} from '@grpc/proto-loader';
+import type {MethodDefinition} from '@grpc/grpc-js';
 import {maxWirePrefixes} from '../../process/groups/permit-limits.js';
 import type {
   FollowerMessage,
@@ -14,6 +10,7 @@
 import {refusals} from '../../request/refusals.js';
 import type {QueuedRequest} from '../../request/scheduler/types.js';
 import type {Tier} from '../../version/resources/kinds.js';
+import {loadProto} from './proto.js';
 
 /** Fields of a decoded message; each reader checks what it uses. */
 type Fields = Record<string, unknown>;
@@ -25,7 +22,7 @@
 const hashBytes = 8;
 
 /** The gRPC service of `proto/permits.proto`. */
-export const permitsService = loadService();
+export const permitsService = loadProto('permits.proto', 'guavaseam.Permits');
 
 /** Its only method. */
 export const permitsMethod = permitsService['Permits'] as MethodDefinition<
@@ -33,25 +30,6 @@
   WireFrame
 >;
 
-function loadService(): ServiceDefinition {
-  // Compiled files lie deeper than sources, so the package's folder is looked for upwards.
-  let folder = dirname(fileURLToPath(import.meta.url));
-  while (!existsSync(join(folder, 'proto', 'permits.proto'))) {
-    const parent = dirname(folder);
-    if (parent === folder) {
-      throw new RangeError('proto/permits.proto is missing from the package');
-    }
-    folder = parent;
-  }
-  const definitions = loadSync(join(folder, 'proto', 'permits.proto'), {
-    longs: Number,
-    enums: String,
-    defaults: true,
-    oneofs: true,
-  });
-  return definitions['guavaseam.Permits'] as ServiceDefinition;
-}
-
 /**
  * Converts a frame for the wire.
  *
