Keep requests that wait for a prefix without a new choice

Cause of the rise in a long run: up to eight requests of a tier wait for a busy target that holds their prefix, and each message chose again among all free targets for each of them; free slots were summed over all targets. Change: such a request is not considered again until one of those targets is free or its time to wait has passed; the number of free slots is a running total.

--- a/src/request/scheduler/target-choice.ts
+++ b/src/request/scheduler/target-choice.ts
@@ -14,6 +14,8 @@
   readonly cachedTokens: number;
   /** Prompt tokens that a busy target holds in addition. */
   readonly lostTokens: number;
+  /** The busy targets that hold a part of the prompt. */
+  readonly busyHolders: readonly TargetState[];
 }
 
 /** What a choice depends on besides the request. */
@@ -73,11 +75,13 @@
     }
   }
   let busyCached = 0;
+  const busyHolders: TargetState[] = [];
   if (holders) {
     for (const holder of holders) {
       if (!free.has(holder) && holder.view.usable) {
         const tokens = Math.floor(promptTokens * holder.cachedShare);
         busyCached = Math.max(busyCached, tokens);
+        busyHolders.push(holder);
       }
       holder.cachedShare = 0;
     }
@@ -88,6 +92,7 @@
     completionMs: bestCompletion,
     cachedTokens: bestCached,
     lostTokens: Math.max(0, busyCached - bestCached),
+    busyHolders,
   };
 }
 
--- a/src/request/scheduler/target-state.ts
+++ b/src/request/scheduler/target-state.ts
@@ -28,6 +28,8 @@
   cachedShare = 0;
   /** Requests that may run at once under this owner when warm, for the running total. */
   counted = 0;
+  /** Permits that could be granted now, for the running total. */
+  freeSlots = 0;
   private readonly routes = new Map<string, CircuitBreaker>();
   private jumps = 0;
   private epoch: number | undefined;
--- a/src/request/scheduler/target-table.ts
+++ b/src/request/scheduler/target-table.ts
@@ -13,6 +13,7 @@
   private readonly states = new Map<string, TargetState>();
   private readonly hardwareRates = new Map<string, TargetRates>();
   private warmTotal = 0;
+  private freeTotal = 0;
   private share = 1;
 
   /**
@@ -40,11 +41,7 @@
 
   /** Permits that could be granted now. */
   get freeSlots(): number {
-    let count = 0;
-    for (const state of this.free) {
-      count += this.allowed(state) - state.inFlight;
-    }
-    return count;
+    return this.freeTotal;
   }
 
   /** Lists the current limit of each target over all hosts, in requests. */
@@ -142,7 +139,10 @@
     const counts = healthy || state.inFlight > 0;
     state.counted = counts ? this.warm(state, allowed) : 0;
     this.warmTotal += state.counted;
-    if (healthy && state.inFlight < allowed) this.free.add(state);
+    this.freeTotal -= state.freeSlots;
+    state.freeSlots = healthy ? Math.max(0, allowed - state.inFlight) : 0;
+    this.freeTotal += state.freeSlots;
+    if (state.freeSlots > 0) this.free.add(state);
     else this.free.delete(state);
   }
 
--- a/src/request/scheduler/tier-placement.ts
+++ b/src/request/scheduler/tier-placement.ts
@@ -67,12 +67,19 @@
     const passedOver: WaitingRequest[] = [];
     const elsewhere: {item: WaitingRequest; lostTokens: number}[] = [];
     let granted = false;
+    this.held = 0;
     while (
       this.parts.targets.free.size > 0 &&
       passedOver.length < maxPassedOver
     ) {
       const item = queue.peek();
       if (!item) break;
+      if (this.stillHeld(item, nowMs)) {
+        this.held++;
+        queue.remove(item);
+        passedOver.push(item);
+        continue;
+      }
       const choice = this.choose(item, nowMs);
       const leftMs = item.deadlineMs - nowMs;
       if (choice && choice.completionMs <= leftMs) {
@@ -83,6 +90,7 @@
           granted = true;
           continue;
         }
+        item.heldFor = choice.busyHolders;
         elsewhere.push({item, lostTokens});
       } else if (choice && this.isHopeless(item, leftMs)) {
         this.parts.queue.remove(item);
@@ -97,6 +105,14 @@
     return this.placeElsewhere(elsewhere, nowMs) || granted;
   }
 
+  /** Whether no target for which a request waits became free; then a new choice is the same. */
+  private stillHeld(item: WaitingRequest, nowMs: number): boolean {
+    const {heldFor} = item;
+    if (!heldFor || nowMs - item.offeredMs >= this.holdMs(item)) return false;
+    const {free} = this.parts.targets;
+    return !heldFor.some(target => free.has(target));
+  }
+
   /** Whether a request is refused because its deadline can't be met on any target. */
   private isHopeless(item: WaitingRequest, leftMs: number): boolean {
     const {deadlines} = this.parts;
@@ -124,7 +140,6 @@
   ): boolean {
     candidates.sort((a, b) => a.lostTokens - b.lostTokens);
     let granted = false;
-    this.held = 0;
     for (const {item} of candidates) {
       if (nowMs - item.offeredMs < this.holdMs(item)) {
         this.held++;
--- a/src/request/scheduler/waiting-request.ts
+++ b/src/request/scheduler/waiting-request.ts
@@ -1,3 +1,4 @@
+import type {TargetState} from './target-state.js';
 import type {QueuedRequest} from './types.js';
 
 /** A queued request with the figures that the scheduler computed on arrival. */
@@ -11,6 +12,8 @@
   readonly expectedTokens: number;
   /** Times that it was passed over for a better target. */
   passes: number;
+  /** Busy targets that hold its prefix, while it waits for one of them. */
+  heldFor?: readonly TargetState[];
   /** Prompt and expected output, in tokens. */
   readonly cost: number;
 }
--- a/test/request/scheduler/choice.test.ts
+++ b/test/request/scheduler/choice.test.ts
@@ -191,3 +191,20 @@
   const [late] = grants(scheduler.tick(60));
   assert.equal(late.target.name, 'b');
 });
+
+test('a request that waits for a target with its prefix gets it as soon as it is free', () => {
+  const scheduler = schedulerWith(['a', 'b'].map(name => view(name)));
+  const prefixes = ['p'];
+  scheduler.cacheEvent('a', {op: 'stored', prefixes, sequence: 1}, 0);
+  const own = {
+    prefixes,
+    promptTokens: 2000,
+    idempotent: false,
+    tier: 0,
+  } as const;
+  const first = place(scheduler, own);
+  assert.equal(place(scheduler, own, 1), undefined);
+  assert.deepEqual(grants(scheduler.tick(5)), []);
+  const [next] = grants(scheduler.complete(first.permitId, outcome('ok'), 10));
+  assert.equal(next.target.name, 'a');
+});
--- a/test/request/scheduler/limits.test.ts
+++ b/test/request/scheduler/limits.test.ts
@@ -194,3 +194,25 @@
   scheduler.tick(30_000);
   assert.equal(scheduler.limits().get('t'), cold.coldConcurrency);
 });
+
+test('the number of free slots follows grants, ends, shares and targets that leave', () => {
+  const views = ['t', 'u'].map(name => view(name, {maxConcurrency: 4}));
+  const scheduler = schedulerWith(views);
+  assert.equal(scheduler.freeSlots, 8);
+  const permits = ['a', 'b', 'c'].map(
+    id => grants(scheduler.offer(request(id), 0))[0].permitId,
+  );
+  assert.equal(scheduler.freeSlots, 5);
+  scheduler.complete(permits[0], outcome('ok'), 1);
+  assert.equal(scheduler.freeSlots, 6);
+  scheduler.setShare(0.5, 2);
+  assert.equal(scheduler.freeSlots, 2);
+  scheduler.setShare(1, 3);
+  scheduler.setTargets([views[0], {...views[1], usable: false}], 4);
+  const used = grants(scheduler.offer(request('d'), 4)).length;
+  assert.equal(used, 1);
+  assert.ok(scheduler.freeSlots <= 3);
+  scheduler.setTargets([views[0]], 5);
+  scheduler.setTargets([], 6);
+  assert.equal(scheduler.freeSlots, 0);
+});
