Break off relayed answers only when a top-tier deadline is near

A late first token does not justify a lost answer. A top-tier request is now at risk when the time left falls to twice the typical answer time, or to the first-token target, at most a quarter of its time limit; without the floor, a request without evidence was at risk 1 ms before its deadline.

--- a/src/request/scheduler/deadline-estimate.ts
+++ b/src/request/scheduler/deadline-estimate.ts
@@ -5,10 +5,13 @@
 import type {TargetTable} from './target-table.js';
 import type {WaitingRequest} from './waiting-request.js';
 
-/** Part of the first-token target after which a waiting top-tier request is at risk. */
-const riskPart = 0.5;
 /** Typical answer times left before the deadline from which a request is at risk. */
 const nearFactor = 2;
+/**
+ * Greatest part of a request's time limit, up to the first-token target, that is kept for its answer.
+ * Before any answer was observed the typical time is near 0 and would leave no time to run.
+ */
+const keptPart = 0.25;
 
 /** Estimates whether requests can be answered by their deadlines. */
 export class DeadlineEstimate {
@@ -29,13 +32,19 @@
     private readonly firstTokenTargetMs: number,
   ) {}
 
-  /** Waiting top-tier requests that will be late unless they get a slot soon. */
+  /**
+   * Waiting top-tier requests that will miss their deadline unless they get a slot soon. A late first
+   * token is no risk in this sense: breaking off a relayed answer loses it for its caller.
+   */
   topTierAtRisk(nowMs: number): number {
-    return this.queue.tiers[0].count(
-      item =>
-        nowMs - item.offeredMs > riskPart * this.firstTokenTargetMs ||
-        item.deadlineMs - nowMs < nearFactor * this.typicalMs(item),
-    );
+    return this.queue.tiers[0].count(item => {
+      const limitMs = item.deadlineMs - item.offeredMs;
+      const keptMs = Math.max(
+        nearFactor * this.typicalMs(item),
+        Math.min(this.firstTokenTargetMs, keptPart * limitMs),
+      );
+      return item.deadlineMs - nowMs < keptMs;
+    });
   }
 
   /**
