--- a/src/process/groups/create-permits.ts
+++ b/src/process/groups/create-permits.ts
@@ -1,3 +1,4 @@
+import type {Stream} from 'most';
 import type {PermitTransport} from '../../connection/peer/permit-transport.js';
 import type {TargetStatusClient} from '../../connection/target/target-status-client.js';
 import type {RefusalReason} from '../../request/refusals.js';
@@ -8,7 +9,7 @@
 import type {Metrics} from '../metrics.js';
 import {createScheduler} from './create-scheduler.js';
 import {PermitNode} from './permit-node.js';
-import {StatusPoller} from './status-poller.js';
+import {StatusPoller, type TargetRestart} from './status-poller.js';
 
 /** Serials start below this number, so that they take at most 6 bytes on the wire for years. */
 const maxFirstSerial = 2 ** 40;
@@ -29,6 +30,8 @@
 export interface Permits {
   readonly node: PermitNode;
   readonly onSpill: (zone: string, reason: RefusalReason) => void;
+  /** Restarts of targets whose group this host owns. */
+  readonly targetRestarts: Stream<TargetRestart>;
   readonly start: () => void;
   readonly stop: () => void;
 }
@@ -87,6 +90,7 @@
       spills.inc({zone, reason});
       logger.event('requestSpilled', {zone, reason});
     },
+    targetRestarts: poller.targetRestarts,
     start: () => {
       node.start();
       poller.start();
--- a/src/process/groups/status-poller.ts
+++ b/src/process/groups/status-poller.ts
@@ -1,7 +1,9 @@
+import type {Stream} from 'most';
 import type {TargetStatusClient} from '../../connection/target/target-status-client.js';
 import type {ConfigState} from '../../version/config-state.js';
 import {getResource} from '../../version/config-state.js';
 import {every, type Cancel, type Clock} from '../clock.js';
+import {Subject} from '../subject.js';
 import type {GroupMessage} from './group-messages.js';
 import {listGroups} from './group-names.js';
 
@@ -21,16 +23,26 @@
   readonly deliver: (group: string, message: GroupMessage) => void;
 }
 
+/** A restart of a target. */
+export interface TargetRestart {
+  readonly target: string;
+  /** Epoch of the new start, as the target reports it. */
+  readonly epoch: number;
+}
+
 interface Reader {
   readonly address: string;
   readonly abort: AbortController;
   loading: boolean;
   streaming: boolean;
+  /** Epoch of the last load report. */
+  epoch?: number;
 }
 
 /** Reads load reports and cache events of the model engines whose groups this host owns. */
 export class StatusPoller {
   private readonly readers = new Map<string, Reader>();
+  private readonly restarts = new Subject<TargetRestart>();
   private slot = 0;
   private cancel: Cancel = () => {};
 
@@ -39,6 +51,11 @@
    */
   constructor(private readonly parts: StatusPollerParts) {}
 
+  /** Restarts of targets while this host owned their group. */
+  get targetRestarts(): Stream<TargetRestart> {
+    return this.restarts.stream;
+  }
+
   /** Starts to read. */
   start(): void {
     this.cancel = every(this.parts.clock, pollMs / slots, () => this.poll());
@@ -102,6 +119,10 @@
     reader.loading = false;
     if (report && !reader.abort.signal.aborted) {
       deliver(group, {kind: 'loadReport', target, report});
+      const {epoch} = report;
+      const restarted = reader.epoch !== undefined && reader.epoch !== epoch;
+      reader.epoch = epoch;
+      if (restarted) this.restarts.next({target, epoch});
     }
   }
 
--- a/test/process/groups/status-poller.test.ts
+++ b/test/process/groups/status-poller.test.ts
@@ -4,6 +4,7 @@
 import type {GroupMessage} from '../../../src/process/groups/group-messages.js';
 import {StatusPoller} from '../../../src/process/groups/status-poller.js';
 import type {LoadReport} from '../../../src/request/scheduler/types.js';
+import {subscribe} from '../../../src/process/subject.js';
 import {PermitFleet} from './permit-fleet.js';
 
 const report: LoadReport = {
@@ -17,10 +18,11 @@
 class CountingClient extends TargetStatusClient {
   loads = 0;
   streams = 0;
+  epoch = 1;
 
   override async load(): Promise<LoadReport> {
     this.loads++;
-    return report;
+    return {...report, epoch: this.epoch};
   }
 
   override cacheEvents(
@@ -63,3 +65,28 @@
   assert.deepEqual([client.loads, client.streams, poller.size], [60, 0, 0]);
   poller.stop();
 });
+
+test('a restart of a target is published once, and the first report is none', async () => {
+  const fleet = new PermitFleet(1);
+  fleet.declare('a', 1, 4);
+  const client = new CountingClient();
+  const poller = new StatusPoller({
+    clock: fleet.clock,
+    client,
+    config: () => fleet.config,
+    owned: () => ['a/s/0'],
+    deliver: () => {},
+  });
+  const seen: string[] = [];
+  const stop = subscribe(poller.targetRestarts, ({target, epoch}) =>
+    seen.push(`${target} ${epoch}`),
+  );
+  poller.start();
+  await fleet.run(2500, () => {}, 10);
+  assert.deepEqual(seen, []);
+  client.epoch = 2;
+  await fleet.run(2500, () => {}, 10);
+  assert.deepEqual(seen, ['a0 2']);
+  stop();
+  poller.stop();
+});
