Enforce the limits of organisations over the fleet

Nothing called the scheduler's organisation limits, so declared limits had no effect. Each host now enforces its part at admission; the parts of all live hosts add up to the limit, which therefore holds without messages. The price is that an organisation whose requests reach few hosts is refused early.

--- a/sim/sim-host.ts
+++ b/sim/sim-host.ts
@@ -5,6 +5,7 @@
 } from '../src/connection/platform/log-client.js';
 import {Clock, type Cancel} from '../src/process/clock.js';
 import {createPermits} from '../src/process/groups/create-permits.js';
+import {OrganisationLimiter} from '../src/process/limits/organisation-limiter.js';
 import {Logger} from '../src/process/logger.js';
 import {MembershipTask} from '../src/process/membership/membership-task.js';
 import type {PeerIdentity} from '../src/process/membership/messages.js';
@@ -156,6 +157,9 @@
       crashEvidence: new CrashEvidence(),
       claims: hooks.claims?.(gate, clock) ?? gate,
       costs: new CostEstimator(),
+      limiter: new OrganisationLimiter(id, () =>
+        members.live().map(member => member.id),
+      ),
       prefixes: () => undefined,
       maxBodyBytes: 1_000_000,
     });
--- /dev/null
+++ b/src/process/limits/organisation-limiter.ts
@@ -0,0 +1,120 @@
+import type {RefusalReason} from '../../request/refusals.js';
+import type {OrganisationSpec} from '../../version/resources/kinds.js';
+import {rankHosts} from '../ownership.js';
+
+/** Why a request is refused, and when to try again. */
+export interface LimitRefusal {
+  readonly reason: RefusalReason;
+  /** Time until the limit allows a request, in milliseconds, if it is known. */
+  readonly retryAfterMs?: number;
+}
+
+/** Use of one organisation at this host. */
+interface Usage {
+  inFlight: number;
+  /** Requests that the rate allows now, with fractions. */
+  tokens: number;
+  refilledMs: number;
+}
+
+const idleUsageMs = 60_000;
+
+/**
+ * Limits the requests of organisations. Each host enforces its own part of each limit, and the parts
+ * of all live hosts add up to the limit, so that it holds without a message for each request. An
+ * organisation whose requests reach only some hosts is therefore refused below its limit.
+ */
+export class OrganisationLimiter {
+  private readonly usages = new Map<string, Usage>();
+
+  /**
+   * @param host - Id of this host.
+   * @param hosts - Returns the ids of the hosts of the fleet that are not confirmed dead.
+   */
+  constructor(
+    private readonly host: string,
+    private readonly hosts: () => readonly string[],
+  ) {}
+
+  /** Number of organisations whose use is remembered. */
+  get organisations(): number {
+    return this.usages.size;
+  }
+
+  /**
+   * Counts a request if the limits allow it.
+   *
+   * @param organisation - Name of the organisation.
+   * @param limits - Limits over the whole fleet, if any.
+   * @param nowMs - Current time on the monotonic clock, in milliseconds.
+   * @returns A refusal, or `undefined` if the request was counted; {@link end} must follow then.
+   */
+  begin(
+    organisation: string,
+    limits: OrganisationSpec['limits'],
+    nowMs: number,
+  ): LimitRefusal | undefined {
+    const usage = this.usage(organisation, nowMs);
+    const {concurrency, requestsPerSecond} = limits ?? {};
+    if (
+      concurrency !== undefined &&
+      usage.inFlight >= this.part(organisation, concurrency)
+    ) {
+      return {reason: 'concurrency-limited'};
+    }
+    if (requestsPerSecond !== undefined) {
+      const rate = requestsPerSecond / this.hosts().length;
+      const burst = Math.max(1, rate);
+      const elapsedMs = nowMs - usage.refilledMs;
+      usage.tokens = Math.min(burst, usage.tokens + (rate * elapsedMs) / 1000);
+      usage.refilledMs = nowMs;
+      if (usage.tokens < 1) {
+        const retryAfterMs = ((1 - usage.tokens) / rate) * 1000;
+        return {reason: 'rate-limited', retryAfterMs};
+      }
+      usage.tokens -= 1;
+    }
+    usage.inFlight += 1;
+    return undefined;
+  }
+
+  /**
+   * Ends a request that was counted.
+   *
+   * @param organisation - Name of the organisation.
+   */
+  end(organisation: string): void {
+    const usage = this.usages.get(organisation);
+    if (usage) usage.inFlight -= 1;
+  }
+
+  /**
+   * Forgets organisations without recent requests.
+   *
+   * @param nowMs - Current time on the monotonic clock, in milliseconds.
+   */
+  prune(nowMs: number): void {
+    for (const [organisation, usage] of this.usages) {
+      if (usage.inFlight === 0 && nowMs - usage.refilledMs > idleUsageMs) {
+        this.usages.delete(organisation);
+      }
+    }
+  }
+
+  /** Part of a whole number that this host may use; the remainder goes to the first hosts by rank. */
+  private part(organisation: string, limit: number): number {
+    const ranked = rankHosts(organisation, this.hosts());
+    const rank = ranked.indexOf(this.host);
+    const whole = Math.floor(limit / ranked.length);
+    return whole + (rank < limit % ranked.length ? 1 : 0);
+  }
+
+  private usage(organisation: string, nowMs: number): Usage {
+    let usage = this.usages.get(organisation);
+    if (!usage) {
+      usage = {inFlight: 0, tokens: 1, refilledMs: nowMs};
+      this.usages.set(organisation, usage);
+    }
+    return usage;
+  }
+}
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -6,7 +6,8 @@
 import {sendProblem} from '../connection/caller/problem.js';
 import {readBody} from '../connection/caller/request-body.js';
 import {FailureError} from '../process/errors/catalogue.js';
-import type {ConfigState} from '../version/config-state.js';
+import type {OrganisationLimiter} from '../process/limits/organisation-limiter.js';
+import {getResource, type ConfigState} from '../version/config-state.js';
 import {admit, authenticate, modelPaths, type Admitted} from './admission.js';
 import {
   AttemptLoop,
@@ -26,6 +27,7 @@
   readonly config: () => ConfigState;
   readonly claims: ClaimGate;
   readonly costs: CostEstimator;
+  readonly limiter: OrganisationLimiter;
   /** Hashes prompts; no prefixes are known before it is loaded. */
   readonly prefixes: () => PrefixHasher | undefined;
   readonly maxBodyBytes: number;
@@ -104,10 +106,23 @@
       sink: new HttpAnswerSink(res, keyed),
       record: keyed,
     };
-    const end = keyed
-      ? await this.runClaimed(job, caller.signal)
-      : await this.runLoop(job, caller.signal);
-    if (end) this.finished(job, end, startMs);
+    this.beginLimited(admitted.organisation);
+    try {
+      const end = keyed
+        ? await this.runClaimed(job, caller.signal)
+        : await this.runLoop(job, caller.signal);
+      if (end) this.finished(job, end, startMs);
+    } finally {
+      this.parts.limiter.end(admitted.organisation);
+    }
+  }
+
+  private beginLimited(organisation: string): void {
+    const {clock, config, limiter} = this.parts;
+    const limits = getResource(config(), 'organisation', organisation)?.spec
+      .limits;
+    const refusal = limiter.begin(organisation, limits, clock.nowMs());
+    if (refusal) throw new FailureError({kind: 'refused', ...refusal});
   }
 
   private runLoop(job: Job, caller: AbortSignal): Promise<JobEnd> {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -16,8 +16,9 @@
 import type {LogClient} from './connection/platform/log-client.js';
 import {TargetClients} from './connection/target/target-clients.js';
 import {HttpTargetStatusClient} from './connection/target/target-status-client.js';
-import {SystemClock, type Clock} from './process/clock.js';
+import {every, SystemClock, type Clock} from './process/clock.js';
 import {createPermits} from './process/groups/create-permits.js';
+import {OrganisationLimiter} from './process/limits/organisation-limiter.js';
 import {Logger} from './process/logger.js';
 import {HostListPoller} from './process/membership/host-list-poller.js';
 import {MembershipTask} from './process/membership/membership-task.js';
@@ -42,6 +43,8 @@
 
 /** Wait for the releases of claims when the requests took the whole drain time, in milliseconds. */
 const minReleaseMs = 500;
+/** Time between two looks for organisations whose use can be forgotten, in milliseconds. */
+const pruneIntervalMs = 30_000;
 
 /** Parts that a caller of {@link createHost} may replace. */
 export interface HostParts {
@@ -179,6 +182,10 @@
     onSpill: permits.onSpill,
   });
   let draining = false;
+  let stopPruning = () => {};
+  const limiter = new OrganisationLimiter(settings.host, () =>
+    members.live().map(({id}) => id),
+  );
   const server = new CallerServer(
     settings.callers,
     {clock, logger, metrics},
@@ -198,6 +205,7 @@
         crashEvidence: services.crashEvidence,
         claims: services.claims,
         costs: new CostEstimator(),
+        limiter,
         prefixes: () => prefixHasher,
         maxBodyBytes: settings.callers.maxBodyBytes,
       }),
@@ -251,6 +259,9 @@
       permits.start();
       void feed.start();
       snapshots.start();
+      stopPruning = every(clock, pruneIntervalMs, () =>
+        limiter.prune(clock.nowMs()),
+      );
       logger.event('hostStarted', {callersPort, peersPort});
       return {callersPort, peersPort};
     },
@@ -266,6 +277,7 @@
         Math.max(minReleaseMs, endMs - clock.nowMs()),
       );
       if (claims > 0) logger.event('claimsNotReleased', {claims});
+      stopPruning();
       permits.stop();
       feed.stop();
       snapshots.stop();
--- a/test/request/fixtures.ts
+++ b/test/request/fixtures.ts
@@ -38,6 +38,8 @@
   readonly hosts?: number;
   readonly callers?: Record<string, unknown>;
   readonly parts?: HostParts;
+  /** Limits of the organisation that sends the requests. */
+  readonly limits?: {requestsPerSecond?: number; concurrency?: number};
 }): Promise<{hosts: TestHost[]; stop(): Promise<void>}> {
   const log = new LogServer();
   await log.listen();
@@ -51,7 +53,11 @@
   };
   const records = [
     put('zone', 'a', {region: 'r', state: 'in'}),
-    put('organisation', 'o', {keys: [{id: 'k', sha256, tier: 0}], weight: 1}),
+    put('organisation', 'o', {
+      keys: [{id: 'k', sha256, tier: 0}],
+      weight: 1,
+      limits: options.limits,
+    }),
     put('service', 'chat', {type: 'model', ...service}),
     put('service', 'orders', {type: 'plain', ...service}),
     ...options.targets.map((target, i) =>
--- a/test/request/request-handler.test.ts
+++ b/test/request/request-handler.test.ts
@@ -31,12 +31,13 @@
   }
 }
 
-async function start(t: TestContext) {
+async function start(t: TestContext, limits?: {requestsPerSecond?: number}) {
   const service = new ScriptedService();
   await service.listen();
   const fleet = await startHosts({
     targets: [{service: 'orders', address: service.address}],
     callers: {maxBodyBytes: 1024},
+    limits,
   });
   t.after(async () => {
     await fleet.stop();
@@ -195,3 +196,15 @@
   }
   assert.equal(service.runs, 0);
 });
+
+test('an organisation beyond its rate is refused before its request is run', async t => {
+  const {service, send} = await start(t, {requestsPerSecond: 0.01});
+  const first = await send();
+  const second = await send();
+  assert.equal(first.status, 201);
+  assert.equal(second.status, 429);
+  assert.equal(second.json()['reason'], 'rate-limited');
+  assert.equal(second.json()['execution'], 'not-run');
+  assert.ok(Number(second.headers['retry-after']) > 1);
+  assert.equal(service.runs, 1);
+});
