--- a/sim/sim-targets.ts
+++ b/sim/sim-targets.ts
@@ -179,7 +179,7 @@
         const poll = () => {
           if (run.ended) return broken();
           if (clock.nowMs() < endMs) {
-            clock.after(Math.min(50, endMs - clock.nowMs()), poll);
+            clock.after(Math.max(1, Math.min(50, endMs - clock.nowMs())), poll);
             return;
           }
           this.all.end(run);
