--- a/sim/sim-targets.ts
+++ b/sim/sim-targets.ts
@@ -44,7 +44,7 @@
   readonly reports: boolean;
   /** Number of starts, as load reports state it. */
   epoch: number;
-  /** Answers since the target was last cold. */
+  /** Answers that hosts received since the target was last cold; the evidence of the owners. */
   completions: number;
   /** Answers to lose after the execution took place. */
   loseAnswers: number;
@@ -183,14 +183,16 @@
             return;
           }
           this.all.end(run);
-          target.completions++;
           if (isCut(host, zone)) {
             clock.after(silentMs, broken);
           } else if (target.loseAnswers > 0) {
             target.loseAnswers--;
             broken();
           } else {
-            gate(() => resolve(answer(run)));
+            gate(() => {
+              target.completions++;
+              resolve(answer(run));
+            });
           }
         };
         const endMs = clock.nowMs() + min + random() * (max - min);
