Connect rollouts to the host

Cause: RolloutTask, the evidence store and the rollout status existed, but no host constructed them. Change: a rollout world over configuration and counters, a dispatcher that records attempts, evidence by gossip, version caps to the permit node, the condition Finished, leases given up on a self-pause, and relay of the streams rollouts and leases. Rollouts in place stay unconnected and say so.

--- a/src/version/rollout/rollout-journal.ts
+++ b/src/version/rollout/rollout-journal.ts
@@ -3,6 +3,8 @@
   LogRecord,
 } from '../../connection/platform/log-client.js';
 import type {Clock} from '../../process/clock.js';
+import {RecordSource} from '../record-relay.js';
+import {RecordRing} from '../record-ring.js';
 import {foldRollout} from './fold-rollout.js';
 import {
   foldLease,
@@ -31,6 +33,11 @@
   readonly outcome: AppendOutcome;
 }
 
+/** Records of each stream that are kept for peers. */
+const ringRecords = 2000;
+/** Size of these records, in bytes. */
+const ringBytes = 512 * 1024;
+
 /** What the journal works with. */
 export interface JournalParts {
   readonly host: string;
@@ -57,10 +64,19 @@
   private readonly offsets = new Map<string, number>();
   private readonly syncedStreams = new Set<string>();
   private readonly pending = new Map<string, number>();
+  private readonly rings = new Map(
+    [leaseStream, rolloutStream].map(stream => [
+      stream,
+      new RecordRing(ringRecords, ringBytes),
+    ]),
+  );
   private leases: LeaseTable = new Map();
   private folded: RolloutState = emptyRollouts;
   private writes = 0;
 
+  /** Records for peers. */
+  readonly source: RecordSource = new JournalSource(this, this.rings);
+
   /** @param parts - What the journal works with. */
   constructor(private readonly parts: JournalParts) {
     this.leaseClock = new LeaseClock(parts.host);
@@ -96,6 +112,7 @@
    */
   skipTo(stream: string, first: number): void {
     this.offsets.set(stream, first);
+    this.rings.get(stream)?.clear();
   }
 
   /**
@@ -108,6 +125,9 @@
   fold(stream: string, records: readonly LogRecord[], next: number): void {
     for (const {offset, data} of records) {
       if (offset < this.offsetOf(stream)) continue;
+      // The ring holds records without gaps only.
+      if (offset > this.offsetOf(stream)) this.rings.get(stream)?.clear();
+      this.rings.get(stream)?.push({offset, data});
       this.offsets.set(stream, offset + 1);
       if (stream === leaseStream) this.foldLease(data as LeaseRecord, offset);
       else this.foldRollout(data as RolloutRecord, offset);
@@ -187,6 +207,11 @@
     this.leaseClock.giveUp(leaseOf(rollout));
   }
 
+  /** Gives up all leases of this host, because it was paused or taken for dead. */
+  giveUpAll(): void {
+    for (const lease of this.leases.keys()) this.leaseClock.giveUp(lease);
+  }
+
   /**
    * Appends a lease record.
    *
@@ -266,6 +291,27 @@
   }
 }
 
+class JournalSource extends RecordSource {
+  constructor(
+    private readonly journal: RolloutJournal,
+    private readonly rings: ReadonlyMap<string, RecordRing>,
+  ) {
+    super();
+  }
+
+  override nextOffset(stream: string): number {
+    return this.journal.offsetOf(stream);
+  }
+
+  override recordsFrom(
+    stream: string,
+    from: number,
+    maxBytes: number,
+  ): readonly LogRecord[] {
+    return this.rings.get(stream)?.from(from, maxBytes) ?? [];
+  }
+}
+
 function leaseOf(rollout: string): string {
   return `rollout/${rollout}`;
 }
--- a/src/version/rollout/rollout-task.ts
+++ b/src/version/rollout/rollout-task.ts
@@ -9,6 +9,7 @@
 import {rankHosts} from '../../process/ownership.js';
 import {Subject, subscribe} from '../../process/subject.js';
 import {Task} from '../../process/task.js';
+import type {RecordSource} from '../record-relay.js';
 import {decideStep} from './decide-step.js';
 import {leaseStream} from './lease.js';
 import {OrderSender, type OrderMessage} from './order-sender.js';
@@ -27,8 +28,8 @@
 } from './rollout-state.js';
 import {
   entryOf,
+  zonesOf,
   type DeclaredRollout,
-  type RolloutTarget,
   type RolloutView,
 } from './rollout-view.js';
 import {rolloutStatus, type RolloutStatus} from './status.js';
@@ -59,6 +60,12 @@
       readonly stream: string;
       readonly first: number;
     }
+  | {
+      readonly kind: 'relayed';
+      readonly stream: string;
+      readonly records: readonly LogRecord[];
+    }
+  | {readonly kind: 'self-paused'}
   | AppendedMessage;
 
 /** What the task works with. */
@@ -137,6 +144,11 @@
     for (const cancel of this.cancels) cancel();
   }
 
+  /** Records of the followed streams, for peers. */
+  get source(): RecordSource {
+    return this.journal.source;
+  }
+
   /** @returns The folded state. */
   get rollouts(): RolloutState {
     return this.journal.state;
@@ -182,6 +194,13 @@
           this.down.delete(message.stream);
           this.journal.fold(message.stream, message.records, message.next);
           break;
+        case 'relayed':
+          // Peers may be behind the log, so this does not tell that the stream was read to its end.
+          this.journal.fold(message.stream, message.records, Infinity);
+          break;
+        case 'self-paused':
+          this.giveUpLeases();
+          break;
         case 'log-down':
           this.down.add(message.stream);
           break;
@@ -224,6 +243,12 @@
     return nowMs - lastMs > pauseMs || nowMs < this.outdatedUntilMs;
   }
 
+  private giveUpLeases(): void {
+    this.journal.giveUpAll();
+    this.outdatedUntilMs = this.parts.clock.nowMs() + catchUpMs;
+    this.publishCaps();
+  }
+
   private tick(): void {
     const nowMs = this.parts.clock.nowMs();
     if (this.lastTickMs === undefined || nowMs - this.lastTickMs > pauseMs)
@@ -367,11 +392,3 @@
     };
   }
 }
-
-/** All zones of a service, so that the caps of a zone that comes back are there before it is. */
-function zonesOf(
-  targets: readonly RolloutTarget[],
-  zonesIn: readonly string[],
-): string[] {
-  return [...new Set([...zonesIn, ...targets.map(({zone}) => zone)])];
-}
--- a/src/version/rollout/rollout-view.ts
+++ b/src/version/rollout/rollout-view.ts
@@ -129,3 +129,16 @@
   }
   return shares;
 }
+
+/**
+ * Lists all zones of a service, so that the caps of a zone that comes back are there before it is.
+ *
+ * @param targets - Targets of the service, of zones that are out as well.
+ * @param zonesIn - Zones that are in.
+ */
+export function zonesOf(
+  targets: readonly RolloutTarget[],
+  zonesIn: readonly string[],
+): string[] {
+  return [...new Set([...zonesIn, ...targets.map(({zone}) => zone)])];
+}
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -28,6 +28,7 @@
 import {subscribe} from './process/subject.js';
 import type {RandomSource} from './request/backoff.js';
 import {CostEstimator} from './request/cost-estimator.js';
+import {EvidenceDispatcher} from './request/evidence-dispatcher.js';
 import {PermitDispatcher} from './request/permit-dispatcher.js';
 import {loadPrefixHasher, type PrefixHasher} from './request/prefix-hashes.js';
 import {RequestHandler} from './request/request-handler.js';
@@ -39,6 +40,8 @@
 import {SnapshotWriter} from './version/snapshots/snapshot-writer.js';
 import {ZoneOffsets} from './version/status/zone-offsets.js';
 import {createPeerServices} from './wiring/peer-services.js';
+import {routeRecords} from './wiring/record-routes.js';
+import {createRollouts, rolloutStreams} from './wiring/rollouts.js';
 
 /** Wait for the releases of claims when the requests took the whole drain time, in milliseconds. */
 const minReleaseMs = 500;
@@ -48,6 +51,8 @@
   readonly clock?: Clock;
   readonly log?: LogClient;
   readonly logger?: Logger;
+  /** Clock of rollouts; the clock of the process if absent. */
+  readonly rolloutClock?: Clock;
   /** Random source of the backoff between attempts. */
   readonly random?: RandomSource;
 }
@@ -92,13 +97,23 @@
   const random = parts.random ?? Math.random;
   const peers = createPeers(settings, {clock, logger, metrics, random});
   const members = peers.membership.view;
+  const rollouts = createRollouts(settings, {
+    ...peers,
+    clock: parts.rolloutClock ?? clock,
+    logger,
+    metrics,
+    log,
+    members,
+    config: () => store.state,
+  });
   const relay = new RecordRelay({
     ...peers,
     clock,
     metrics,
-    source: store.source,
-    sink: store.sink,
-    streams: [configStream],
+    ...routeRecords([
+      [configStream, store],
+      ...rolloutStreams.map(stream => [stream, rollouts.route] as const),
+    ]),
   });
   /** Whether the configuration was once as new as that of the linked hosts. */
   let relayed = false;
@@ -150,7 +165,8 @@
       clock,
       config: () => store.state,
       zones,
-      sources: [],
+      sources: [rollouts.conditions],
+      rollout: name => rollouts.status(name),
     },
     logUp,
   });
@@ -171,13 +187,16 @@
     status: new HttpTargetStatusClient(),
     config: () => store.state,
   });
-  const dispatcher = new PermitDispatcher({
-    node: permits.node,
-    members,
-    config: () => store.state,
-    clock,
-    onSpill: permits.onSpill,
-  });
+  const dispatcher = new EvidenceDispatcher(
+    new PermitDispatcher({
+      node: permits.node,
+      members,
+      config: () => store.state,
+      clock,
+      onSpill: permits.onSpill,
+    }),
+    rollouts.recorder,
+  );
   let draining = false;
   const server = new CallerServer(
     settings.callers,
@@ -232,6 +251,7 @@
     subscribe(store.installed, followUp),
     subscribe(members.changes, () => zones.refresh()),
     subscribe(peers.membership.selfPaused, () => {
+      rollouts.selfPaused();
       permits.node.selfPaused();
       services.selfPaused();
     }),
@@ -249,6 +269,7 @@
       relay.start();
       services.start();
       permits.start();
+      rollouts.start(permits.node, () => relay.post({kind: 'advanced'}));
       void feed.start();
       snapshots.start();
       logger.event('hostStarted', {callersPort, peersPort});
@@ -259,6 +280,7 @@
       const endMs = clock.nowMs() + settings.drainMs;
       permits.node.handOver();
       logger.event('drainStarted');
+      await rollouts.stop();
       resources.close();
       const broken = await server.close(settings.drainMs);
       if (broken > 0) logger.event('drainTimedOut', {requests: broken});
