Let services without a time per token grow

Cause: the growth test waited for evidence on the time per token, which answers of plain services do not have, so a rollout of such a service never left its canary share (seen in the test with three hosts: 425 requests of the new version, still waiting after 60 s). Change: the time per token counts only if the old version has it.

--- a/src/version/evidence/growth-test.ts
+++ b/src/version/evidence/growth-test.ts
@@ -144,6 +144,13 @@
     }
     for (const metric of latency ? latencyMetrics : []) {
       if (this.latencySamples === 0 && this.requests >= 200) continue;
+      // Answers in one piece, of plain services for example, have no time per token.
+      if (
+        metric === 'token-median' &&
+        this.latencySamples > 0 &&
+        !this.references.hasTokens
+      )
+        continue;
       const sum = this.latency.get(metric) ?? zeros();
       const value = logSumExp(sum) - Math.log(sum.length);
       if (value >= needed) continue;
--- a/src/version/evidence/reference-book.ts
+++ b/src/version/evidence/reference-book.ts
@@ -44,6 +44,14 @@
     }
   }
 
+  /** Whether the old version had answers with a time per token. */
+  get hasTokens(): boolean {
+    for (const past of this.places.values()) {
+      if (past.token.total > 0) return true;
+    }
+    return false;
+  }
+
   /** @returns Failure rate of the old version over all places, 0 to 1. */
   failureRate(): number {
     let requests = 0;
