Give a version under rollout its share although old targets are free

Cause: the share was a bound only, so free targets of both versions shared evenly, and the credit was cut at 1, which loses credit at shares above 0.5. A rollout stood at 'measured share 0.50 to reach 0.75' until its deadline in the test with three hosts. Change: the version with unused credit goes first, and the credit may reach 1 + share.

--- a/src/request/scheduler/target-choice.ts
+++ b/src/request/scheduler/target-choice.ts
@@ -47,6 +47,8 @@
   const {free} = input.targets;
   const holders = req.prefixes.length > 0 ? markHolders(req, input) : undefined;
   const blocked = input.caps.exhausted();
+  const wished = input.caps.wished();
+  let bestWished = false;
   let best: TargetState | undefined;
   let bestScore = Infinity;
   let bestCompletion = 0;
@@ -67,7 +69,12 @@
     let score = (completionMs + delayToOthers) * target.riskFactor;
     // A probe is cheap for a lower tier and tells whether the target has recovered.
     if (target.needsProbe && req.tier > 0) score = -1;
-    if (score < bestScore) {
+    // The share of a version under rollout is the wished split, not only a bound: evidence for a
+    // greater share needs requests.
+    const isWished = wished !== undefined && target.view.version === wished;
+    if (bestWished && !isWished) continue;
+    if (score < bestScore || isWished !== bestWished) {
+      bestWished = isWished;
       bestScore = score;
       best = target;
       bestCompletion = completionMs;
--- a/src/request/scheduler/version-caps.ts
+++ b/src/request/scheduler/version-caps.ts
@@ -1,8 +1,5 @@
 import type {VersionCap} from './types.js';
 
-/** Credit that a capped version can save up, in grants. */
-const maxCredit = 1; // More would allow a burst of canary requests after an idle period.
-
 interface CapState {
   cap: VersionCap;
   credit: number;
@@ -48,11 +45,23 @@
     return found;
   }
 
+  /** Version that has not had its share of the grants and goes first; undefined if there is none. */
+  wished(): string | undefined {
+    for (const [version, {cap}] of this.states) {
+      if (cap.share > 0 && cap.share < 1 && this.allows(version))
+        return version;
+    }
+    return undefined;
+  }
+
   /** Counts a new grant. */
   granted(version: string): void {
     for (const state of this.states.values()) {
       if (state.cap.version === version) state.credit -= 1;
-      state.credit = Math.min(maxCredit, state.credit + state.cap.share);
+      // A whole grant beside the share of the last one: with less, shares above 0.5 are not reached;
+      // with more, a canary would get a burst of requests after an idle period.
+      const {share} = state.cap;
+      state.credit = Math.min(1 + share, state.credit + share);
     }
     this.adopted(version);
   }
