--- /dev/null
+++ b/test/version/rollout/paused-host.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SimMembers} from '../../../bench/rollout/sim-host.js';
+import type {LogRecord} from '../../../src/connection/platform/log-client.js';
+import type {LeaseRecord} from '../../../src/version/rollout/lease.js';
+import {leaseStream} from '../../../src/version/rollout/lease.js';
+import {
+  EvidenceSource,
+  RolloutWorld,
+} from '../../../src/version/rollout/ports.js';
+import {RolloutJournal} from '../../../src/version/rollout/rollout-journal.js';
+import {RolloutTask} from '../../../src/version/rollout/rollout-task.js';
+import {zonesOf} from '../../../src/version/rollout/rollout-view.js';
+import {ManualClock} from '../../../stand-ins/manual-clock.js';
+import {MemoryLogClient} from '../../../stand-ins/memory-log-client.js';
+import {calm, spec, targets} from './fixtures.js';
+
+class World extends RolloutWorld {
+  override declared = () => [{name: 'r', spec: spec(), offset: 0}];
+  override serviceVersion = () => 'v1';
+  override targets = () => targets('111222');
+  override zonesIn = () => ['a', 'b', 'c'];
+  override inFlight = () => 0;
+  override utilisation = () => 0;
+  override estimates = () => ({loadMs: 1000, parallelLoads: 1, drainMs: 1000});
+}
+
+class Calm extends EvidenceSource {
+  override verdict = () => calm;
+  override startStep(): void {}
+}
+
+test('a host that was paused states no measured share until it has heard its peers', () => {
+  const clock = new ManualClock();
+  const task = new RolloutTask({
+    host: 'h',
+    clock,
+    log: new MemoryLogClient(clock),
+    members: new SimMembers('h', () => ['h']),
+    world: new World(),
+    evidence: new Calm(),
+    orders: undefined as never,
+    gate: undefined as never,
+  });
+  const tick = (ms: number) => {
+    clock.advance(ms);
+    task.post({kind: 'tick'});
+  };
+  for (let i = 0; i < 6; i++) tick(500);
+  assert.equal(task.status('r')?.measuredShare, calm.measuredShare);
+  clock.advance(30_000);
+  assert.equal(task.status('r')?.measuredShare, undefined, 'before the tick');
+  tick(0);
+  assert.equal(task.status('r')?.measuredShare, undefined, 'before it heard');
+  for (let i = 0; i < 6; i++) tick(500);
+  assert.equal(task.status('r')?.measuredShare, calm.measuredShare);
+  task.post({kind: 'self-paused'});
+  assert.equal(task.status('r')?.measuredShare, undefined, 'taken for dead');
+});
+
+test('a host that was paused holds no lease although its time has not ended', async () => {
+  const clock = new ManualClock();
+  const records: LogRecord[] = [];
+  class Log extends MemoryLogClient {
+    override async append(_stream: string, data: unknown): Promise<number> {
+      return records.push({offset: records.length, data}) - 1;
+    }
+  }
+  const journal = new RolloutJournal({
+    host: 'h',
+    clock,
+    log: new Log(clock),
+    post: () => {},
+    changed: () => {},
+    unconfirmed: () => {},
+  });
+  journal.writeLease('r', 'acquire');
+  assert.equal((records[0].data as LeaseRecord).op, 'acquire');
+  journal.fold(leaseStream, records, 1);
+  assert.equal(journal.fencingOf('r'), 0);
+  journal.giveUpAll();
+  assert.equal(journal.fencingOf('r'), undefined);
+});
+
+test('the caps cover a zone that is out, so that it has them when it comes back', () => {
+  const all = targets('111222', i => ({zoneIn: i % 3 !== 2}));
+  assert.deepEqual(zonesOf(all, ['a', 'b']).sort(), ['a', 'b', 'c']);
+});
