Stop looking for a rollout record when the host stops

A host that led a rollout never exited: on stop it wrote the release of its lease, the closed log connection failed the append, and the search for the record went on without end. The new unit test fails without the stop.

--- a/src/version/rollout/once-appender.ts
+++ b/src/version/rollout/once-appender.ts
@@ -13,6 +13,9 @@
 
 /** Appends records and finds out whether an append with a lost answer took effect. */
 export class OnceAppender {
+  private readonly sleepers = new Set<() => void>();
+  private stopped = false;
+
   /**
    * @param log - Client of the log.
    * @param clock - Clock for delays.
@@ -24,9 +27,18 @@
     private readonly unconfirmed: (stream: string) => void = () => {},
   ) {}
 
+  /**
+   * Gives up records whose append is not confirmed; without this, a host whose log connection is
+   * closed would look for them without end and its process would not exit.
+   */
+  stop(): void {
+    this.stopped = true;
+    for (const wake of [...this.sleepers]) wake();
+  }
+
   /**
    * Appends a record. If the answer is lost, the stream is read until it tells whether the record
-   * is there; this goes on for as long as the log is down.
+   * is there; this goes on for as long as the log is down, or until {@link stop}.
    *
    * @param stream - Stream.
    * @param record - Record with a unique write id.
@@ -49,7 +61,7 @@
       }
       this.unconfirmed(stream);
     }
-    for (;;) {
+    while (!this.stopped) {
       try {
         return await this.find(stream, record.writeId, from);
       } catch (err) {
@@ -58,6 +70,7 @@
         await this.pause(verifyDelayMs);
       }
     }
+    return {kind: 'absent'};
   }
 
   private async find(
@@ -78,6 +91,14 @@
   }
 
   private pause(ms: number): Promise<void> {
-    return new Promise(resolve => this.clock.after(ms, resolve));
+    return new Promise(resolve => {
+      const wake = () => {
+        cancel();
+        this.sleepers.delete(wake);
+        resolve();
+      };
+      const cancel = this.clock.after(ms, wake);
+      this.sleepers.add(wake);
+    });
   }
 }
--- a/src/version/rollout/rollout-journal.ts
+++ b/src/version/rollout/rollout-journal.ts
@@ -85,6 +85,11 @@
     );
   }
 
+  /** Gives up records whose append is not confirmed. */
+  stop(): void {
+    this.appender.stop();
+  }
+
   /** Folded rollouts. */
   get state(): RolloutState {
     return this.folded;
--- a/src/version/rollout/rollout-task.ts
+++ b/src/version/rollout/rollout-task.ts
@@ -142,6 +142,7 @@
     this.leading.clear();
     for (const follower of this.followers) follower.stop();
     for (const cancel of this.cancels) cancel();
+    this.journal.stop();
   }
 
   /** Records of the followed streams, for peers. */
--- /dev/null
+++ b/test/version/rollout/once-appender.test.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LogClient} from '../../../src/connection/platform/log-client.js';
+import {FailureError} from '../../../src/process/errors/catalogue.js';
+import {OnceAppender} from '../../../src/version/rollout/once-appender.js';
+import {ManualClock} from '../../../stand-ins/manual-clock.js';
+
+class ClosedLog extends LogClient {
+  reads = 0;
+
+  override append(stream: string): Promise<number> {
+    return Promise.reject(this.failure(stream));
+  }
+
+  override read(stream: string): Promise<never> {
+    this.reads++;
+    return Promise.reject(this.failure(stream));
+  }
+
+  private failure(stream: string): FailureError {
+    return new FailureError({
+      kind: 'log-unavailable',
+      stream,
+      reason: 'closed',
+    });
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let i = 0; i < 10; i++) await Promise.resolve();
+}
+
+test('a host that stops does not look for its last record without end', async () => {
+  const clock = new ManualClock();
+  const log = new ClosedLog();
+  const appender = new OnceAppender(log, clock);
+  const outcome = appender.append('leases', {writeId: 'w'}, 0);
+  await settle();
+  clock.advance(500);
+  await settle();
+  assert.equal(log.reads, 2);
+
+  appender.stop();
+
+  assert.deepEqual(await outcome, {kind: 'absent'});
+  clock.advance(60_000);
+  await settle();
+  assert.equal(log.reads, 2);
+});
