--- a/bench/request-overhead.ts
+++ b/bench/request-overhead.ts
@@ -16,6 +16,11 @@
 async function startEngine(): Promise<{server: Server; address: string}> {
   const body = JSON.stringify({choices: [], pad: 'x'.repeat(answerBytes)});
   const server = createServer((req, res) => {
+    if (req.method !== 'POST') {
+      // This engine reports neither load nor cache events.
+      res.writeHead(404).end();
+      return;
+    }
     let text = '';
     req.on('data', chunk => (text += String(chunk)));
     req.on('end', () => {
--- a/bench/token-relay.ts
+++ b/bench/token-relay.ts
@@ -15,6 +15,11 @@
 /** Engine that streams the number of tokens that `max_tokens` states, at a fixed interval. */
 async function startEngine(): Promise<{server: Server; address: string}> {
   const server = createServer(async (req, res) => {
+    if (req.method !== 'POST') {
+      // This engine reports neither load nor cache events.
+      res.writeHead(404).end();
+      return;
+    }
     let text = '';
     for await (const chunk of req) text += String(chunk);
     let left = (JSON.parse(text) as {max_tokens: number}).max_tokens;
--- a/sim/sim-host.ts
+++ b/sim/sim-host.ts
@@ -3,7 +3,7 @@
   LogClient,
   type LogPage,
 } from '../src/connection/platform/log-client.js';
-import {Clock, type Cancel} from '../src/process/clock.js';
+import type {Clock} from '../src/process/clock.js';
 import {createPermits} from '../src/process/groups/create-permits.js';
 import {OrganisationLimiter} from '../src/process/limits/organisation-limiter.js';
 import {Logger} from '../src/process/logger.js';
@@ -28,6 +28,7 @@
 import {ConfigFeed} from '../src/version/config-feed.js';
 import {ConfigStore, configStream} from '../src/version/config-store.js';
 import {ConfigWriter} from '../src/version/config-writer.js';
+import {HostClock} from '../stand-ins/host-clock.js';
 import type {ManualClock} from '../stand-ins/manual-clock.js';
 import type {LogFaults, LogStore} from '../stand-ins/log-store.js';
 import {MemoryLogClient} from '../stand-ins/memory-log-client.js';
@@ -234,36 +235,6 @@
   }
 }
 
-class HostClock extends Clock {
-  constructor(
-    private readonly base: Clock,
-    private readonly gate: (fn: () => void) => void,
-  ) {
-    super();
-  }
-
-  override nowMs(): number {
-    return this.base.nowMs();
-  }
-
-  override wallMs(): number {
-    return this.base.wallMs();
-  }
-
-  override after(delayMs: number, fn: () => void): Cancel {
-    let cancelled = false;
-    const cancel = this.base.after(delayMs, () =>
-      this.gate(() => {
-        if (!cancelled) fn();
-      }),
-    );
-    return () => {
-      cancelled = true;
-      cancel();
-    };
-  }
-}
-
 /** Hands over results of the log only while the host runs. */
 class HostLog extends LogClient {
   constructor(
--- a/test/process/groups/permit-fleet.ts
+++ b/test/process/groups/permit-fleet.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
-import {Clock, type Cancel} from '../../../src/process/clock.js';
 import {PermitNode} from '../../../src/process/groups/permit-node.js';
 import type {SchedulerCore} from '../../../src/process/groups/scheduler-core.js';
 import {MemberView, type Member} from '../../../src/process/member-view.js';
@@ -14,6 +13,7 @@
   type ConfigState,
 } from '../../../src/version/config-state.js';
 import type {ResourceKind} from '../../../src/version/resources/kinds.js';
+import {HostClock} from '../../../stand-ins/host-clock.js';
 import {ManualClock} from '../../../stand-ins/manual-clock.js';
 import {FifoCore} from './fifo-core.js';
 import {MemoryNetwork} from './memory-network.js';
@@ -24,37 +24,6 @@
   return () => uniformInt(rng, 0, 0x3fffffff) / 0x40000000;
 }
 
-/** Clock of one host: while the host is paused, its timers wait. */
-class HostClock extends Clock {
-  constructor(
-    private readonly base: Clock,
-    private readonly gate: (fn: () => void) => void,
-  ) {
-    super();
-  }
-
-  override nowMs(): number {
-    return this.base.nowMs();
-  }
-
-  override wallMs(): number {
-    return this.base.wallMs();
-  }
-
-  override after(delayMs: number, fn: () => void): Cancel {
-    let cancelled = false;
-    const cancel = this.base.after(delayMs, () =>
-      this.gate(() => {
-        if (!cancelled) fn();
-      }),
-    );
-    return () => {
-      cancelled = true;
-      cancel();
-    };
-  }
-}
-
 /** Member list of one host, changed by the test. */
 export class FakeMembers extends MemberView {
   private readonly subject = new Subject<Member>();
