Ask for the limits of an organisation after the claim of a key

The limit is asked after the claim, which a refusal releases. It also lets a resend have its first answer beyond the limit.

--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -109,15 +109,10 @@
       record: keyed,
     };
     serving.keyUndecided = keyed;
-    this.beginLimited(admitted.organisation);
-    try {
-      const end = keyed
-        ? await this.runClaimed(job, serving, caller.signal)
-        : await this.runLoop(job, caller.signal);
-      if (end) this.finished(job, end, startMs);
-    } finally {
-      this.parts.limiter.end(admitted.organisation);
-    }
+    const end = keyed
+      ? await this.runClaimed(job, serving, caller.signal)
+      : await this.runLoop(job, caller.signal);
+    if (end) this.finished(job, end, startMs);
   }
 
   private beginLimited(organisation: string): void {
@@ -128,8 +123,15 @@
     if (refusal) throw new FailureError({kind: 'refused', ...refusal});
   }
 
-  private runLoop(job: Job, caller: AbortSignal): Promise<JobEnd> {
-    return new AttemptLoop(this.parts, job, caller).run();
+  /** Limits are asked after the claim, so that a refusal by them can truly say that nothing ran. */
+  private async runLoop(job: Job, caller: AbortSignal): Promise<JobEnd> {
+    const {organisation} = job.admitted;
+    this.beginLimited(organisation);
+    try {
+      return await new AttemptLoop(this.parts, job, caller).run();
+    } finally {
+      this.parts.limiter.end(organisation);
+    }
   }
 
   /** Runs a keyed non-idempotent request at most once. */
--- a/test/request/request-handler.test.ts
+++ b/test/request/request-handler.test.ts
@@ -209,12 +209,14 @@
   assert.equal(service.runs, 1);
 });
 
-test('a refused resend does not claim that no sending with its key was run', async t => {
+test('a keyed call beyond the rate is truly not run, and its resend gets the first answer', async t => {
   const {service, send} = await start(t, {requestsPerSecond: 0.01});
   const first = await send({'idempotency-key': 'k1'});
+  const other = await send({'idempotency-key': 'k2'});
   const resend = await send({'idempotency-key': 'k1'});
   assert.equal(first.status, 201);
+  assert.equal(other.json()['reason'], 'rate-limited');
+  assert.equal(other.json()['execution'], 'not-run');
+  assert.equal(resend.text, first.text);
   assert.equal(service.runs, 1);
-  assert.equal(resend.json()['reason'], 'rate-limited');
-  assert.equal(resend.json()['execution'], 'unknown');
 });
