Share the in-memory permit transport and the resource fixtures

The simulation and the permit tests each had the same permit links and transport, and two test files the same specs. Both pairs stand once now, in stand-ins/memory-permit-transport.ts and test/connection/caller/api-host.ts.

--- a/sim/sim-network.ts
+++ b/sim/sim-network.ts
@@ -1,9 +1,3 @@
-import type {
-  PermitLink,
-  PermitLinkHandlers,
-} from '../src/connection/peer/permit-transport.js';
-import {PermitTransport} from '../src/connection/peer/permit-transport.js';
-import type {PermitFrame} from '../src/process/groups/permit-messages.js';
 import type {Receiver} from '../src/process/membership/effects.js';
 import type {
   LinkMessage,
@@ -15,20 +9,16 @@
 } from '../src/process/membership/peer-transport.js';
 import {Subject} from '../src/process/subject.js';
 import type {ManualClock} from '../stand-ins/manual-clock.js';
-
-/** Faults of the network; probabilities for each message. */
-export interface NetworkFaults {
-  drop: number;
-  duplicate: number;
-  reorder: number;
-  maxDelayMs: number;
-}
-
-/** Runs a function at a host: at once, later if the host is paused, never if it is dead. */
-export type Gate = (host: string, fn: () => void) => void;
+import {
+  MemoryPermitTransport,
+  type Gate,
+  type NetworkFaults,
+  type PermitNetwork,
+} from '../stand-ins/memory-permit-transport.js';
 
 /** Seeded in-memory network between the hosts of a {@link SimFleet}. */
-export class SimNetwork {
+export class SimNetwork implements PermitNetwork {
+  readonly minDelayMs = 0.2;
   readonly faults: NetworkFaults = {
     drop: 0,
     duplicate: 0,
@@ -38,7 +28,7 @@
   private readonly cuts = new Set<string>();
   private readonly zones = new Map<string, string>();
   private readonly peers = new Map<string, SimPeerTransport>();
-  private readonly ports = new Map<string, SimPermitTransport>();
+  private readonly ports = new Map<string, MemoryPermitTransport>();
 
   constructor(
     readonly clock: ManualClock,
@@ -49,11 +39,11 @@
   /** Connects a host; a former process of the same host is replaced. */
   attach(self: PeerIdentity): {
     peers: SimPeerTransport;
-    permits: SimPermitTransport;
+    permits: MemoryPermitTransport;
   } {
     this.zones.set(self.id, self.zone);
     const peers = new SimPeerTransport(this, self);
-    const permits = new SimPermitTransport(this, self.id);
+    const permits = new MemoryPermitTransport(this, self.id);
     this.peers.set(self.address, peers);
     this.ports.set(self.id, permits);
     return {peers, permits};
@@ -91,7 +81,7 @@
     return this.peers.get(address);
   }
 
-  port(host: string): SimPermitTransport | undefined {
+  port(host: string): MemoryPermitTransport | undefined {
     return this.ports.get(host);
   }
 }
@@ -113,7 +103,8 @@
     const {network, self} = this;
     const {clock, faults, random} = network;
     if (random() < faults.drop) return;
-    const dueMs = clock.nowMs() + 0.2 + random() * faults.maxDelayMs;
+    const dueMs =
+      clock.nowMs() + network.minDelayMs + random() * faults.maxDelayMs;
     const atMs = Math.max(dueMs, this.nextMs.get(to.address) ?? 0);
     this.nextMs.set(to.address, atMs);
     clock.after(atMs - clock.nowMs(), () => {
@@ -128,108 +119,3 @@
 
   override keep(): void {}
 }
-
-class SimPermitLink implements PermitLink {
-  peer!: SimPermitLink;
-  handlers: PermitLinkHandlers | undefined;
-  private closed = false;
-  private nextMs = 0;
-  private readonly early: PermitFrame[] = [];
-
-  constructor(
-    private readonly network: SimNetwork,
-    readonly from: string,
-    readonly to: string,
-  ) {}
-
-  send(frame: PermitFrame): void {
-    if (this.closed) return;
-    const {faults, random, clock} = this.network;
-    if (random() < faults.drop) return;
-    const copies = random() < faults.duplicate ? 2 : 1;
-    for (let i = 0; i < copies; i++) {
-      let atMs = clock.nowMs() + 0.2 + random() * faults.maxDelayMs;
-      if (random() >= faults.reorder) {
-        atMs = this.nextMs = Math.max(atMs, this.nextMs);
-      }
-      this.after(atMs, () => this.peer.take(frame));
-    }
-  }
-
-  close(): void {
-    if (this.closed) return;
-    this.closed = true;
-    this.handlers = undefined;
-    this.after(this.network.clock.nowMs() + 1, () => this.peer.reset());
-  }
-
-  /** The other side closed the link. */
-  reset(): void {
-    if (this.closed) return;
-    this.closed = true;
-    const {handlers} = this;
-    this.network.gate(this.from, () => handlers?.closed('reset'));
-    this.after(this.network.clock.nowMs() + 1, () => this.peer.reset());
-  }
-
-  accept(handlers: PermitLinkHandlers): void {
-    this.handlers = handlers;
-    for (const frame of this.early.splice(0)) handlers.frame(frame);
-  }
-
-  private take(frame: PermitFrame): void {
-    if (this.closed) return;
-    this.network.gate(this.from, () => {
-      if (this.closed) return;
-      if (this.handlers) this.handlers.frame(frame);
-      else this.early.push(frame);
-    });
-  }
-
-  private after(atMs: number, fn: () => void): void {
-    const {clock} = this.network;
-    clock.after(atMs - clock.nowMs(), () => {
-      if (!this.network.isCut(this.from, this.to)) fn();
-    });
-  }
-}
-
-/** Permit streams between hosts. */
-export class SimPermitTransport extends PermitTransport {
-  readonly links: SimPermitLink[] = [];
-  private acceptor:
-    ((host: string, link: PermitLink) => PermitLinkHandlers) | undefined;
-
-  constructor(
-    private readonly network: SimNetwork,
-    private readonly host: string,
-  ) {
-    super();
-  }
-
-  override connect(host: string, handlers: PermitLinkHandlers): PermitLink {
-    const {network} = this;
-    const near = new SimPermitLink(network, this.host, host);
-    const far = new SimPermitLink(network, host, this.host);
-    near.peer = far;
-    far.peer = near;
-    near.handlers = handlers;
-    this.links.push(near);
-    network.clock.after(1, () => {
-      if (network.isCut(this.host, host)) return;
-      const port = network.port(host);
-      if (!port) return near.reset();
-      port.links.push(far);
-      network.gate(host, () => {
-        if (port.acceptor) far.accept(port.acceptor(this.host, far));
-      });
-    });
-    return near;
-  }
-
-  override listen(
-    accept: (host: string, link: PermitLink) => PermitLinkHandlers,
-  ): void {
-    this.acceptor = accept;
-  }
-}
--- a/test/commands/resource-commands.test.ts
+++ b/test/commands/resource-commands.test.ts
@@ -13,24 +13,11 @@
 import {
   callerKey,
   operatorToken,
+  service,
   startApiHost,
+  target,
 } from '../connection/caller/api-host.js';
 
-const service = {
-  type: 'plain',
-  version: 'v1',
-  defaultTimeoutMs: 1000,
-  firstTokenTargetMs: 100,
-  tokenTargetMs: 10,
-};
-const target = {
-  service: 's',
-  zone: 'a',
-  address: 'http://127.0.0.1:9',
-  version: 'v1',
-  maxConcurrency: 2,
-};
-
 async function workspace(t: TestContext) {
   const host = await startApiHost(t);
   const folder = await mkdtemp(join(tmpdir(), 'guavaseam-'));
--- a/test/connection/caller/api-host.ts
+++ b/test/connection/caller/api-host.ts
@@ -72,3 +72,21 @@
   keys: [{id: 'k', sha256: sha256(callerKey), tier: 0}],
   weight: 1,
 };
+
+/** Spec of a plain service `s`. */
+export const service = {
+  type: 'plain',
+  version: 'v1',
+  defaultTimeoutMs: 1000,
+  firstTokenTargetMs: 100,
+  tokenTargetMs: 10,
+};
+
+/** Spec of its target in zone `a`. */
+export const target = {
+  service: 's',
+  zone: 'a',
+  address: 'http://127.0.0.1:9',
+  version: 'v1',
+  maxConcurrency: 2,
+};
--- a/test/connection/caller/resource-handler.test.ts
+++ b/test/connection/caller/resource-handler.test.ts
@@ -6,24 +6,12 @@
   callerKey,
   operatorToken,
   organisation,
+  service,
   startApiHost,
+  target,
 } from './api-host.js';
 
 const zone = {spec: {region: 'r', state: 'in'}};
-const service = {
-  type: 'plain',
-  version: 'v1',
-  defaultTimeoutMs: 1000,
-  firstTokenTargetMs: 100,
-  tokenTargetMs: 10,
-};
-const target = {
-  service: 's',
-  zone: 'a',
-  address: 'http://127.0.0.1:9',
-  version: 'v1',
-  maxConcurrency: 2,
-};
 
 test('credentials: none and unknown ones get 401, a caller gets 403', async t => {
   const {call} = await startApiHost(t);
