--- a/bench/fleet/fleet-bench.ts
+++ b/bench/fleet/fleet-bench.ts
@@ -78,6 +78,7 @@
 class FleetBench {
   private readonly balancer: Balancer;
   private readonly times: PhaseTimes[] = [];
+  private victims: HostProcess[] = [];
   private outAcceptedMs = 0;
   private inAcceptedMs = 0;
   private drainExit: number | null = null;
@@ -96,6 +97,7 @@
     logDownMs: number,
   ): Promise<boolean> {
     await this.balancer.start(startTimeoutMs);
+    await this.chooseVictims();
     const phases = this.phases(logDownMs);
     const totalMs = phases.reduce((sum, p) => sum + p.duringMs + 2 * edgeMs, 0);
     const plan = planLoad(
@@ -142,21 +144,30 @@
     return failed;
   }
 
-  /** Hosts that are killed, paused and drained; all are outside the zone that is taken out. */
   private get killedHost(): HostProcess {
-    return this.others[0];
+    return this.victims[0];
   }
 
   private get pausedHost(): HostProcess {
-    return this.others[1];
+    return this.victims[1];
   }
 
   private get drainedHost(): HostProcess {
-    return this.others[2];
+    return this.victims[2];
   }
 
-  private get others(): HostProcess[] {
-    return this.hosts.filter(({plan}) => plan.zone !== outZone);
+  /** Prefers hosts that own most groups; all are outside the zone that is taken out. */
+  private async chooseVictims(): Promise<void> {
+    const others = this.hosts.filter(({plan}) => plan.zone !== outZone);
+    const owned = await Promise.all(others.map(host => host.groupsOwned()));
+    const ranked = others
+      .map((host, i) => ({host, groups: owned[i]}))
+      .sort((a, b) => b.groups - a.groups);
+    this.victims = ranked.map(({host}) => host);
+    const text = ranked.map(({host, groups}) => `${host.plan.id} ${groups}`);
+    process.stdout.write(
+      `groups owned: ${text.join(', ')}; killed, paused and drained are the first three\n`,
+    );
   }
 
   private phases(logDownMs: number): Phase[] {
@@ -232,7 +243,7 @@
 
   /** Changes a zone through the resource API; returns the time of acceptance. */
   private async setZone(state: 'in' | 'out'): Promise<number> {
-    const {origin} = this.others[3];
+    const {origin} = this.victims[3];
     const res = await request(`${origin}/api/v1/zone/${outZone}`, {
       method: 'PATCH',
       headers: {
--- a/bench/fleet/host-process.ts
+++ b/bench/fleet/host-process.ts
@@ -107,6 +107,13 @@
     }
   }
 
+  /** Number of target groups that the host owns. */
+  async groupsOwned(): Promise<number> {
+    const res = await request(`${this.origin}/metrics`, {reset: true});
+    const match = /^guavaseam_groups_owned (\d+)$/m.exec(await res.body.text());
+    return Number(match?.[1] ?? 0);
+  }
+
   /** Last lines of the host's log, for a report of a failure. */
   logTail(lines: number): string {
     const text = readFileSync(join(this.folder, `${this.plan.id}.log`), 'utf8');
--- a/bench/soak/resource-use.ts
+++ b/bench/soak/resource-use.ts
@@ -14,7 +14,7 @@
 
 /** Gauges that count work in progress. Other gauges, such as offsets, grow by design. */
 const queueGauge =
-  /^(guavaseam_[a-z_]*(?:connections|requests|waiting|outstanding|in_flight|queued?))(?:\{[^}]*\})? ([0-9.e+-]+)$/;
+  /^(guavaseam_[a-z_]*(?:connections|requests|waiting|outstanding|held|in_flight|queued?))(?:\{[^}]*\})? ([0-9.e+-]+)$/;
 
 /** Resources of the measuring process itself, or ones that are pooled by the runtime. */
 const ignoredActive = new Set(['PipeWrap', 'FSReqCallback', 'FSReqPromise']);
