--- /dev/null
+++ b/src/gateway-wiring.ts
@@ -0,0 +1,352 @@
+import {randomBytes} from 'node:crypto';
+import {
+  GatewayServer,
+  serveReadiness,
+} from './connection/gateway/gateway-server.js';
+import {StateServer} from './connection/peer/state-server.js';
+import type {SharedStore} from './connection/store/shared-store.js';
+import {every, SystemClock, type Clock} from './process/clock.js';
+import {DecisionLog} from './process/decision-log.js';
+import {FailureError} from './process/errors/catalogue.js';
+import {GossipTask} from './process/fleet/gossip-task.js';
+import {PeerTable} from './process/fleet/peer-table.js';
+import {PeerWatch} from './process/fleet/peer-watch.js';
+import {GatewayMetrics} from './process/gateway-metrics.js';
+import type {GatewaySettings} from './process/gateway-settings.js';
+import {ColdGate} from './process/limits/cold-gate.js';
+import {QuotaLedger, type Quota} from './process/limits/quota-ledger.js';
+import {RetryAllowance} from './process/limits/retry-allowance.js';
+import {Logger} from './process/logger.js';
+import {TargetPool} from './process/pool/target-pool.js';
+import {subscribe} from './process/subject.js';
+import {Dispatcher} from './request/gateway/dispatcher.js';
+import {GatewayHandler} from './request/gateway/gateway-handler.js';
+import {RouteStats} from './request/gateway/route-stats.js';
+import type {WireFormat} from './request/gateway/wire-format.js';
+import {DeploymentState} from './version/deployment/deployment-state.js';
+import {RolloutDuty} from './version/deployment/rollout-duty.js';
+import {RouteTable} from './version/deployment/route-table.js';
+import {copyState} from './version/deployment/state-copy.js';
+import {StateFeed} from './version/deployment/state-feed.js';
+import {TrialGate} from './version/deployment/trial-gate.js';
+import {TrialJudge} from './version/deployment/trial-judge.js';
+
+/** Interval in which what depends on the other hosts is worked out anew, in milliseconds. */
+const refreshIntervalMs = 50;
+/** Time after the signal to stop until the load balancer sends no new connections, in milliseconds. */
+const noticedMs = 2600;
+/** Time kept for the end of the process, in milliseconds. */
+const stopMarginMs = 600;
+/** Interval in which a stopping host looks whether its requests have ended, in milliseconds. */
+const drainIntervalMs = 50;
+/** Hosts that are assumed while none is known, so that a host alone takes a small part of a quota. */
+const assumedHosts = 16;
+
+/** Parts that another deployment or a test brings. */
+export interface GatewayParts {
+  readonly store: SharedStore;
+  readonly wire: WireFormat;
+  readonly clock?: Clock;
+  readonly logger?: Logger;
+}
+
+/** A running gateway host. */
+export interface Gateway {
+  start(): Promise<void>;
+  /** Serves what is open, refuses what is new, and ends within the deployment's bound. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Constructs a gateway host and connects its parts.
+ *
+ * @param settings - Settings of the host.
+ * @param parts - Store and formats of the platform.
+ * @returns The host, not started yet.
+ */
+export function createGateway(
+  settings: GatewaySettings,
+  {store, wire, ...given}: GatewayParts,
+): Gateway {
+  const clock = given.clock ?? new SystemClock();
+  const metrics = new GatewayMetrics();
+  const logger =
+    given.logger ??
+    Logger.createBounded('info', {host: settings.host}, () =>
+      metrics.lineDropped(),
+    );
+  const decisions = new DecisionLog(logger, () => clock.nowMs());
+  const random = () => randomBytes(4).readUInt32LE() / 2 ** 32;
+  const incarnation = clock.wallMs();
+  const startMs = clock.nowMs();
+  const {bounds, host, ip, zone} = settings;
+
+  let routes: RouteTable | undefined;
+  let draining = false;
+  let leaving = false;
+  let hosts: readonly string[] = [host];
+  const state = new DeploymentState();
+  const peers = new PeerTable(host);
+  const feed = new StateFeed({
+    clock,
+    logger,
+    store,
+    state,
+    random,
+    onUnreadable: name => metrics.recordUnreadable(name),
+  });
+  const trials = new TrialGate();
+  const judge = new TrialJudge();
+  const quotas = new QuotaLedger(startMs, incarnation, settings.firstStart);
+  const retries = new RetryAllowance(bounds, () => hosts.length);
+  const coldGate = new ColdGate(host, bounds);
+  const pool = new TargetPool({
+    clock,
+    logger,
+    state,
+    routes: () => routes,
+    coldGate,
+    trials,
+    hosts: () => hosts,
+    zone,
+    regions: settings.regions,
+    onOpened: () => metrics.connectionOpened(),
+  });
+  const dispatcher = new Dispatcher(pool, clock);
+  const duty = new RolloutDuty({
+    clock,
+    logger,
+    store,
+    state,
+    feed,
+    gate: trials,
+    judge,
+    oldLoad: (service, version) => pool.loadBeside(service, version),
+    turn: () =>
+      peers
+        .heard(clock.nowMs())
+        .filter(peer => peer.host < host && peer.message?.storeAnswers).length,
+  });
+  const handler = new GatewayHandler({
+    clock,
+    random,
+    wire,
+    dispatcher,
+    pool,
+    quotas,
+    retries,
+    trials,
+    judge,
+    stats: new RouteStats(),
+    metrics,
+    decisions,
+    routes: () => routes,
+    isDraining: () => draining,
+  });
+  const server = new GatewayServer(settings.callers, (req, res) =>
+    handler.handle(req, res),
+  );
+  const gossip = new GossipTask({
+    clock,
+    ip,
+    port: settings.gossipPort,
+    seeds: settings.seeds,
+    peers,
+    compose: sequence => ({
+      host,
+      ip,
+      zone,
+      incarnation,
+      sequence,
+      leaving,
+      storeAnswers: feed.awayMs() === 0,
+      orders: feed.offsets.orders,
+      targets: state.newestTargetOffset,
+      loads: pool.ownLoads,
+      used: Object.fromEntries(quotas.totals),
+      evidence: judge.ownEvidence,
+      phases: duty.phases,
+    }),
+    onRejected: address => decisions.note('gossipRejected', {address}),
+  });
+  const peerWatch =
+    settings.peers &&
+    new PeerWatch({
+      clock,
+      logger,
+      state,
+      feed,
+      peers,
+      peerPort: settings.peers.port,
+      random,
+    });
+  const stateServer =
+    settings.peers &&
+    new StateServer(
+      settings.peers,
+      () => copyState(state, feed.offsets, clock.nowMs()),
+      () => metrics.render(),
+    );
+
+  metrics.gauge(
+    'guavaseam_gateway_open_requests',
+    'Requests that were admitted and have not ended',
+    () => handler.openRequests,
+  );
+  metrics.gauge(
+    'guavaseam_gateway_waiting_requests',
+    'Requests that wait for a slot',
+    () => dispatcher.waiting,
+  );
+  metrics.gauge(
+    'guavaseam_gateway_configuration_version',
+    'Version of the configuration in force; 0 if none is known',
+    () => routes?.configuration.version ?? 0,
+  );
+  metrics.gauge(
+    'guavaseam_gateway_store_away_seconds',
+    'Time for which the store has not answered; 0 if it answers',
+    () => feed.awayMs() / 1000,
+  );
+  metrics.gauge(
+    'guavaseam_gateway_hosts_heard',
+    'Other hosts that were heard lately',
+    () => peers.heard(clock.nowMs()).length,
+  );
+
+  const isReady = () =>
+    !draining && routes !== undefined && feed.offsets.targets >= 0;
+  const quotaOf = (name: string): Quota | undefined => {
+    const organisation = routes?.configuration.organisations.find(
+      ({name: known}) => known === name,
+    );
+    return organisation && organisation.ratePerSecond > 0
+      ? {rate: organisation.ratePerSecond, burst: organisation.burst}
+      : undefined;
+  };
+
+  const onConfiguration = () => {
+    const {configuration} = state;
+    if (!configuration) return;
+    routes = new RouteTable(configuration);
+    server.setLimits(configuration.limits);
+    logger.event('configurationInForce', {
+      version: configuration.version,
+      routes: configuration.routes.length,
+    });
+  };
+  const onHosts = () => {
+    for (const {host: name, ip: address, zone: place} of state.hosts.values()) {
+      peers.listed(name, address, place, clock.nowMs());
+    }
+  };
+  let refreshedAtMs = -Infinity;
+  let lastHeard = -1;
+  const refresh = () => {
+    const nowMs = clock.nowMs();
+    if (nowMs - refreshedAtMs < refreshIntervalMs / 2) return;
+    refreshedAtMs = nowMs;
+    state.expire(nowMs);
+    hosts = peers.names(nowMs);
+    const heard = peers.heard(nowMs);
+    if (heard.length !== lastHeard) {
+      lastHeard = heard.length;
+      logger.event('peersChanged', {heard: lastHeard, known: hosts.length - 1});
+    }
+    quotas.setShare(
+      heard.length + 1,
+      hosts.length > 1 ? hosts.length : assumedHosts,
+    );
+    const loads = new Map<string, number>();
+    for (const {message} of heard) {
+      for (const [target, load] of Object.entries(message?.loads ?? {})) {
+        loads.set(target, (loads.get(target) ?? 0) + load);
+      }
+    }
+    pool.setOthers(loads);
+    dispatcher.serveAll();
+  };
+
+  const subscriptions = [
+    subscribe(state.changes, kind => {
+      if (kind === 'configuration') onConfiguration();
+      else if (kind === 'target') pool.refresh();
+      else if (kind === 'host') onHosts();
+      else if (kind === 'evacuation') {
+        const zones = [...state.evacuatedZones];
+        logger.event('evacuationChanged', {zones});
+      }
+      dispatcher.serveAll();
+    }),
+    subscribe(gossip.messages, message => {
+      const {host: from, incarnation: start, used, evidence, phases} = message;
+      quotas.hear(from, start, used, quotaOf, clock.nowMs());
+      judge.hear(from, evidence);
+      duty.hear(phases);
+    }),
+  ];
+  const register = async () => {
+    try {
+      await store.register(host, {ip, zone});
+    } catch (err) {
+      if (!(err instanceof FailureError)) throw err;
+      logger.event('registrationFailed', {...err.failure});
+      if (!leaving) clock.after(1000, () => void register());
+    }
+  };
+  const cancels = [() => {}];
+  const wait = (ms: number) =>
+    new Promise<void>(resolve => clock.after(ms, resolve));
+
+  return {
+    async start() {
+      feed.start();
+      await Promise.all([
+        serveReadiness(settings.ready, wire.readyPath, isReady),
+        server.listen(),
+        stateServer?.listen(),
+        gossip.start(),
+      ]);
+      void register();
+      peerWatch?.start();
+      handler.start();
+      duty.start();
+      cancels.push(every(clock, refreshIntervalMs, refresh));
+      logger.event('gatewayStarted', {
+        startMs: Math.round(process.uptime() * 1000),
+        firstStart: settings.firstStart,
+      });
+    },
+    async stop() {
+      const endMs = clock.nowMs() + bounds.stopMs - stopMarginMs;
+      draining = true;
+      logger.event('gatewayStopping', {open: handler.openRequests});
+      await wait(noticedMs);
+      for (;;) {
+        server.closeIdle();
+        if (handler.openRequests === 0 || clock.nowMs() >= endMs) break;
+        await wait(drainIntervalMs);
+      }
+      leaving = true;
+      gossip.send();
+      // Another host would count this one for a while; nothing is lost if the store is away.
+      await Promise.race([
+        store.register(host, undefined).catch(err => {
+          if (!(err instanceof FailureError)) throw err;
+          logger.event('registrationFailed', {...err.failure});
+        }),
+        wait(stopMarginMs / 2),
+      ]);
+      for (const cancel of cancels) cancel();
+      for (const end of subscriptions) end();
+      duty.stop();
+      handler.stop();
+      peerWatch?.stop();
+      feed.stop();
+      gossip.stop();
+      stateServer?.close();
+      server.closeAll();
+      logger.event('gatewayStopped', {open: handler.openRequests});
+    },
+  };
+}
--- /dev/null
+++ b/src/process/decision-log.ts
@@ -0,0 +1,53 @@
+import type {EventName} from './events/catalogue.js';
+import {events} from './events/catalogue.js';
+import type {Logger} from './logger.js';
+
+/** Lines a second that a process writes about requests, by importance; warnings go first. */
+const linesPerSecond = {info: 60, warn: 120} as const;
+
+/**
+ * Writes one line for each decision about a request, within a bound. Lines beyond it are counted, so
+ * that a reader knows that some are missing.
+ */
+export class DecisionLog {
+  private readonly left = {...linesPerSecond} as Record<'info' | 'warn', number>;
+  private filledAtMs = 0;
+  private dropped = 0;
+
+  /**
+   * @param logger - Where lines go.
+   * @param nowMs - Reads the process's clock, in milliseconds.
+   */
+  constructor(
+    private readonly logger: Logger,
+    private readonly nowMs: () => number,
+  ) {}
+
+  /**
+   * Writes a line unless the bound is reached.
+   *
+   * @param name - Name in the event catalogue.
+   * @param fields - Id of the request, inputs of the decision and its outcome.
+   */
+  note(name: EventName, fields: Record<string, unknown>): void {
+    this.refill();
+    const level = events[name].level === 'info' ? 'info' : 'warn';
+    if (this.left[level] < 1) {
+      this.dropped++;
+      return;
+    }
+    this.left[level]--;
+    this.logger.event(name, fields);
+  }
+
+  private refill(): void {
+    const nowMs = this.nowMs();
+    if (nowMs - this.filledAtMs < 1000) return;
+    this.filledAtMs = nowMs;
+    this.left.info = linesPerSecond.info;
+    this.left.warn = linesPerSecond.warn;
+    if (this.dropped === 0) return;
+    this.logger.event('linesDropped', {lines: this.dropped});
+    this.dropped = 0;
+  }
+}
--- a/src/process/errors/platform-failures.ts
+++ b/src/process/errors/platform-failures.ts
@@ -8,7 +8,10 @@
   | {kind: 'weight-store-unavailable'; reason: string}
   | {kind: 'host-list-unavailable'; reason: string}
   | {kind: 'order-rejected'; target: string; fencing: number; newest: number}
-  | {kind: 'order-failed'; target: string; reason: string};
+  | {kind: 'order-failed'; target: string; reason: string}
+  | {kind: 'store-silent'; timeoutMs: number}
+  | {kind: 'store-unreachable'; reason: string}
+  | {kind: 'store-refused'; call: string; status: number};
 
 /** Texts of the platform failures. */
 export const platformFailures: FailureTexts<PlatformFailure> = {
@@ -50,4 +53,19 @@
     message: f => `order to target "${f.target}" failed: ${f.reason}`,
     hint: 'The state of the target is read again before the order is repeated.',
   },
+  'store-silent': {
+    title: 'Store does not answer',
+    message: f => `the store did not answer within ${f.timeoutMs} ms`,
+    hint: 'A write may have been executed or may be executed later; its condition decides.',
+  },
+  'store-unreachable': {
+    title: 'Store cannot be reached',
+    message: f => `the store cannot be reached: ${f.reason}`,
+    hint: 'Hosts serve with what they know and ask other hosts until the store returns.',
+  },
+  'store-refused': {
+    title: 'Store refused a call',
+    message: f => `the store refused a ${f.call} call with status ${f.status}`,
+    hint: 'Status 429 and 503 mean that nothing was done; the call is repeated later.',
+  },
 };
--- a/src/process/events/catalogue.ts
+++ b/src/process/events/catalogue.ts
@@ -1,3 +1,4 @@
+import {gatewayEvents} from './gateway-events.js';
 import {peerEvents} from './peer-events.js';
 import {platformEvents} from './platform-events.js';
 import {processEvents} from './process-events.js';
@@ -14,7 +15,7 @@
   readonly message: string;
 }
 
-/** All log events, by name. Numbers: process 1000, request 2000, peer 3000, platform 4000, version 5000, rollout 6000. */
+/** All log events, by name. Numbers: process 1000, request 2000, peer 3000, platform 4000, version 5000, rollout 6000, gateway 7000. */
 export const events = {
   ...processEvents,
   ...requestEvents,
@@ -22,6 +23,7 @@
   ...platformEvents,
   ...versionEvents,
   ...rolloutEvents,
+  ...gatewayEvents,
 } as const satisfies Record<string, LogEvent>;
 
 /** Name of a log event. */
--- /dev/null
+++ b/src/process/fleet/rendezvous.ts
@@ -0,0 +1,44 @@
+/** Offset basis and prime of the 32-bit FNV-1a hash. */
+const fnvBasis = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/**
+ * Hashes a text; the same on every host.
+ *
+ * @param text - Text to hash.
+ * @returns Unsigned 32-bit number.
+ */
+export function hash32(text: string): number {
+  let hash = fnvBasis;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), fnvPrime);
+  }
+  // FNV-1a mixes its last bytes badly into the upper bits.
+  hash ^= hash >>> 16;
+  hash = Math.imul(hash, 0x7feb352d);
+  hash ^= hash >>> 15;
+  return hash >>> 0;
+}
+
+/**
+ * Ranks a host for an item by rendezvous hashing.
+ *
+ * @param item - Item that hosts share.
+ * @param host - Host to rank.
+ * @param hosts - All hosts.
+ * @returns Number of hosts that come before it.
+ */
+export function rendezvousRank(
+  item: string,
+  host: string,
+  hosts: readonly string[],
+): number {
+  const own = hash32(`${item} ${host}`);
+  let before = 0;
+  for (const other of hosts) {
+    if (other === host) continue;
+    const score = hash32(`${item} ${other}`);
+    if (score > own || (score === own && other < host)) before++;
+  }
+  return before;
+}
--- /dev/null
+++ b/src/process/gateway-settings.ts
@@ -0,0 +1,53 @@
+/** An IP address and a port. */
+export interface Endpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Bounds of the deployment that decisions depend on. */
+export interface Bounds {
+  /** Time after which a leaving target gets no request any more, in milliseconds. */
+  readonly drainMs: number;
+  /** Time between the signal to stop and the end of the process, in milliseconds. */
+  readonly stopMs: number;
+  /** Repeats that a service may get for each request, over all hosts. */
+  readonly retryRatio: number;
+  /** Period over which repeats are counted, in milliseconds. */
+  readonly retryWindowMs: number;
+  /** Repeats in a period that are allowed in addition, over all hosts. */
+  readonly retrySlack: number;
+  /** Factor by which the rate of a cold target may be exceeded. */
+  readonly coldOver: number;
+  /** Requests a second to a cold target that are allowed in addition. */
+  readonly coldSlack: number;
+  /** Part of a service's requests that an unproven version may get. */
+  readonly exposeShare: number;
+  /** Requests that an unproven version may get in addition. */
+  readonly exposeSlack: number;
+}
+
+/** Settings of one gateway host. */
+export interface GatewaySettings {
+  readonly host: string;
+  readonly ip: string;
+  /** Availability zone of the host. */
+  readonly zone: string;
+  /** Region of each availability zone. */
+  readonly regions: ReadonlyMap<string, string>;
+  /** Where callers connect. */
+  readonly callers: Endpoint;
+  /** Where the load balancer asks whether the host is ready. */
+  readonly ready: Endpoint;
+  /** Where other hosts read this host's state. */
+  readonly peers?: Endpoint;
+  /** UDP port for datagrams between hosts; the same on all hosts. */
+  readonly gossipPort: number;
+  /** Peer addresses of some hosts; may be out of date. */
+  readonly seeds: readonly Endpoint[];
+  /** Whether the whole deployment starts for the first time. */
+  readonly firstStart: boolean;
+  readonly store: Endpoint;
+  /** Interval in which targets write their entries, in milliseconds. */
+  readonly targetHeartbeatMs: number;
+  readonly bounds: Bounds;
+}
--- a/src/process/logger.ts
+++ b/src/process/logger.ts
@@ -1,6 +1,9 @@
 import {pino, type Logger as PinoLogger} from 'pino';
 import {events, type EventName} from './events/catalogue.js';
 
+/** Bytes of lines that wait for a reader of standard output. */
+const maxBufferedBytes = 1024 * 1024;
+
 /** Writes numbered events as JSON lines. */
 export class Logger {
   private constructor(private readonly sink: PinoLogger) {}
@@ -20,6 +23,33 @@
     return new Logger(sink);
   }
 
+  /**
+   * Creates a logger that writes to standard output and never waits for its reader: what does not fit
+   * into the buffer is dropped and counted.
+   *
+   * @param level - Least level to write.
+   * @param fields - Fields of every line.
+   * @param onDrop - Called for each line that is dropped.
+   * @returns The logger.
+   */
+  static createBounded(
+    level: string,
+    fields: Record<string, unknown>,
+    onDrop: () => void,
+  ): Logger {
+    const destination = pino.destination({
+      fd: 1,
+      sync: false,
+      maxLength: maxBufferedBytes,
+    });
+    destination.on('drop', onDrop);
+    const sink = pino(
+      {level, base: fields, timestamp: pino.stdTimeFunctions.epochTime},
+      destination,
+    );
+    return new Logger(sink);
+  }
+
   /**
    * Writes one event.
    *
--- /dev/null
+++ b/src/process/pool/choose-target.ts
@@ -0,0 +1,73 @@
+import type {PooledTarget} from './pooled-target.js';
+
+/** What the choice of a target depends on. */
+export interface Demand {
+  /** Tokens of the prompt; 0 for plain services. */
+  readonly promptTokens: number;
+  /** Tokens that will probably be generated; 0 for plain services. */
+  readonly outputTokens: number;
+  /** Target that has probably cached the prompt. */
+  readonly cachedAt?: string;
+  /** Availability zone of the host. */
+  readonly zone: string;
+}
+
+/** Time for one token of a target that has not been measured, in milliseconds. */
+const defaultTokenMs = 4.5;
+/** Time of an answer of a plain service that has not been measured, in milliseconds. */
+const defaultAnswerMs = 25;
+/** Prompt tokens that an engine reads in the time of one generated token. */
+const promptTokensPerStep = 300;
+/** Growth of the time of a token from an idle to a full engine, seen in measurements at 11 slots. */
+const fullSlowdown = 0.4;
+/** Growth of the time of a plain answer from an idle to a full target. */
+const fullAnswerSlowdown = 1;
+/** Price of a failure in the cost of a choice, in milliseconds. */
+const failureMs = 4000;
+/** Price of a target in another zone, in milliseconds: its round trips and the bytes between zones. */
+const otherZoneMs = 6;
+
+/**
+ * Estimates how long a request would take at a target.
+ *
+ * @param target - Target to judge.
+ * @param demand - What the request needs.
+ * @returns Time, in milliseconds, with failures and distance priced in.
+ */
+export function costOf(target: PooledTarget, demand: Demand): number {
+  const busy = target.load / target.slots;
+  const distance = target.entry.zone === demand.zone ? 0 : otherZoneMs;
+  const risk = target.failureRate * failureMs;
+  if (demand.outputTokens === 0) {
+    const answerMs = target.answerMs || defaultAnswerMs;
+    return answerMs * (1 + fullAnswerSlowdown * busy) + distance + risk;
+  }
+  const tokenMs = (target.tokenMs || defaultTokenMs) * (1 + fullSlowdown * busy);
+  const unread =
+    demand.cachedAt === target.entry.id ? 0 : demand.promptTokens;
+  const steps = demand.outputTokens + unread / promptTokensPerStep;
+  return tokenMs * steps + distance + risk;
+}
+
+/**
+ * Chooses the target at which a request would be done soonest.
+ *
+ * @param targets - Targets with room for the request.
+ * @param demand - What the request needs.
+ * @returns The target, or `undefined` if there is none.
+ */
+export function chooseTarget(
+  targets: Iterable<PooledTarget>,
+  demand: Demand,
+): PooledTarget | undefined {
+  let best: PooledTarget | undefined;
+  let bestCost = Infinity;
+  for (const target of targets) {
+    const cost = costOf(target, demand);
+    if (cost < bestCost) {
+      best = target;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/process/pool/pooled-target.ts
@@ -0,0 +1,108 @@
+import type {TargetEntry} from '../../version/deployment/types.js';
+
+/** Weight of a new sample in the averages of one target. */
+const sampleWeight = 0.2;
+/** Weight of a new outcome in the failure rate of one target. */
+const outcomeWeight = 0.15;
+/** Failures in a row after which a target gets nothing for a while. */
+const failuresToSuspend = 4;
+/** Pause of a target after failures, in milliseconds: the first, and the longest. */
+const firstSuspensionMs = 300;
+const longestSuspensionMs = 2500;
+
+/** How a request ended at a target. */
+export const outcomes = {
+  /** Answered whole, whatever the caller thinks of the answer. */
+  answered: 'answered',
+  /** Answered with a failure, or broke off its answer. */
+  failed: 'failed',
+  /** Refused without running it. */
+  refused: 'refused',
+  /** No connection could be opened. */
+  unreachable: 'unreachable',
+  /** Ended by this host or by the caller; says nothing about the target. */
+  cancelled: 'cancelled',
+} as const;
+
+/** One of {@link outcomes}. */
+export type Outcome = (typeof outcomes)[keyof typeof outcomes];
+
+/** A target with what this host knows of its load, speed and health. */
+export class PooledTarget {
+  /** Requests that this host has sent and that have not ended. */
+  own = 0;
+  /** Requests that other hosts reported to have at the target. */
+  others = 0;
+  /** Time for one generated token, in milliseconds; 0 if not known. */
+  tokenMs = 0;
+  /** Time of a whole answer of a plain service, in milliseconds; 0 if not known. */
+  answerMs = 0;
+  /** Part of the latest requests that failed. */
+  failureRate = 0;
+  /** Time until which the target gets nothing after failures, on the process's clock. */
+  suspendedUntilMs = 0;
+  /** Time until which the target is cold, on the process's clock. */
+  coldUntilMs = 0;
+  private failuresInRow = 0;
+  private suspensionMs = firstSuspensionMs;
+
+  /** @param entry - Entry of the target. */
+  constructor(public entry: TargetEntry) {}
+
+  /** Requests that may run at once. */
+  get slots(): number {
+    return Math.max(1, this.entry.slots);
+  }
+
+  /** Requests that all hosts together have at the target, as far as is known. */
+  get load(): number {
+    return this.own + this.others;
+  }
+
+  /**
+   * Learns the time of one token.
+   *
+   * @param ms - Time, in milliseconds.
+   */
+  sampleToken(ms: number): void {
+    this.tokenMs = blend(this.tokenMs, ms);
+  }
+
+  /**
+   * Learns the time of a whole answer.
+   *
+   * @param ms - Time, in milliseconds.
+   */
+  sampleAnswer(ms: number): void {
+    this.answerMs = blend(this.answerMs, ms);
+  }
+
+  /**
+   * Learns from how a request ended.
+   *
+   * @param outcome - How it ended.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   * @returns Whether the target was suspended because of it.
+   */
+  ended(outcome: Outcome, nowMs: number): boolean {
+    if (outcome === outcomes.cancelled) return false;
+    const failed = outcome !== outcomes.answered;
+    this.failureRate += outcomeWeight * ((failed ? 1 : 0) - this.failureRate);
+    if (!failed) {
+      this.failuresInRow = 0;
+      this.suspensionMs = firstSuspensionMs;
+      return false;
+    }
+    this.failuresInRow++;
+    const unreachable = outcome === outcomes.unreachable;
+    if (!unreachable && this.failuresInRow < failuresToSuspend) return false;
+    if (nowMs < this.suspendedUntilMs) return false;
+    this.suspendedUntilMs = nowMs + this.suspensionMs;
+    this.suspensionMs = Math.min(longestSuspensionMs, this.suspensionMs * 2);
+    return true;
+  }
+}
+
+function blend(average: number, sample: number): number {
+  return average === 0 ? sample : average + sampleWeight * (sample - average);
+}
--- /dev/null
+++ b/src/process/pool/target-pool.ts
@@ -0,0 +1,269 @@
+import {TargetConnections} from '../../connection/gateway/target-connections.js';
+import type {SlotRequest} from '../../request/gateway/dispatcher.js';
+import type {DeploymentState} from '../../version/deployment/deployment-state.js';
+import type {RouteTable} from '../../version/deployment/route-table.js';
+import type {TrialGate} from '../../version/deployment/trial-gate.js';
+import type {Clock} from '../clock.js';
+import type {ColdGate} from '../limits/cold-gate.js';
+import type {Logger} from '../logger.js';
+import {chooseTarget} from './choose-target.js';
+import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
+import {SessionMemory} from './session-memory.js';
+
+/** Part of a target's connections that all hosts together use. */
+const connectionPart = 0.85;
+/**
+ * Time for which a target counts as cold after a connection to it broke, unless its entry is written
+ * again in the meantime, in milliseconds: it may have been started anew.
+ */
+const suspectColdMs = 2500;
+
+/** Parts that the pool uses. */
+export interface TargetPoolParts {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly state: DeploymentState;
+  readonly routes: () => RouteTable | undefined;
+  readonly coldGate: ColdGate;
+  readonly trials: TrialGate;
+  /** Names of all hosts that may be running, this one included. */
+  readonly hosts: () => readonly string[];
+  readonly zone: string;
+  readonly regions: ReadonlyMap<string, string>;
+  readonly onOpened: () => void;
+}
+
+interface Member {
+  readonly target: PooledTarget;
+  readonly connections: TargetConnections;
+}
+
+/** All targets that requests may be sent to, with their slots and connections. */
+export class TargetPool {
+  private readonly members = new Map<string, Member>();
+  private readonly byService = new Map<string, Member[]>();
+  private readonly sessions = new SessionMemory();
+
+  /** @param parts - Parts of the process. */
+  constructor(private readonly parts: TargetPoolParts) {}
+
+  /** Requests of this host at each target that has any. */
+  get ownLoads(): Record<string, number> {
+    const loads: Record<string, number> = {};
+    for (const [id, {target}] of this.members) {
+      if (target.own > 0) loads[id] = target.own;
+    }
+    return loads;
+  }
+
+  /**
+   * Takes over what other hosts report to have at each target.
+   *
+   * @param loads - Sum of the other hosts' requests by target.
+   */
+  setOthers(loads: ReadonlyMap<string, number>): void {
+    for (const [id, {target}] of this.members) {
+      target.others = loads.get(id) ?? 0;
+    }
+  }
+
+  /** Takes over the targets that the deployment lists now. */
+  refresh(): void {
+    const {state, clock, coldGate, logger} = this.parts;
+    const nowMs = clock.nowMs();
+    for (const [id, {target, connections}] of this.members) {
+      const known = state.targets.get(id);
+      const replaced =
+        known !== undefined &&
+        (known.entry.address !== target.entry.address ||
+          known.entry.bornMs !== target.entry.bornMs);
+      if (known && !replaced) continue;
+      this.members.delete(id);
+      connections.closeIdle();
+      coldGate.forget(id);
+      logger.event('targetGone', {target: id, replaced});
+    }
+    this.byService.clear();
+    for (const [id, {entry, coldUntilMs}] of state.targets) {
+      let member = this.members.get(id);
+      if (!member) {
+        const {onOpened} = this.parts;
+        member = {
+          target: new PooledTarget(entry),
+          connections: new TargetConnections(entry.address, onOpened),
+        };
+        this.members.set(id, member);
+        const {service, zone, version} = entry;
+        const coldMs = Math.max(0, Math.round(coldUntilMs - nowMs));
+        logger.event('targetKnown', {target: id, service, zone, version, coldMs});
+      }
+      if (entry.draining && !member.target.entry.draining) {
+        logger.event('targetDraining', {target: id});
+      }
+      member.target.entry = entry;
+      member.target.coldUntilMs = coldUntilMs;
+      const list = this.byService.get(entry.service);
+      if (list) list.push(member);
+      else this.byService.set(entry.service, [member]);
+    }
+  }
+
+  /**
+   * Takes a slot of the best target for a request.
+   *
+   * @param request - What the request asks for.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   * @returns The target, or `undefined` if none has room now.
+   */
+  take(request: SlotRequest, nowMs: number): PooledTarget | undefined {
+    const demand = {
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      cachedAt:
+        request.session === undefined
+          ? undefined
+          : this.sessions.get(request.session),
+      zone: this.parts.zone,
+    };
+    // A trial does not wait for the new version; the old one serves it just as well.
+    const target =
+      (request.trial
+        ? chooseTarget(this.usable(request, true, nowMs), demand)
+        : undefined) ??
+      chooseTarget(this.usable(request, false, nowMs), demand);
+    if (!target) return undefined;
+    if (this.isCold(target, nowMs)) this.parts.coldGate.take(target.entry.id);
+    target.own++;
+    if (request.session !== undefined) {
+      this.sessions.set(request.session, target.entry.id);
+    }
+    return target;
+  }
+
+  /**
+   * Returns a slot.
+   *
+   * @param target - Target of the request.
+   * @param outcome - How the request ended there.
+   */
+  release(target: PooledTarget, outcome: Outcome): void {
+    const {clock, logger} = this.parts;
+    const nowMs = clock.nowMs();
+    target.own = Math.max(0, target.own - 1);
+    if (outcome === outcomes.unreachable) {
+      target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + suspectColdMs);
+    }
+    if (target.ended(outcome, nowMs)) {
+      logger.event('targetSuspended', {
+        target: target.entry.id,
+        outcome,
+        failureRate: Number(target.failureRate.toFixed(2)),
+        forMs: Math.round(target.suspendedUntilMs - nowMs),
+      });
+    }
+  }
+
+  /**
+   * Looks up the connections to a target.
+   *
+   * @param target - Target whose slot was taken.
+   */
+  connections(target: PooledTarget): TargetConnections {
+    const member = this.members.get(target.entry.id);
+    // A target that was removed between the choice and the send still has this one connection.
+    return (
+      member?.connections ??
+      new TargetConnections(target.entry.address, this.parts.onOpened)
+    );
+  }
+
+  /**
+   * Counts the slots of a service that this host would have if hosts shared them evenly.
+   *
+   * @param service - Name of the service.
+   */
+  ownShareOfSlots(service: string): number {
+    let slots = 0;
+    for (const {target} of this.byService.get(service) ?? []) {
+      if (!target.entry.draining) slots += target.slots;
+    }
+    return slots / Math.max(1, this.parts.hosts().length);
+  }
+
+  /**
+   * Tells how full the targets of a service are.
+   *
+   * @param service - Name of the service.
+   * @returns Requests and slots of all usable targets.
+   */
+  occupancy(service: string): {readonly load: number; readonly slots: number} {
+    let load = 0;
+    let slots = 0;
+    for (const {target} of this.byService.get(service) ?? []) {
+      if (target.entry.draining) continue;
+      load += target.load;
+      slots += target.slots;
+    }
+    return {load, slots};
+  }
+
+  /**
+   * Counts the requests on targets of a service that do not run a version.
+   *
+   * @param service - Name of the service.
+   * @param version - Version that does not count.
+   */
+  loadBeside(service: string, version: string): number {
+    let load = 0;
+    for (const {target} of this.byService.get(service) ?? []) {
+      if (target.entry.version !== version) load += target.load;
+    }
+    return load;
+  }
+
+  private *usable(
+    request: SlotRequest,
+    trial: boolean,
+    nowMs: number,
+  ): Generator<PooledTarget> {
+    const {state, routes, trials, regions, hosts, coldGate} = this.parts;
+    const traits = routes()?.service(request.service);
+    const known = hosts();
+    const limit = traits?.maxConnections
+      ? Math.max(
+          1,
+          Math.floor((traits.maxConnections * connectionPart) / known.length),
+        )
+      : Infinity;
+    for (const {target, connections} of this.byService.get(request.service) ??
+      []) {
+      const {entry} = target;
+      if (entry.draining || state.evacuatedZones.has(entry.zone)) continue;
+      if (request.exclude.has(entry.id)) continue;
+      if (target.load >= target.slots) continue;
+      if (target.suspendedUntilMs > nowMs) continue;
+      if (connections.idleSize === 0 && connections.size >= limit) continue;
+      if (!trials.allows(request.service, entry.version, trial)) {
+        continue;
+      }
+      const region = regions.get(entry.zone) ?? '';
+      if (request.regions.length > 0 && !request.regions.includes(region)) {
+        continue;
+      }
+      const coldPerSecond = traits?.coldPerSecond ?? 0;
+      if (
+        this.isCold(target, nowMs) &&
+        !coldGate.admits(entry.id, coldPerSecond, known, nowMs)
+      ) {
+        continue;
+      }
+      yield target;
+    }
+  }
+
+  private isCold(target: PooledTarget, nowMs: number): boolean {
+    const {service} = target.entry;
+    const limit = this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
+    return limit > 0 && target.coldUntilMs > nowMs;
+  }
+}
--- /dev/null
+++ b/src/request/gateway/gateway-handler.ts
@@ -0,0 +1,146 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {every, type Cancel} from '../../process/clock.js';
+import {
+  chooseService,
+  type RouteTable,
+} from '../../version/deployment/route-table.js';
+import type {Organisation} from '../../version/deployment/types.js';
+import {
+  GatewayRequest,
+  sendRefusal,
+  type GatewayRequestParts,
+} from './gateway-request.js';
+import type {RefusalName} from './refusal-reasons.js';
+import type {CallerHead} from './wire-format.js';
+
+/** Interval in which open requests are checked for stalled targets, in milliseconds. */
+const checkIntervalMs = 100;
+/** Time after which callers come back to a host that knows no configuration, in milliseconds. */
+const notConfiguredReturnMs = 500;
+
+/** Parts of the process that the handler uses. */
+export interface GatewayHandlerParts extends GatewayRequestParts {
+  readonly routes: () => RouteTable | undefined;
+}
+
+/** Admits callers' requests and keeps account of those that are open. */
+export class GatewayHandler {
+  private readonly open = new Set<GatewayRequest>();
+  private cancelCheck: Cancel = () => {};
+
+  /** @param parts - Parts of the process. */
+  constructor(private readonly parts: GatewayHandlerParts) {}
+
+  /** Number of requests that were admitted and have not ended. */
+  get openRequests(): number {
+    return this.open.size;
+  }
+
+  /** Starts to look for stalled targets. */
+  start(): void {
+    const {clock} = this.parts;
+    this.cancelCheck = every(clock, checkIntervalMs, () => {
+      const nowMs = clock.nowMs();
+      for (const request of [...this.open]) request.check(nowMs);
+    });
+  }
+
+  /** Stops to look for stalled targets. */
+  stop(): void {
+    this.cancelCheck();
+  }
+
+  /**
+   * Serves a request.
+   *
+   * @param req - Request; its body was not read yet.
+   * @param res - Answer; its head was not sent yet.
+   */
+  handle(req: IncomingMessage, res: ServerResponse): void {
+    const arrivedMs = this.parts.clock.nowMs();
+    const routes = this.parts.routes();
+    const head = this.parts.wire.readCaller(req.rawHeaders);
+    if (!routes) {
+      return this.refuse(req, res, head, 'notConfigured', notConfiguredReturnMs);
+    }
+    const {limits} = routes.configuration;
+    const url = req.url ?? '/';
+    if (head.hosts.length !== 1) return this.refuse(req, res, head, 'badHost');
+    if (head.headerBytes > limits.maxHeaderBytes) {
+      return this.refuse(req, res, head, 'headersTooLarge');
+    }
+    const route = routes.route(head.hosts[0], url.split('?', 1)[0]);
+    const service = route && chooseService(route, this.parts.random());
+    if (!route || service === undefined) {
+      return this.refuse(req, res, head, 'noRoute');
+    }
+    let organisation: Organisation | undefined;
+    if (routes.needsKeys && !route.isPublic) {
+      organisation = routes.organisation(head.apiKey ?? '');
+      if (!organisation) return this.refuse(req, res, head, 'unknownKey');
+    }
+    const {maxBodyBytes} = limits;
+    if ((head.bodyLength ?? 0) > maxBodyBytes) {
+      return this.refuse(req, res, head, 'bodyTooLarge');
+    }
+    const method = req.method ?? 'GET';
+    readBody(req, maxBodyBytes, body => {
+      if (!body) return this.refuse(req, res, head, 'bodyTooLarge');
+      const admitted = {
+        head,
+        method,
+        url,
+        body,
+        route,
+        service,
+        organisation,
+        arrivedMs,
+      };
+      const request = new GatewayRequest(this.parts, admitted, req, res, done =>
+        this.open.delete(done),
+      );
+      this.open.add(request);
+      request.start();
+    });
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    head: CallerHead,
+    name: RefusalName,
+    returnMs?: number,
+  ): void {
+    const {decisions, isDraining, metrics} = this.parts;
+    metrics.refused(name);
+    decisions.note('gatewayRefused', {request: head.requestId, reason: name});
+    // A body that is not read would be taken for the next request.
+    const unread = !req.complete && name === 'bodyTooLarge';
+    req.resume();
+    sendRefusal(res, name, returnMs, unread || isDraining());
+  }
+}
+
+/** Reads a body; calls back with nothing if it is larger than allowed, not at all if it breaks off. */
+function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+  onBody: (body: Buffer | undefined) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  req.on('error', () => {});
+  req.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes <= maxBytes) chunks.push(chunk);
+  });
+  req.on('end', () => {
+    onBody(
+      bytes > maxBytes
+        ? undefined
+        : chunks.length === 1
+          ? chunks[0]
+          : Buffer.concat(chunks),
+    );
+  });
+}
--- /dev/null
+++ b/src/request/gateway/gateway-request.ts
@@ -0,0 +1,512 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  Exchange,
+  exchangeFailures,
+  type ExchangeFailure,
+} from '../../connection/gateway/exchange.js';
+import type {Clock} from '../../process/clock.js';
+import type {QuotaLedger} from '../../process/limits/quota-ledger.js';
+import type {RetryAllowance} from '../../process/limits/retry-allowance.js';
+import type {DecisionLog} from '../../process/decision-log.js';
+import type {GatewayMetrics, ResendReason} from '../../process/gateway-metrics.js';
+import {
+  outcomes,
+  type Outcome,
+  type PooledTarget,
+} from '../../process/pool/pooled-target.js';
+import type {TargetPool} from '../../process/pool/target-pool.js';
+import type {TrialJudge} from '../../version/deployment/trial-judge.js';
+import type {TrialGate} from '../../version/deployment/trial-gate.js';
+import {requestKinds, type Organisation, type Route} from '../../version/deployment/types.js';
+import type {Dispatcher, Ticket} from './dispatcher.js';
+import {holdMs, returnAfterMs} from './hold-policy.js';
+import {refusalReasons, type RefusalName} from './refusal-reasons.js';
+import {AnswerRelay} from './answer-relay.js';
+import type {RouteStats} from './route-stats.js';
+import type {AnswerHead, CallerHead, WireFormat} from './wire-format.js';
+
+/** Greatest number of times that one request is sent, refusals by targets included. */
+const maxSends = 3;
+/** Time that must be left for another attempt, in milliseconds. */
+const leastLeftMs = 50;
+/** Multiple of the objective after which a target that has not answered counts as stalled. */
+const stalledObjectives = 1.5;
+/** Least time after which a target counts as stalled, in milliseconds. */
+const leastStallMs = 250;
+/** Pause within a resumable stream after which its target counts as stalled, in milliseconds. */
+const streamStallMs = 1200;
+/** Time already spent at which a request is taken for one that came back, in milliseconds. */
+const returnedAfterMs = 150;
+
+/** Parts of the process that requests use. */
+export interface GatewayRequestParts {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly wire: WireFormat;
+  readonly dispatcher: Dispatcher;
+  readonly pool: TargetPool;
+  readonly quotas: QuotaLedger;
+  readonly retries: RetryAllowance;
+  readonly trials: TrialGate;
+  readonly judge: TrialJudge;
+  readonly stats: RouteStats;
+  readonly metrics: GatewayMetrics;
+  readonly decisions: DecisionLog;
+  readonly isDraining: () => boolean;
+}
+
+/** An admitted request. */
+export interface AdmittedRequest {
+  readonly head: CallerHead;
+  readonly method: string;
+  readonly url: string;
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly service: string;
+  readonly organisation?: Organisation;
+  /** Time of its arrival, on the process's clock. */
+  readonly arrivedMs: number;
+}
+
+interface Attempt {
+  readonly target: PooledTarget;
+  readonly exchange: Exchange;
+  readonly startMs: number;
+  head?: AnswerHead;
+  /** Whether the target was already blamed for not answering. */
+  stalled: boolean;
+}
+
+/** Serves one request from its admission to its last byte. */
+export class GatewayRequest {
+  private readonly endsAtMs: number;
+  private readonly repeatable: boolean;
+  private readonly excluded = new Set<string>();
+  private readonly relay: AnswerRelay;
+  private readonly trial: boolean;
+  private readonly units: number;
+  private ticket: Ticket | undefined;
+  private attempt: Attempt | undefined;
+  private cancelTimer = () => {};
+  private sends = 0;
+  private runs = 0;
+  private mayHaveRun = false;
+  private done = false;
+
+  /**
+   * @param parts - Parts of the process.
+   * @param request - Request to serve.
+   * @param req - Request as received.
+   * @param res - Answer to the caller.
+   * @param onDone - Called once, when nothing of the request is left.
+   */
+  constructor(
+    private readonly parts: GatewayRequestParts,
+    private readonly request: AdmittedRequest,
+    req: IncomingMessage,
+    private readonly res: ServerResponse,
+    private readonly onDone: (request: GatewayRequest) => void,
+  ) {
+    const {route, head, arrivedMs, service, organisation} = request;
+    const allowedMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+    this.endsAtMs = arrivedMs + allowedMs;
+    this.repeatable =
+      route.kind === requestKinds.idempotent ||
+      (route.kind === requestKinds.stream && route.resumable);
+    this.trial = parts.trials.draw(service);
+    this.units = unitsOf(head, organisation);
+    this.relay = new AnswerRelay(res, parts.isDraining, {
+      pause: () => this.attempt?.exchange.pause(),
+      resume: () => this.attempt?.exchange.resume(),
+    });
+    res.on('close', () => this.callerLeft());
+    // A connection that the caller resets also closes the answer.
+    res.on('error', () => {});
+    req.on('error', () => {});
+  }
+
+  /** Starts to serve the request. */
+  start(): void {
+    const {clock, quotas, retries} = this.parts;
+    const {organisation, service} = this.request;
+    const nowMs = clock.nowMs();
+    if (this.res.destroyed) return this.finish();
+    retries.request(service, nowMs);
+    if (organisation && organisation.ratePerSecond > 0) {
+      const quota = {rate: organisation.ratePerSecond, burst: organisation.burst};
+      const waitMs = quotas.take(organisation.name, quota, this.units, nowMs);
+      if (waitMs > 0) {
+        return this.refuse('overQuota', this.returnMs(waitMs));
+      }
+    }
+    this.cancelTimer = clock.after(Math.max(0, this.endsAtMs - nowMs), () =>
+      this.expired(),
+    );
+    this.ask();
+  }
+
+  /**
+   * Looks for a target that has stopped to answer.
+   *
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  check(nowMs: number): void {
+    const {attempt} = this;
+    if (!attempt || attempt.stalled) return;
+    const {route} = this.request;
+    const limitMs = this.relay.started
+      ? streamStallMs
+      : Math.max(leastStallMs, route.objectiveMs * stalledObjectives);
+    const sinceMs =
+      nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
+    if (sinceMs < limitMs) return;
+    attempt.stalled = true;
+    attempt.target.ended(outcomes.failed, nowMs);
+    this.parts.decisions.note('targetStalled', {
+      request: this.request.head.requestId,
+      target: attempt.target.entry.id,
+      sinceMs: Math.round(sinceMs),
+    });
+    if (this.repeatable && this.mayRunAgain(nowMs)) {
+      attempt.exchange.abort();
+    }
+  }
+
+  private ask(): void {
+    const {clock, dispatcher, stats} = this.parts;
+    const {head, route, service, organisation, arrivedMs} = this.request;
+    const nowMs = clock.nowMs();
+    const stream = route.kind === requestKinds.stream;
+    const spentMs = Math.max(0, route.timeoutMs - (head.deadlineMs ?? Infinity));
+    const returned = spentMs > returnedAfterMs;
+    const heldMs = holdMs({
+      objectiveMs: route.objectiveMs,
+      leftMs: this.endsAtMs - nowMs,
+      answerMs: stats.firstMs(route.name),
+      returned,
+      stream,
+    });
+    this.ticket = dispatcher.ask(
+      {
+        service,
+        rank: organisation?.rank ?? route.rank,
+        costMs: stats.slotMs(route.name, stream),
+        dueAtMs: arrivedMs + route.objectiveMs - spentMs - stats.firstMs(route.name),
+        untilMs: nowMs + heldMs,
+        promptTokens: head.promptTokens,
+        outputTokens: stream ? Math.max(1, head.maxOutputTokens) : 0,
+        session: head.parts.at(-1)?.id,
+        regions: route.regions,
+        exclude: this.excluded,
+        trial: this.trial,
+      },
+      target => this.send(target),
+      () => this.noSlot(),
+    );
+    // The slot may have been given before the ticket was returned.
+    if (this.attempt) this.ticket = undefined;
+  }
+
+  private send(target: PooledTarget): void {
+    const {clock, pool, wire} = this.parts;
+    const {head, method, url, body, organisation} = this.request;
+    this.ticket = undefined;
+    const nowMs = clock.nowMs();
+    this.sends++;
+    const headers = wire.targetHeaders(head, {
+      deadlineMs: this.endsAtMs - nowMs,
+      targetId: target.entry.id,
+      organisation: organisation?.name,
+      lastEventId: this.relay.lastEventId,
+    });
+    const {requestId} = head;
+    const exchange = new Exchange(
+      pool.connections(target),
+      wire,
+      {method, path: url, headers, body, requestId},
+      {
+        onHead: answer => this.onHead(answer),
+        onData: chunk => this.onData(chunk),
+        onEnd: () => this.onEnd(),
+        onFailure: (failure, reason) => this.onFailure(failure, reason),
+      },
+    );
+    this.attempt = {target, exchange, startMs: nowMs, stalled: false};
+    exchange.start();
+  }
+
+  private onHead(answer: AnswerHead): void {
+    const {attempt} = this;
+    if (!attempt) return;
+    attempt.head = answer;
+    if (answer.coldMs) {
+      const {target} = attempt;
+      const untilMs = this.parts.clock.nowMs() + answer.coldMs;
+      target.coldUntilMs = Math.max(target.coldUntilMs, untilMs);
+    }
+    if (!answer.notRun) {
+      this.mayHaveRun = true;
+      this.relay.begin(answer);
+    }
+  }
+
+  private onData(chunk: Buffer): void {
+    if (this.attempt?.head?.notRun !== false) return;
+    this.relay.data(chunk, this.parts.clock.nowMs(), this.isRetryable());
+  }
+
+  private onEnd(): void {
+    const {attempt} = this;
+    const head = attempt?.head;
+    if (!attempt || !head) return;
+    if (head.notRun) {
+      this.release(outcomes.refused);
+      return this.afterRefusal(attempt.target, head);
+    }
+    if (!this.relay.isWhole(head.framed)) {
+      return this.onFailure(exchangeFailures.cutOff, 'ends within an event');
+    }
+    this.runs++;
+    const failed = head.status >= 500;
+    this.learn(attempt, failed);
+    this.release(failed ? outcomes.failed : outcomes.answered);
+    if (this.isRetryable() && failed && this.repeat('failed', attempt.target)) {
+      return;
+    }
+    this.relay.end();
+    this.parts.metrics.answered({
+      firstMs: (this.relay.firstAtMs ?? this.parts.clock.nowMs()) - this.request.arrivedMs,
+      totalMs: this.parts.clock.nowMs() - this.request.arrivedMs,
+    });
+    this.finish();
+  }
+
+  private onFailure(failure: ExchangeFailure, reason: string): void {
+    const {attempt} = this;
+    if (!attempt) return;
+    const {target, exchange} = attempt;
+    const arrived = exchange.mayHaveArrived;
+    const stalled = failure === exchangeFailures.aborted && attempt.stalled;
+    if (arrived) {
+      this.mayHaveRun = true;
+      this.runs++;
+    }
+    this.parts.decisions.note('exchangeFailed', {
+      request: this.request.head.requestId,
+      target: target.entry.id,
+      failure,
+      reason,
+    });
+    this.learn(attempt, true);
+    this.release(
+      !arrived
+        ? outcomes.unreachable
+        : stalled
+          ? outcomes.cancelled
+          : outcomes.failed,
+    );
+    const repeatable = arrived ? this.isRetryable() : !this.relay.started;
+    if (repeatable && this.repeat(arrived ? failure : 'not-sent', target)) {
+      return;
+    }
+    if (this.relay.started) this.breakOff();
+    else if (this.mayHaveRun) this.refuse('targetFailed');
+    else this.refuse('targetsRefuse', this.returnMs(0));
+  }
+
+  private afterRefusal(target: PooledTarget, head: AnswerHead): void {
+    if (head.load && head.load.waiting > 0) target.others++;
+    if (this.repeat('refused', target)) return;
+    if (this.relay.started) return this.breakOff();
+    if (this.mayHaveRun) return this.refuse('targetFailed');
+    this.refuse('targetsRefuse', this.returnMs(0));
+  }
+
+  /** Whether what was relayed allows another target to go on. */
+  private isRetryable(): boolean {
+    if (!this.relay.started) return this.repeatable;
+    return this.repeatable && this.relay.canResume;
+  }
+
+  private mayRunAgain(nowMs: number): boolean {
+    return (
+      this.runs + 1 < this.request.route.maxRuns &&
+      this.sends < maxSends &&
+      this.endsAtMs - nowMs > leastLeftMs
+    );
+  }
+
+  private repeat(why: ResendReason, target: PooledTarget): boolean {
+    const {clock, decisions, metrics, retries} = this.parts;
+    const {service, route, head} = this.request;
+    const nowMs = clock.nowMs();
+    const ranOut =
+      this.runs >= route.maxRuns ||
+      this.sends >= maxSends ||
+      this.endsAtMs - nowMs <= leastLeftMs;
+    // A request that did not arrive anywhere is not repeated by sending it.
+    const free = why === 'not-sent';
+    if (ranOut || (!free && !retries.take(service, nowMs))) return false;
+    this.excluded.add(target.entry.id);
+    this.relay.restart();
+    metrics.resent(why);
+    decisions.note('requestResent', {
+      request: head.requestId,
+      target: target.entry.id,
+      why,
+      sends: this.sends,
+    });
+    this.ask();
+    return true;
+  }
+
+  private learn(attempt: Attempt, failed: boolean): void {
+    const {clock, judge, stats} = this.parts;
+    const {route, service} = this.request;
+    const {target} = attempt;
+    const nowMs = clock.nowMs();
+    const slotMs = nowMs - attempt.startMs;
+    const firstMs = (this.relay.firstAtMs ?? nowMs) - attempt.startMs;
+    judge.record(service, target.entry.version, route.name, failed, firstMs);
+    if (failed) return;
+    stats.record(route.name, slotMs, firstMs);
+    const {outputTokens} = this;
+    if (outputTokens === 0) target.sampleAnswer(slotMs);
+    else if (this.relay.events > 2) {
+      target.sampleToken((slotMs - firstMs) / outputTokens);
+    }
+  }
+
+  private get outputTokens(): number {
+    const {head, route} = this.request;
+    return route.kind === requestKinds.stream ? head.maxOutputTokens : 0;
+  }
+
+  private release(outcome: Outcome): void {
+    const {attempt} = this;
+    if (!attempt) return;
+    this.attempt = undefined;
+    this.parts.pool.release(attempt.target, outcome);
+    this.parts.dispatcher.serve(this.request.service);
+  }
+
+  private noSlot(): void {
+    this.ticket = undefined;
+    if (this.relay.started) this.breakOff();
+    else if (this.mayHaveRun) this.refuse('targetFailed');
+    else this.refuse('noSlot', this.returnMs(0));
+  }
+
+  private expired(): void {
+    if (this.done) return;
+    const waiting = this.attempt === undefined;
+    this.abandon();
+    if (this.relay.started) this.breakOff();
+    else if (waiting && !this.mayHaveRun) this.refuse('expiredWaiting');
+    else this.refuse('expiredRunning');
+  }
+
+  private callerLeft(): void {
+    if (this.done) return;
+    this.abandon();
+    this.parts.metrics.callerLeft();
+    this.finish();
+  }
+
+  /** Withdraws the request from the queue or from its target. */
+  private abandon(): void {
+    if (this.ticket) this.parts.dispatcher.withdraw(this.ticket);
+    this.ticket = undefined;
+    const {attempt} = this;
+    if (!attempt) return;
+    if (attempt.exchange.mayHaveArrived) this.mayHaveRun = true;
+    this.release(outcomes.cancelled);
+    attempt.exchange.abort();
+  }
+
+  private breakOff(): void {
+    this.parts.metrics.brokenOff();
+    this.parts.decisions.note('answerBrokenOff', {
+      request: this.request.head.requestId,
+    });
+    this.res.destroy();
+    this.finish();
+  }
+
+  private refuse(name: RefusalName, returnMs?: number): void {
+    const {decisions, metrics, quotas, isDraining, pool, dispatcher, clock} =
+      this.parts;
+    const {organisation, service, head, arrivedMs, route} = this.request;
+    if (name !== 'overQuota' && organisation && !this.mayHaveRun) {
+      quotas.giveBack(organisation.name, this.units);
+    }
+    metrics.refused(name);
+    decisions.note('gatewayRefused', {
+      request: head.requestId,
+      reason: name,
+      route: route.name,
+      service,
+      waiting: dispatcher.waiting,
+      ...pool.occupancy(service),
+      heldMs: Math.round(clock.nowMs() - arrivedMs),
+      returnMs: returnMs && Math.round(returnMs),
+    });
+    sendRefusal(this.res, name, returnMs, isDraining());
+    this.finish();
+  }
+
+  private returnMs(waitMs: number): number {
+    const {clock, dispatcher, random} = this.parts;
+    const backlogMs = dispatcher.backlogMs(this.request.service);
+    return returnAfterMs(
+      Math.max(waitMs, backlogMs),
+      this.endsAtMs - clock.nowMs(),
+      random(),
+    );
+  }
+
+  private finish(): void {
+    if (this.done) return;
+    this.done = true;
+    this.cancelTimer();
+    this.onDone(this);
+  }
+}
+
+/**
+ * Answers a request that is not sent to a target.
+ *
+ * @param res - Answer to the caller.
+ * @param name - Why.
+ * @param returnMs - Time after which the caller should come back, in milliseconds.
+ * @param closes - Whether the connection is closed after the answer.
+ */
+export function sendRefusal(
+  res: ServerResponse,
+  name: RefusalName,
+  returnMs: number | undefined,
+  closes: boolean,
+): void {
+  const {status, text} = refusalReasons[name];
+  const body = JSON.stringify({error: name, message: text});
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  };
+  if (returnMs !== undefined) {
+    headers['retry-after'] = (returnMs / 1000).toFixed(3);
+  }
+  if (closes) headers.connection = 'close';
+  res.writeHead(status, headers);
+  res.end(body);
+}
+
+function unitsOf(
+  head: CallerHead,
+  organisation: Organisation | undefined,
+): number {
+  if (!organisation?.countsTokens) return 1;
+  return head.countsTokens
+    ? head.promptTokens + head.maxOutputTokens
+    : organisation.plainTokens;
+}
--- /dev/null
+++ b/src/request/gateway/hold-policy.ts
@@ -0,0 +1,62 @@
+/** What the time for which a request may wait depends on. */
+export interface HoldInput {
+  /** Time to the answer or first event that the caller aims at, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Time until the caller or the route ends the request, in milliseconds. */
+  readonly leftMs: number;
+  /** Time that a target probably needs for the answer or its first event, in milliseconds. */
+  readonly answerMs: number;
+  /** Whether the caller was refused before and came back. */
+  readonly returned: boolean;
+  /** Whether the answer is a stream. */
+  readonly stream: boolean;
+}
+
+/** Part of the objective for which a request that can still meet it is held. */
+const heldPart = 1;
+/** Callers give up a stream that has not begun after this time at least, in milliseconds. */
+const streamPatienceMs = 2000;
+/** Objectives after which callers give up a stream that has not begun, if that is longer. */
+const streamPatienceObjectives = 4;
+/** Part of the time left that a request which came back may wait; it would lose more by a refusal. */
+const returnedPart = 0.5;
+
+/**
+ * Decides how long a request may wait for a slot. One that cannot be answered in its objective is
+ * refused early, so that its caller can come back when there is room.
+ *
+ * @param input - The request.
+ * @returns Time, in milliseconds; 0 if it should be refused at once unless there is a slot.
+ */
+export function holdMs(input: HoldInput): number {
+  const {objectiveMs, leftMs, answerMs, returned, stream} = input;
+  const patienceMs = stream
+    ? Math.max(streamPatienceMs, objectiveMs * streamPatienceObjectives)
+    : leftMs;
+  const latestMs = Math.min(leftMs, patienceMs) - answerMs;
+  if (returned) return Math.max(0, latestMs * returnedPart);
+  return Math.max(0, Math.min(latestMs, objectiveMs * heldPart));
+}
+
+/** Least and greatest time after which callers are asked to come back, in milliseconds. */
+const leastReturnMs = 300;
+const greatestReturnMs = 4000;
+/** Part of the time left within which callers honour a stated time. */
+const honouredPart = 1 / 3;
+
+/**
+ * Decides when a refused caller should come back.
+ *
+ * @param backlogMs - Time that the requests which wait now will probably take, in milliseconds.
+ * @param leftMs - Time until the caller ends the request, in milliseconds.
+ * @param draw - Random number in [0, 1), which spreads the callers.
+ * @returns Time, in milliseconds.
+ */
+export function returnAfterMs(
+  backlogMs: number,
+  leftMs: number,
+  draw: number,
+): number {
+  const wanted = Math.max(leastReturnMs, backlogMs) * (1 + draw);
+  return Math.min(wanted, greatestReturnMs, leftMs * honouredPart * 0.95);
+}
--- /dev/null
+++ b/src/version/deployment/route-table.ts
@@ -0,0 +1,84 @@
+import type {
+  Configuration,
+  Organisation,
+  Route,
+  ServiceTraits,
+} from './types.js';
+
+/** Lookups in one version of the configuration. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Route[]>();
+  private readonly byKey = new Map<string, Organisation>();
+  private readonly byService = new Map<string, ServiceTraits>();
+
+  /** @param configuration - Configuration to index. */
+  constructor(readonly configuration: Configuration) {
+    for (const route of configuration.routes) {
+      const routes = this.byHost.get(route.host);
+      if (routes) routes.push(route);
+      else this.byHost.set(route.host, [route]);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const organisation of configuration.organisations) {
+      for (const key of organisation.keys) this.byKey.set(key, organisation);
+    }
+    for (const service of configuration.services) {
+      this.byService.set(service.name, service);
+    }
+  }
+
+  /** Whether callers need keys on routes that are not public. */
+  get needsKeys(): boolean {
+    return this.configuration.organisations.length > 0;
+  }
+
+  /**
+   * Finds the route of a request: the one with the longest prefix among those of its host.
+   *
+   * @param host - Value of the `Host` header.
+   * @param path - Path without query.
+   */
+  route(host: string, path: string): Route | undefined {
+    const name = host.toLowerCase();
+    const routes =
+      this.byHost.get(name) ?? this.byHost.get(name.replace(/:\d+$/, ''));
+    return routes?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+  }
+
+  /**
+   * Finds the organisation that holds a key.
+   *
+   * @param key - Key of a request.
+   */
+  organisation(key: string): Organisation | undefined {
+    return this.byKey.get(key);
+  }
+
+  /**
+   * Finds a service by its name.
+   *
+   * @param name - Name of the service.
+   */
+  service(name: string): ServiceTraits | undefined {
+    return this.byService.get(name);
+  }
+}
+
+/**
+ * Chooses among the services of a route by their weights.
+ *
+ * @param route - Route of a request.
+ * @param draw - Random number in [0, 1).
+ * @returns Name of a service, or `undefined` if the route has none.
+ */
+export function chooseService(route: Route, draw: number): string | undefined {
+  const {services} = route;
+  let left = draw * services.reduce((sum, {weight}) => sum + weight, 0);
+  for (const {service, weight} of services) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return services.at(-1)?.service;
+}
--- /dev/null
+++ b/src/version/deployment/state-copy.ts
@@ -0,0 +1,94 @@
+import type {FeedRecord} from '../../connection/store/shared-store.js';
+import type {DeploymentState} from './deployment-state.js';
+import type {
+  Change,
+  Configuration,
+  RolloutOrder,
+  RolloutStatus,
+  TargetEntry,
+} from './types.js';
+
+/** What a host knows, for one that does not reach the store. */
+export interface StateCopy {
+  readonly offsets: {readonly orders: number; readonly targets: number};
+  readonly configuration?: Configuration;
+  readonly evacuated: readonly string[];
+  readonly orders: readonly {order: RolloutOrder; offset: number}[];
+  readonly statuses: readonly RolloutStatus[];
+  readonly targets: readonly TargetEntry[];
+}
+
+/**
+ * Copies what a host knows.
+ *
+ * @param state - State of the host.
+ * @param offsets - How far it has read.
+ * @param nowMs - Time on the process's clock, in milliseconds.
+ */
+export function copyState(
+  state: DeploymentState,
+  offsets: StateCopy['offsets'],
+  nowMs: number,
+): StateCopy {
+  return {
+    offsets,
+    configuration: state.configuration,
+    evacuated: [...state.evacuatedZones],
+    orders: [...state.orders.values()].map(({order, offset}) => ({
+      order,
+      offset,
+    })),
+    statuses: [...state.statuses.values()],
+    targets: [...state.targets.values()]
+      .filter(({goneAtMs}) => goneAtMs === undefined)
+      .map(({entry, coldUntilMs}) => ({
+        ...entry,
+        coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)),
+      })),
+  };
+}
+
+/**
+ * Takes over a copy of another host that has read further.
+ *
+ * @param state - State to change.
+ * @param copy - Copy of the other host.
+ * @param own - How far this host has read.
+ * @param nowMs - Time on the process's clock, in milliseconds.
+ */
+export function takeCopy(
+  state: DeploymentState,
+  copy: StateCopy,
+  own: StateCopy['offsets'],
+  nowMs: number,
+): void {
+  if (copy.offsets.orders > own.orders) {
+    const changes: FeedRecord[] = [
+      ...copy.evacuated.map(zone =>
+        record({kind: 'evacuation', zone, active: true}),
+      ),
+      ...copy.orders.map(({order, offset}) =>
+        record({kind: 'rollout-order', service: order.service, order}, offset),
+      ),
+    ];
+    const {configuration} = copy;
+    if (configuration) {
+      changes.push(record({kind: 'configuration', configuration}));
+    }
+    state.replace('orders', changes, nowMs);
+    for (const status of copy.statuses) {
+      const {service} = status;
+      state.apply(record({kind: 'rollout-status', service, status}), nowMs);
+    }
+  }
+  if (copy.offsets.targets > own.targets) {
+    const targets = copy.targets.map(entry =>
+      record({kind: 'target', id: entry.id, entry}, copy.offsets.targets),
+    );
+    state.replace('targets', targets, nowMs);
+  }
+}
+
+function record(change: Change, offset = 0): FeedRecord {
+  return {offset, change};
+}
--- /dev/null
+++ b/src/version/deployment/trial-gate.ts
@@ -0,0 +1,132 @@
+import {
+  rolloutStates,
+  type RolloutOrder,
+  type RolloutState,
+} from './types.js';
+
+/**
+ * Part of a service's requests that a new version gets while it is on trial. A bad version may get a
+ * tenth of them; hosts count on their own.
+ */
+export const trialShare = 0.07;
+
+/** What this host does with the two versions of a service under rollout. */
+export const trialPhases = {
+  /** A small part of the requests goes to the new version. */
+  trial: 'trial',
+  /** All requests go to the new version. */
+  moved: 'moved',
+  /** No request goes to the new version. */
+  stopped: 'stopped',
+} as const;
+
+/** One of {@link trialPhases}. */
+export type TrialPhase = (typeof trialPhases)[keyof typeof trialPhases];
+
+interface Trial {
+  readonly order: RolloutOrder;
+  readonly orderOffset: number;
+  phase: TrialPhase;
+  requests: number;
+  trials: number;
+}
+
+/** Keeps the versions of services under rollout apart. */
+export class TrialGate {
+  private readonly trials = new Map<string, Trial>();
+
+  /**
+   * Begins a trial unless it has begun.
+   *
+   * @param order - Order of the operator.
+   * @param orderOffset - Offset of its record.
+   */
+  begin(order: RolloutOrder, orderOffset: number): void {
+    const known = this.trials.get(order.service);
+    if (known?.orderOffset === orderOffset) return;
+    const phase = trialPhases.trial;
+    const trial = {order, orderOffset, phase, requests: 0, trials: 0};
+    this.trials.set(order.service, trial);
+  }
+
+  /**
+   * Ends the separation of versions of a service whose order was withdrawn.
+   *
+   * @param service - Name of the service.
+   */
+  end(service: string): void {
+    this.trials.delete(service);
+  }
+
+  /**
+   * Sets what is done with the versions.
+   *
+   * @param service - Name of the service.
+   * @param phase - What to do.
+   */
+  set(service: string, phase: TrialPhase): void {
+    const trial = this.trials.get(service);
+    if (trial) trial.phase = phase;
+  }
+
+  /**
+   * Tells what is done with the versions of a service.
+   *
+   * @param service - Name of the service.
+   */
+  phase(service: string): TrialPhase | undefined {
+    return this.trials.get(service)?.phase;
+  }
+
+  /**
+   * Decides whether a request tries the new version.
+   *
+   * @param service - Service of the request.
+   * @returns Whether it belongs to the part that does.
+   */
+  draw(service: string): boolean {
+    const trial = this.trials.get(service);
+    if (!trial || trial.phase !== trialPhases.trial) return false;
+    trial.requests++;
+    if (trial.trials + 1 > trial.requests * trialShare) return false;
+    trial.trials++;
+    return true;
+  }
+
+  /**
+   * Tells whether a request may go to a version.
+   *
+   * @param service - Service of the request.
+   * @param version - Version of a target.
+   * @param trial - Whether the request tries the new version.
+   */
+  allows(service: string, version: string, trial: boolean): boolean {
+    const known = this.trials.get(service);
+    if (!known) return true;
+    const isNew = version === known.order.version;
+    switch (known.phase) {
+      case trialPhases.trial:
+        return isNew === trial;
+      case trialPhases.moved:
+        return isNew;
+      case trialPhases.stopped:
+        return !isNew;
+    }
+  }
+}
+
+/**
+ * Tells what hosts do once the status of a rollout is recorded.
+ *
+ * @param state - Recorded state.
+ */
+export function phaseOf(state: RolloutState): TrialPhase {
+  switch (state) {
+    case rolloutStates.running:
+      return trialPhases.trial;
+    case rolloutStates.completed:
+      return trialPhases.moved;
+    case rolloutStates.rolledBack:
+      return trialPhases.stopped;
+  }
+}
