Tell a reset from an orderly end of an answer without a length

Ruled out: the order of undici's error listener (ours runs first). Change: after the end of such an answer an empty write is made; it fails on a connection that was reset.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -142,13 +142,23 @@
     if (this.done) return;
     const {head} = this;
     if (!head) return this.fail(exchangeFailures.noAnswer, 'no head');
-    // An answer without a length is whole only if the target closed the connection in order.
-    if (!head.framed && this.connection.wasReset) {
-      return this.fail(exchangeFailures.cutOff, 'reset');
+    if (head.framed) {
+      if (head.closes) this.connection.close('not kept');
+      else this.connections.giveBack(this.connection);
+      this.complete();
+      return;
     }
+    // An answer without a length is whole only if the target closed the connection in order.
+    this.connection.checkEnd(inOrder => {
+      if (this.done) return;
+      if (!inOrder) return this.fail(exchangeFailures.cutOff, 'reset');
+      this.connection.close('not kept');
+      this.complete();
+    });
+  }
+
+  private complete(): void {
     this.done = true;
-    if (head.closes || !head.framed) this.connection.close('not kept');
-    else this.connections.giveBack(this.connection);
     this.events.onEnd();
   }
 
--- a/src/connection/gateway/target-connections.ts
+++ b/src/connection/gateway/target-connections.ts
@@ -14,8 +14,9 @@
 /** One connection to a target. It is used for one request at a time. */
 export class TargetConnection {
   private readonly client: Client;
+  private socket: Socket | undefined;
   /** Whether the connection ended by a reset, so that an answer without a length is not whole. */
-  wasReset = false;
+  private wasReset = false;
   /** Whether the connection must not be used again. */
   closed = false;
 
@@ -53,6 +54,21 @@
     this.client.dispatch(options, handler);
   }
 
+  /**
+   * Tells whether the target closed the connection in order, after all bytes were read. Node.js reports
+   * a reset that arrives together with the last bytes as an orderly end; writing finds it.
+   *
+   * @param onKnown - Receives the answer.
+   */
+  checkEnd(onKnown: (inOrder: boolean) => void): void {
+    const {socket} = this;
+    if (this.wasReset || !socket) {
+      onKnown(false);
+      return;
+    }
+    socket.write(Buffer.alloc(0), err => onKnown(!err && !this.wasReset));
+  }
+
   /**
    * Closes the connection at once.
    *
@@ -75,6 +91,8 @@
       host,
       port,
       noDelay: true,
+      // The connection stays open for writing after its end, for checkEnd().
+      allowHalfOpen: true,
       keepAlive: true,
       keepAliveInitialDelay: keepAliveProbeMs,
     });
@@ -93,6 +111,7 @@
       socket.on('error', () => {
         this.wasReset = true;
       });
+      this.socket = socket;
       callback(null, socket);
     });
   }
