--- /dev/null
+++ b/test/gateway/limits.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ColdGate} from '../../src/process/limits/cold-gate.js';
+import {QuotaLedger} from '../../src/process/limits/quota-ledger.js';
+import {RetryAllowance} from '../../src/process/limits/retry-allowance.js';
+
+const seed = 20261204;
+const quota = {rate: 1000, burst: 1000};
+
+/** Hosts that ask for as much as they get, in groups that hear each other after a delay. */
+function askAll(
+  groups: readonly (readonly QuotaLedger[])[],
+  all: number,
+  untilMs: number,
+): number {
+  const stepMs = 10;
+  const delaySteps = 15;
+  let taken = 0;
+  for (let step = 0; step * stepMs < untilMs; step++) {
+    for (const group of groups) {
+      for (const ledger of group) {
+        ledger.setShare(group.length, all);
+        while (ledger.take('o', quota, 10, step * stepMs) === 0) taken += 10;
+      }
+      if (step % delaySteps !== 0) continue;
+      for (const from of group) {
+        for (const to of group) {
+          if (to === from) continue;
+          const totals = Object.fromEntries(from.totals);
+          to.hear(String(group.indexOf(from)), 1, totals, () => quota, step * stepMs);
+        }
+      }
+    }
+  }
+  return taken;
+}
+
+test('groups of hosts that do not hear each other stay within a quota together', () => {
+  const untilMs = 8000;
+  const allowed = (quota.rate * untilMs) / 1000 + quota.burst;
+  for (const sizes of [[9], [8, 1], [5, 4], [1, 1, 1, 6], Array(9).fill(1)]) {
+    const groups = (sizes as number[]).map(size =>
+      Array.from({length: size}, () => new QuotaLedger(0, 1, true)),
+    );
+    const taken = askAll(groups, 9, untilMs);
+    // Within a group each host may take what the others have not reported yet, once per report.
+    assert.ok(taken <= allowed * 1.1 + 9 * 200, `${sizes}: ${taken}`);
+  }
+});
+
+test('one host may use the whole quota while it hears the others', () => {
+  const ledger = new QuotaLedger(0, 1, true);
+  ledger.setShare(9, 9);
+  let taken = 0;
+  for (let ms = 0; ms < 8000; ms += 10) {
+    while (ledger.take('o', quota, 10, ms) === 0) taken += 10;
+  }
+  assert.ok(taken >= 8900, String(taken));
+});
+
+test('a host that was restarted does not use again what it used before', () => {
+  const ledger = new QuotaLedger(5000, 1, false);
+  ledger.setShare(1, 1);
+  assert.ok(ledger.take('o', quota, 10, 5000) > 0);
+  assert.equal(ledger.take('o', quota, 10, 5100), 0);
+});
+
+test('use before the start of this host is no debt, use of a restarted host is', () => {
+  const ledger = new QuotaLedger(0, 100, true);
+  ledger.setShare(2, 2);
+  ledger.hear('old', 50, {o: 500_000}, () => quota, 0);
+  assert.equal(ledger.take('o', quota, 10, 1), 0);
+  ledger.hear('new', 200, {o: 2000}, () => quota, 1);
+  assert.ok(ledger.take('o', quota, 10, 2) > 0);
+});
+
+test('all hosts together stay within the rate of a cold target in any second', () => {
+  const bounds = {coldOver: 1.5, coldSlack: 5};
+  fc.assert(
+    fc.property(fc.integer({min: 1, max: 90}), fc.nat(1000), (count, id) => {
+      const hosts = Array.from({length: count}, (_, i) => `h${i}`);
+      const gates = hosts.map(host => new ColdGate(host, bounds));
+      const sent: number[] = [];
+      for (let ms = 0; ms < 3000; ms += 20) {
+        for (const gate of gates) {
+          if (!gate.admits(`i${id}`, 13, hosts, ms)) continue;
+          gate.take(`i${id}`);
+          sent.push(ms);
+        }
+      }
+      for (let from = 0; from <= 2000; from += 100) {
+        const inSecond = sent.filter(ms => ms >= from && ms < from + 1000);
+        assert.ok(inSecond.length <= 13 * 1.5 + 5, String(inSecond.length));
+      }
+      assert.ok(sent.length >= 13);
+    }),
+    {seed, numRuns: 30},
+  );
+});
+
+test('repeats of all hosts stay within the budget of any window', () => {
+  const bounds = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 58};
+  const hosts = 9;
+  const allowances = Array.from(
+    {length: hosts},
+    () => new RetryAllowance(bounds, () => hosts),
+  );
+  const requests: number[] = [];
+  const repeats: number[] = [];
+  for (let ms = 0; ms < 30_000; ms += 50) {
+    for (const allowance of allowances) {
+      allowance.request('s', ms);
+      requests.push(ms);
+      while (allowance.take('s', ms)) repeats.push(ms);
+    }
+  }
+  for (let from = 0; from <= 20_000; from += 500) {
+    const within = (list: number[]) =>
+      list.filter(ms => ms >= from && ms < from + 10_000).length;
+    assert.ok(within(repeats) <= 0.2 * within(requests) + 58);
+  }
+});
--- /dev/null
+++ b/test/gateway/pool.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {chooseTarget} from '../../src/process/pool/choose-target.js';
+import {outcomes, PooledTarget} from '../../src/process/pool/pooled-target.js';
+import {RankQueue} from '../../src/process/pool/rank-queue.js';
+import {holdMs, returnAfterMs} from '../../src/request/gateway/hold-policy.js';
+
+function engine(id: string, tokenMs: number, own = 0): PooledTarget {
+  const target = new PooledTarget({
+    id,
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    version: 'v1',
+    slots: 10,
+    draining: false,
+    coldMs: 0,
+    bornMs: 0,
+  });
+  target.tokenMs = tokenMs;
+  target.own = own;
+  return target;
+}
+
+const demand = {promptTokens: 600, outputTokens: 200, zone: 'z'};
+
+test('engines of unlike speed: the faster one is filled first', () => {
+  const targets = [engine('slow', 10), engine('fast', 4, 9)];
+  assert.equal(chooseTarget(targets, demand)?.entry.id, 'fast');
+});
+
+test('a session goes back to the engine that read its prompt while that is not slower', () => {
+  const long = {...demand, promptTokens: 20_000, cachedAt: 'b'};
+  const targets = [engine('a', 4), engine('b', 4, 5)];
+  assert.equal(chooseTarget(targets, long)?.entry.id, 'b');
+  targets[1].tokenMs = 12;
+  assert.equal(chooseTarget(targets, long)?.entry.id, 'a');
+});
+
+test('a target that fails part of its requests is avoided although it answers fast', () => {
+  const failing = engine('failing', 2);
+  for (let i = 0; i < 10; i++) {
+    failing.ended(i % 2 ? outcomes.failed : outcomes.answered, 0);
+  }
+  assert.equal(chooseTarget([failing, engine('sound', 5)], demand)?.entry.id, 'sound');
+});
+
+test('an unreachable target is suspended, longer each time, and not for good', () => {
+  const target = engine('t', 4);
+  assert.equal(target.ended(outcomes.unreachable, 0), true);
+  const first = target.suspendedUntilMs;
+  assert.ok(first > 0);
+  target.ended(outcomes.unreachable, first + 1);
+  assert.ok(target.suspendedUntilMs - (first + 1) > first);
+  for (let i = 0; i < 20; i++) {
+    target.ended(outcomes.unreachable, target.suspendedUntilMs + 1);
+  }
+  assert.ok(target.suspendedUntilMs < 60_000);
+});
+
+interface Item {
+  readonly rank: number;
+  readonly costMs: number;
+  readonly dueAtMs: number;
+}
+
+function serve(items: readonly Item[], slotMs: number): Map<number, number> {
+  const queue = new RankQueue<Item>();
+  for (const item of items) queue.push(item);
+  const served = new Map<number, number>();
+  let left = slotMs;
+  while (left > 0 && queue.size > 0) {
+    const [head] = queue.heads(0);
+    queue.remove(head, true);
+    left -= head.costMs;
+    served.set(head.rank, (served.get(head.rank) ?? 0) + 1);
+  }
+  return served;
+}
+
+test('overload of all ranks: none starves, the most urgent gets most', () => {
+  const items = [0, 1, 2].flatMap(rank =>
+    Array.from({length: 300}, () => ({rank, costMs: 10, dueAtMs: 1e9})),
+  );
+  const served = serve(items, 3000);
+  const [a, b, c] = [0, 1, 2].map(rank => served.get(rank) ?? 0);
+  assert.ok(a > b && b > c && c > 20, `${a} ${b} ${c}`);
+});
+
+test('short requests of the last rank pass while long ones of the first wait', () => {
+  const long = Array.from({length: 50}, () => ({rank: 0, costMs: 1800, dueAtMs: 1e9}));
+  const short = Array.from({length: 50}, () => ({rank: 2, costMs: 100, dueAtMs: 1e9}));
+  const served = serve([...long, ...short], 40_000);
+  assert.equal(served.get(2), 50);
+});
+
+test('a request that can meet its objective goes before one that is late', () => {
+  const queue = new RankQueue<Item>();
+  queue.push({rank: 0, costMs: 1, dueAtMs: 5});
+  queue.push({rank: 1, costMs: 1, dueAtMs: 100});
+  assert.equal(queue.heads(50)[0].rank, 1);
+});
+
+test('a request waits no longer than its objective, one that came back longer', () => {
+  const input = {
+    objectiveMs: 400,
+    leftMs: 12_000,
+    answerMs: 100,
+    returned: false,
+    stream: true,
+  };
+  assert.ok(holdMs(input) <= 400);
+  assert.ok(holdMs({...input, returned: true}) > 400);
+  assert.equal(holdMs({...input, leftMs: 50}), 0);
+});
+
+test('a time to come back is one that callers honour, and spreads them', () => {
+  for (const draw of [0, 0.5, 0.99]) {
+    assert.ok(returnAfterMs(10_000, 3000, draw) <= 1000);
+  }
+  assert.notEqual(returnAfterMs(500, 12_000, 0), returnAfterMs(500, 12_000, 0.9));
+});
