--- /dev/null
+++ b/src/request/gateway/admitted-request.ts
@@ -0,0 +1,102 @@
+import type {Clock} from '../../process/clock.js';
+import type {DecisionLog} from '../../process/decision-log.js';
+import type {GatewayMetrics} from '../../process/gateway-metrics.js';
+import type {QuotaLedger} from '../../process/limits/quota-ledger.js';
+import type {RetryAllowance} from '../../process/limits/retry-allowance.js';
+import type {TargetPool} from '../../process/pool/target-pool.js';
+import type {TrialGate} from '../../version/deployment/trial-gate.js';
+import type {TrialJudge} from '../../version/deployment/trial-judge.js';
+import type {Organisation, Route} from '../../version/deployment/types.js';
+import {requestKinds} from '../../version/deployment/types.js';
+import type {Dispatcher, SlotRequest} from './dispatcher.js';
+import type {RouteStats} from './route-stats.js';
+import type {CallerHead, WireFormat} from './wire-format.js';
+
+/** Parts of the process that requests use. */
+export interface GatewayRequestParts {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly wire: WireFormat;
+  readonly dispatcher: Dispatcher;
+  readonly pool: TargetPool;
+  readonly quotas: QuotaLedger;
+  readonly retries: RetryAllowance;
+  readonly trials: TrialGate;
+  readonly judge: TrialJudge;
+  readonly stats: RouteStats;
+  readonly metrics: GatewayMetrics;
+  readonly decisions: DecisionLog;
+  readonly isDraining: () => boolean;
+}
+
+/** An admitted request. */
+export interface AdmittedRequest {
+  readonly head: CallerHead;
+  readonly method: string;
+  readonly url: string;
+  readonly body: Buffer;
+  readonly route: Route;
+  readonly service: string;
+  readonly organisation?: Organisation;
+  /** Time of its arrival, on the process's clock. */
+  readonly arrivedMs: number;
+}
+
+/** Time already spent at which a request is taken for one that came back, in milliseconds. */
+const returnedAfterMs = 150;
+
+/**
+ * Tells how long a caller has been waiting before this request, from the time that it has left.
+ *
+ * @param request - The request.
+ * @returns Time, in milliseconds; 0 for a first attempt.
+ */
+export function spentBeforeMs({route, head}: AdmittedRequest): number {
+  const {deadlineMs} = head;
+  if (deadlineMs === undefined) return 0;
+  const spentMs = route.timeoutMs - deadlineMs;
+  return spentMs > returnedAfterMs ? spentMs : 0;
+}
+
+/**
+ * Counts what a request takes from the quota of its organisation.
+ *
+ * @param request - The request.
+ * @returns Tokens, or 1 where requests are counted.
+ */
+export function unitsOf({head, organisation}: AdmittedRequest): number {
+  if (!organisation?.countsTokens) return 1;
+  return head.countsTokens
+    ? head.promptTokens + head.maxOutputTokens
+    : organisation.plainTokens;
+}
+
+/**
+ * Describes what a request asks of the pool.
+ *
+ * @param request - The request.
+ * @param stats - What requests of its route usually take.
+ * @param use - How it may be placed.
+ */
+export function toSlotRequest(
+  request: AdmittedRequest,
+  stats: RouteStats,
+  use: Pick<SlotRequest, 'untilMs' | 'exclude' | 'trial'>,
+): SlotRequest {
+  const {head, route, service, organisation, arrivedMs} = request;
+  const stream = route.kind === requestKinds.stream;
+  const spentMs = spentBeforeMs(request);
+  return {
+    ...use,
+    service,
+    rank: organisation?.rank ?? route.rank,
+    costMs: stats.slotMs(route.name, stream),
+    dueAtMs:
+      arrivedMs + route.objectiveMs - spentMs - stats.firstMs(route.name),
+    objectiveMs: route.objectiveMs,
+    promptTokens: head.promptTokens,
+    outputTokens: stream ? Math.max(1, head.maxOutputTokens) : 0,
+    session: head.parts.at(-1)?.id,
+    regions: route.regions,
+  };
+}
--- a/src/request/gateway/dispatcher.ts
+++ b/src/request/gateway/dispatcher.ts
@@ -11,6 +11,8 @@
   readonly costMs: number;
   /** Time at which its objective can no longer be met, on the process's clock. */
   readonly dueAtMs: number;
+  /** Time to the answer or first event that the caller aims at, in milliseconds. */
+  readonly objectiveMs: number;
   /** Time at which it stops waiting, on the process's clock. */
   readonly untilMs: number;
   readonly promptTokens: number;
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -5,12 +5,9 @@
   type RouteTable,
 } from '../../version/deployment/route-table.js';
 import type {Organisation} from '../../version/deployment/types.js';
-import {
-  GatewayRequest,
-  sendRefusal,
-  type GatewayRequestParts,
-} from './gateway-request.js';
-import type {RefusalName} from './refusal-reasons.js';
+import type {GatewayRequestParts} from './admitted-request.js';
+import {GatewayRequest} from './gateway-request.js';
+import {sendRefusal, type RefusalName} from './refusal-reasons.js';
 import type {CallerHead} from './wire-format.js';
 
 /** Interval in which open requests are checked for stalled targets, in milliseconds. */
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -4,76 +4,26 @@
   exchangeFailures,
   type ExchangeFailure,
 } from '../../connection/gateway/exchange.js';
-import type {Clock} from '../../process/clock.js';
-import type {QuotaLedger} from '../../process/limits/quota-ledger.js';
-import type {RetryAllowance} from '../../process/limits/retry-allowance.js';
-import type {DecisionLog} from '../../process/decision-log.js';
-import type {
-  GatewayMetrics,
-  ResendReason,
-} from '../../process/gateway-metrics.js';
+import type {ResendReason} from '../../process/gateway-metrics.js';
 import {
   outcomes,
   type Outcome,
   type PooledTarget,
 } from '../../process/pool/pooled-target.js';
-import type {TargetPool} from '../../process/pool/target-pool.js';
-import type {TrialJudge} from '../../version/deployment/trial-judge.js';
-import type {TrialGate} from '../../version/deployment/trial-gate.js';
+import {requestKinds} from '../../version/deployment/types.js';
 import {
-  requestKinds,
-  type Organisation,
-  type Route,
-} from '../../version/deployment/types.js';
-import type {Dispatcher, SlotRequest, Ticket} from './dispatcher.js';
-import {holdMs, returnAfterMs} from './hold-policy.js';
-import {refusalReasons, type RefusalName} from './refusal-reasons.js';
+  spentBeforeMs,
+  toSlotRequest,
+  unitsOf,
+  type AdmittedRequest,
+  type GatewayRequestParts,
+} from './admitted-request.js';
 import {AnswerRelay} from './answer-relay.js';
-import type {RouteStats} from './route-stats.js';
-import type {AnswerHead, CallerHead, WireFormat} from './wire-format.js';
-
-/** Greatest number of times that one request is sent, refusals by targets included. */
-const maxSends = 3;
-/** Time that must be left for another attempt, in milliseconds. */
-const leastLeftMs = 50;
-/** Multiple of the objective after which a target that has not answered counts as stalled. */
-const stalledObjectives = 1.5;
-/** Least time after which a target counts as stalled, in milliseconds. */
-const leastStallMs = 250;
-/** Pause within a resumable stream after which its target counts as stalled, in milliseconds. */
-const streamStallMs = 1200;
-/** Time already spent at which a request is taken for one that came back, in milliseconds. */
-const returnedAfterMs = 150;
-
-/** Parts of the process that requests use. */
-export interface GatewayRequestParts {
-  readonly clock: Clock;
-  readonly random: () => number;
-  readonly wire: WireFormat;
-  readonly dispatcher: Dispatcher;
-  readonly pool: TargetPool;
-  readonly quotas: QuotaLedger;
-  readonly retries: RetryAllowance;
-  readonly trials: TrialGate;
-  readonly judge: TrialJudge;
-  readonly stats: RouteStats;
-  readonly metrics: GatewayMetrics;
-  readonly decisions: DecisionLog;
-  readonly isDraining: () => boolean;
-}
-
-/** An admitted request. */
-export interface AdmittedRequest {
-  readonly head: CallerHead;
-  readonly method: string;
-  readonly url: string;
-  readonly body: Buffer;
-  readonly route: Route;
-  readonly service: string;
-  readonly organisation?: Organisation;
-  /** Time of its arrival, on the process's clock. */
-  readonly arrivedMs: number;
-}
+import type {Ticket} from './dispatcher.js';
+import {holdMs, returnAfterMs} from './hold-policy.js';
+import {sendRefusal, type RefusalName} from './refusal-reasons.js';
+import {Sends, stallLimitMs} from './sends.js';
+import type {AnswerHead} from './wire-format.js';
 
 interface Attempt {
   readonly target: PooledTarget;
@@ -88,15 +38,13 @@
 export class GatewayRequest {
   private readonly endsAtMs: number;
   private readonly repeatable: boolean;
-  private readonly excluded = new Set<string>();
+  private readonly sends: Sends;
   private readonly relay: AnswerRelay;
   private readonly trial: boolean;
   private readonly units: number;
   private ticket: Ticket | undefined;
   private attempt: Attempt | undefined;
   private cancelTimer = () => {};
-  private sends = 0;
-  private runs = 0;
   private mayHaveRun = false;
   private done = false;
 
@@ -114,14 +62,15 @@
     private readonly res: ServerResponse,
     private readonly onDone: (request: GatewayRequest) => void,
   ) {
-    const {route, head, arrivedMs, service, organisation} = request;
+    const {route, head, arrivedMs, service} = request;
     const allowedMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
     this.endsAtMs = arrivedMs + allowedMs;
     this.repeatable =
       route.kind === requestKinds.idempotent ||
       (route.kind === requestKinds.stream && route.resumable);
+    this.sends = new Sends(request, this.endsAtMs, parts.retries);
     this.trial = parts.trials.draw(service);
-    this.units = unitsOf(head, organisation);
+    this.units = unitsOf(request);
     this.relay = new AnswerRelay(res, parts.isDraining, {
       pause: () => this.attempt?.exchange.pause(),
       resume: () => this.attempt?.exchange.resume(),
@@ -164,11 +113,8 @@
     const {attempt} = this;
     if (!attempt || attempt.stalled) return;
     const {route} = this.request;
-    const limitMs = this.relay.started
-      ? streamStallMs
-      : Math.max(leastStallMs, route.objectiveMs * stalledObjectives);
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
-    if (sinceMs < limitMs) return;
+    if (sinceMs < stallLimitMs(route.objectiveMs, this.relay.started)) return;
     attempt.stalled = true;
     attempt.target.ended(outcomes.failed, nowMs);
     this.parts.decisions.note('targetStalled', {
@@ -176,33 +122,33 @@
       target: attempt.target.entry.id,
       sinceMs: Math.round(sinceMs),
     });
-    if (!this.isRetryable() || !this.mayRunAgain(nowMs)) return;
+    if (!this.isRetryable() || !this.sends.allowsAnother(nowMs)) return;
     // A slow answer is still better than none.
-    const elsewhere = {
-      ...this.slotRequest(nowMs, 0, 0),
-      exclude: new Set([...this.excluded, attempt.target.entry.id]),
-    };
+    const elsewhere = toSlotRequest(this.request, this.parts.stats, {
+      untilMs: nowMs,
+      exclude: new Set([...this.sends.excluded, attempt.target.entry.id]),
+      trial: false,
+    });
     if (this.parts.pool.hasRoom(elsewhere, nowMs)) attempt.exchange.abort();
   }
 
   private ask(): void {
     const {clock, dispatcher, stats} = this.parts;
-    const {head, route} = this.request;
+    const {route} = this.request;
     const nowMs = clock.nowMs();
     const stream = route.kind === requestKinds.stream;
-    const spentMs = Math.max(
-      0,
-      route.timeoutMs - (head.deadlineMs ?? Infinity),
-    );
-    const returned = spentMs > returnedAfterMs;
     const heldMs = holdMs({
       objectiveMs: route.objectiveMs,
       leftMs: this.endsAtMs - nowMs,
       answerMs: stats.firstMs(route.name),
-      returned,
+      returned: spentBeforeMs(this.request) > 0,
       stream,
     });
-    const asked = this.slotRequest(nowMs, heldMs, spentMs);
+    const asked = toSlotRequest(this.request, stats, {
+      untilMs: nowMs + heldMs,
+      exclude: this.sends.excluded,
+      trial: this.trial,
+    });
     this.ticket = dispatcher.ask(
       asked,
       target => this.send(target),
@@ -212,36 +158,12 @@
     if (this.attempt) this.ticket = undefined;
   }
 
-  private slotRequest(
-    nowMs: number,
-    heldMs: number,
-    spentMs: number,
-  ): SlotRequest {
-    const {stats} = this.parts;
-    const {head, route, service, organisation, arrivedMs} = this.request;
-    const firstMs = stats.firstMs(route.name);
-    const stream = route.kind === requestKinds.stream;
-    return {
-      service,
-      rank: organisation?.rank ?? route.rank,
-      costMs: stats.slotMs(route.name, stream),
-      dueAtMs: arrivedMs + route.objectiveMs - spentMs - firstMs,
-      untilMs: nowMs + heldMs,
-      promptTokens: head.promptTokens,
-      outputTokens: stream ? Math.max(1, head.maxOutputTokens) : 0,
-      session: head.parts.at(-1)?.id,
-      regions: route.regions,
-      exclude: this.excluded,
-      trial: this.trial,
-    };
-  }
-
   private send(target: PooledTarget): void {
     const {clock, pool, wire} = this.parts;
     const {head, method, url, body, organisation} = this.request;
     this.ticket = undefined;
     const nowMs = clock.nowMs();
-    this.sends++;
+    this.sends.sent();
     const headers = wire.targetHeaders(head, {
       deadlineMs: this.endsAtMs - nowMs,
       targetId: target.entry.id,
@@ -295,7 +217,7 @@
     if (!this.relay.isWhole(head.framed)) {
       return this.onFailure(exchangeFailures.cutOff, 'ends within an event');
     }
-    this.runs++;
+    this.sends.ran();
     const failed = head.status >= 500;
     this.learn(attempt, failed);
     this.release(failed ? outcomes.failed : outcomes.answered);
@@ -320,7 +242,7 @@
     const stalled = failure === exchangeFailures.aborted && attempt.stalled;
     if (arrived) {
       this.mayHaveRun = true;
-      this.runs++;
+      this.sends.ran();
     }
     this.parts.decisions.note('exchangeFailed', {
       request: this.request.head.requestId,
@@ -359,34 +281,14 @@
     return this.repeatable && this.relay.canResume;
   }
 
-  private mayRunAgain(nowMs: number): boolean {
-    return (
-      this.runs + 1 < this.request.route.maxRuns &&
-      this.sends < maxSends &&
-      this.endsAtMs - nowMs > leastLeftMs
-    );
-  }
-
   private repeat(why: ResendReason, target: PooledTarget): boolean {
-    const {clock, decisions, metrics, retries} = this.parts;
-    const {service, route, head} = this.request;
-    const nowMs = clock.nowMs();
-    const ranOut =
-      this.runs >= route.maxRuns ||
-      this.sends >= maxSends ||
-      this.endsAtMs - nowMs <= leastLeftMs;
-    // A request that did not arrive anywhere is not repeated by sending it.
-    const free = why === 'not-sent';
-    if (ranOut || (!free && !retries.take(service, nowMs))) return false;
-    this.excluded.add(target.entry.id);
+    const {clock, decisions, metrics} = this.parts;
+    const {id} = target.entry;
+    if (!this.sends.takeRepeat(why, id, clock.nowMs())) return false;
     this.relay.restart();
     metrics.resent(why);
-    decisions.note('requestResent', {
-      request: head.requestId,
-      target: target.entry.id,
-      why,
-      sends: this.sends,
-    });
+    const {requestId: request} = this.request.head;
+    decisions.note('requestResent', {request, target: id, why});
     this.ask();
     return true;
   }
@@ -503,41 +405,3 @@
     this.onDone(this);
   }
 }
-
-/**
- * Answers a request that is not sent to a target.
- *
- * @param res - Answer to the caller.
- * @param name - Why.
- * @param returnMs - Time after which the caller should come back, in milliseconds.
- * @param closes - Whether the connection is closed after the answer.
- */
-export function sendRefusal(
-  res: ServerResponse,
-  name: RefusalName,
-  returnMs: number | undefined,
-  closes: boolean,
-): void {
-  const {status, text} = refusalReasons[name];
-  const body = JSON.stringify({error: name, message: text});
-  const headers: Record<string, string | number> = {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-  };
-  if (returnMs !== undefined) {
-    headers['retry-after'] = (returnMs / 1000).toFixed(3);
-  }
-  if (closes) headers.connection = 'close';
-  res.writeHead(status, headers);
-  res.end(body);
-}
-
-function unitsOf(
-  head: CallerHead,
-  organisation: Organisation | undefined,
-): number {
-  if (!organisation?.countsTokens) return 1;
-  return head.countsTokens
-    ? head.promptTokens + head.maxOutputTokens
-    : organisation.plainTokens;
-}
