Count unread prompts and shared speeds in the choice of a target

Change: the cost of a target counts prompt tokens without a first event, of all hosts; speeds are shared by gossip.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -165,7 +165,7 @@
       storeAnswers: feed.awayMs() === 0,
       orders: feed.offsets.orders,
       targets: state.newestTargetOffset,
-      loads: pool.ownLoads,
+      targetReports: pool.reports,
       used: Object.fromEntries(quotas.totals),
       evidence: judge.ownEvidence,
       phases: duty.phases,
@@ -260,13 +260,7 @@
       heard.length + 1,
       hosts.length > 1 ? hosts.length : assumedHosts,
     );
-    const loads = new Map<string, number>();
-    for (const {message} of heard) {
-      for (const [target, load] of Object.entries(message?.loads ?? {})) {
-        loads.set(target, (loads.get(target) ?? 0) + load);
-      }
-    }
-    pool.setOthers(loads);
+    pool.setOthers(heard.map(({message}) => message?.targetReports ?? {}));
     dispatcher.serveAll();
   };
 
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -7,6 +7,16 @@
   type TrialPhase,
 } from '../../version/deployment/trial-gate.js';
 
+/** What a host tells of one target. */
+export interface TargetReport {
+  /** Requests of the host at the target. */
+  readonly load: number;
+  /** Prompt tokens of those that have no first event yet. */
+  readonly prompts: number;
+  /** Time for one generated token as the host measured it, in milliseconds; 0 if it has not. */
+  readonly tokenMs: number;
+}
+
 /** What a host tells the others, several times a second. */
 export interface GossipMessage {
   readonly host: string;
@@ -24,8 +34,8 @@
   readonly orders: number;
   /** Offset of the newest record that changed a target. */
   readonly targets: number;
-  /** Requests of the host at each target. */
-  readonly loads: Readonly<Record<string, number>>;
+  /** Reports by target. */
+  readonly targetReports: Readonly<Record<string, TargetReport>>;
   /** Units that the host used since its start, by organisation. */
   readonly used: Readonly<Record<string, number>>;
   /** Evidence by service, for services under rollout. */
@@ -56,6 +66,12 @@
   for (const [service, {orderOffset, phase}] of message.phases) {
     phases[service] = [orderOffset, phase];
   }
+  const reports: Record<string, number[]> = {};
+  for (const [id, {load, prompts, tokenMs}] of Object.entries(
+    message.targetReports,
+  )) {
+    reports[id] = [load, prompts, Math.round(tokenMs * 100) / 100];
+  }
   return Buffer.from(
     JSON.stringify({
       h: message.host,
@@ -67,7 +83,7 @@
       s: message.storeAnswers ? 1 : 0,
       o: message.orders,
       t: message.targets,
-      l: message.loads,
+      l: reports,
       u: message.used,
       e: message.evidence.size > 0 ? evidence : undefined,
       p: message.phases.size > 0 ? phases : undefined,
@@ -109,7 +125,7 @@
     storeAnswers: s === 1,
     orders: o,
     targets: t,
-    loads: numbersOf(l),
+    targetReports: reportsOf(l),
     used: numbersOf(u),
     evidence: evidenceOf(e),
     phases: phasesOf(p),
@@ -134,6 +150,18 @@
   );
 }
 
+function reportsOf(value: unknown): Record<string, TargetReport> {
+  const reports: Record<string, TargetReport> = {};
+  for (const [id, row] of entriesOf(value)) {
+    if (!Array.isArray(row)) continue;
+    const [load, prompts, tokenMs] = row as unknown[];
+    if (isNumber(load) && isNumber(prompts) && isNumber(tokenMs)) {
+      reports[id] = {load, prompts, tokenMs};
+    }
+  }
+  return reports;
+}
+
 function evidenceOf(value: unknown): Map<string, Evidence> {
   const evidence = new Map<string, Evidence>();
   for (const [service, rows] of entriesOf(value)) {
--- a/src/process/pool/choose-target.ts
+++ b/src/process/pool/choose-target.ts
@@ -6,6 +6,8 @@
   readonly promptTokens: number;
   /** Tokens that will probably be generated; 0 for plain services. */
   readonly outputTokens: number;
+  /** Time to the first event that the caller aims at, in milliseconds. */
+  readonly objectiveMs: number;
   /** Target that has probably cached the prompt. */
   readonly cachedAt?: string;
   /** Availability zone of the host. */
@@ -22,6 +24,12 @@
 const fullSlowdown = 0.4;
 /** Growth of the time of a plain answer from an idle to a full target. */
 const fullAnswerSlowdown = 1;
+/** Part of the objective that a first event may take before it is taken for late. */
+const objectivePart = 0.7;
+/** Price of each millisecond by which a first event would be late. */
+const lateWeight = 8;
+/** Part of the time to read a prompt by which each running request is slowed down. */
+const harmPart = 0.3;
 /** Price of a failure in the cost of a choice, in milliseconds. */
 const failureMs = 4000;
 /** Price of a target in another zone, in milliseconds: its round trips and the bytes between zones. */
@@ -42,11 +50,16 @@
     const answerMs = target.answerMs || defaultAnswerMs;
     return answerMs * (1 + fullAnswerSlowdown * busy) + distance + risk;
   }
-  const tokenMs =
-    (target.tokenMs || defaultTokenMs) * (1 + fullSlowdown * busy);
+  const tokenMs = target.tokenMs || defaultTokenMs;
   const unread = demand.cachedAt === target.entry.id ? 0 : demand.promptTokens;
-  const steps = demand.outputTokens + unread / promptTokensPerStep;
-  return tokenMs * steps + distance + risk;
+  const readMs = (unread * tokenMs) / promptTokensPerStep;
+  // Prompts are read in parts by turns, so those that came before delay the first event.
+  const firstMs =
+    readMs + (target.unreadPrompts * tokenMs) / promptTokensPerStep;
+  const lateMs = Math.max(0, firstMs - demand.objectiveMs * objectivePart);
+  const streamMs = demand.outputTokens * tokenMs * (1 + fullSlowdown * busy);
+  const harmMs = harmPart * readMs * target.load;
+  return firstMs + streamMs + lateWeight * lateMs + harmMs + distance + risk;
 }
 
 /**
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -33,8 +33,13 @@
   own = 0;
   /** Requests that other hosts reported to have at the target. */
   others = 0;
-  /** Time for one generated token, in milliseconds; 0 if not known. */
-  tokenMs = 0;
+  /** Prompt tokens of this host's requests that have no first event yet. */
+  ownPrompts = 0;
+  /** The same of other hosts, as reported. */
+  othersPrompts = 0;
+  /** Time for one generated token as other hosts measured it, in milliseconds; 0 if not known. */
+  reportedTokenMs = 0;
+  private measuredTokenMs = 0;
   /** Time of a whole answer of a plain service, in milliseconds; 0 if not known. */
   answerMs = 0;
   /** Part of the latest requests that failed. */
@@ -54,6 +59,21 @@
     return Math.max(1, this.entry.slots);
   }
 
+  /** Time for one generated token, in milliseconds; 0 if not known. */
+  get tokenMs(): number {
+    return this.measuredTokenMs || this.reportedTokenMs;
+  }
+
+  /** Time for one generated token as this host measured it, in milliseconds; 0 if it has not. */
+  get ownTokenMs(): number {
+    return this.measuredTokenMs;
+  }
+
+  /** Prompt tokens that the target has probably not read yet. */
+  get unreadPrompts(): number {
+    return this.ownPrompts + this.othersPrompts;
+  }
+
   /** Requests that all hosts together have at the target, as far as is known. */
   get load(): number {
     return this.own + this.others;
@@ -65,7 +85,7 @@
    * @param ms - Time, in milliseconds.
    */
   sampleToken(ms: number): void {
-    this.tokenMs = blend(this.tokenMs, ms);
+    this.measuredTokenMs = blend(this.measuredTokenMs, ms);
   }
 
   /**
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -5,6 +5,7 @@
 import type {TrialGate} from '../../version/deployment/trial-gate.js';
 import type {Clock} from '../clock.js';
 import type {ColdGate} from '../limits/cold-gate.js';
+import type {TargetReport} from '../fleet/gossip-message.js';
 import type {Logger} from '../logger.js';
 import {chooseTarget} from './choose-target.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
@@ -47,23 +48,38 @@
   /** @param parts - Parts of the process. */
   constructor(private readonly parts: TargetPoolParts) {}
 
-  /** Requests of this host at each target that has any. */
-  get ownLoads(): Record<string, number> {
-    const loads: Record<string, number> = {};
+  /** What this host tells others of each target. */
+  get reports(): Record<string, TargetReport> {
+    const reports: Record<string, TargetReport> = {};
     for (const [id, {target}] of this.members) {
-      if (target.own > 0) loads[id] = target.own;
+      const {own: load, ownPrompts: prompts, ownTokenMs: tokenMs} = target;
+      if (load > 0 || tokenMs > 0) reports[id] = {load, prompts, tokenMs};
     }
-    return loads;
+    return reports;
   }
 
   /**
-   * Takes over what other hosts report to have at each target.
+   * Takes over what other hosts report of each target.
    *
-   * @param loads - Sum of the other hosts' requests by target.
+   * @param reports - Reports of each host that is heard.
    */
-  setOthers(loads: ReadonlyMap<string, number>): void {
+  setOthers(reports: readonly Readonly<Record<string, TargetReport>>[]): void {
     for (const [id, {target}] of this.members) {
-      target.others = loads.get(id) ?? 0;
+      let load = 0;
+      let prompts = 0;
+      let tokenMs = 0;
+      let measured = 0;
+      for (const report of reports) {
+        const entry = report[id];
+        if (!entry) continue;
+        load += entry.load;
+        prompts += entry.prompts;
+        tokenMs += entry.tokenMs;
+        if (entry.tokenMs > 0) measured++;
+      }
+      target.others = load;
+      target.othersPrompts = prompts;
+      target.reportedTokenMs = measured > 0 ? tokenMs / measured : 0;
     }
   }
 
@@ -125,6 +141,7 @@
     const demand = {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
+      objectiveMs: request.objectiveMs,
       cachedAt:
         request.session === undefined
           ? undefined
@@ -140,6 +157,7 @@
     if (!target) return undefined;
     if (this.isCold(target, nowMs)) this.parts.coldGate.take(target.entry.id);
     target.own++;
+    target.ownPrompts += request.promptTokens;
     if (request.session !== undefined) {
       this.sessions.set(request.session, target.entry.id);
     }
@@ -161,11 +179,13 @@
    *
    * @param target - Target of the request.
    * @param outcome - How the request ended there.
+   * @param unreadTokens - Prompt tokens of the request if it had no first event.
    */
-  release(target: PooledTarget, outcome: Outcome): void {
+  release(target: PooledTarget, outcome: Outcome, unreadTokens: number): void {
     const {clock, logger} = this.parts;
     const nowMs = clock.nowMs();
     target.own = Math.max(0, target.own - 1);
+    this.promptRead(target, unreadTokens);
     if (outcome === outcomes.unreachable) {
       target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + suspectColdMs);
     }
@@ -179,6 +199,16 @@
     }
   }
 
+  /**
+   * Notes that a target has read a prompt.
+   *
+   * @param target - Target of the request.
+   * @param tokens - Tokens of the prompt.
+   */
+  promptRead(target: PooledTarget, tokens: number): void {
+    target.ownPrompts = Math.max(0, target.ownPrompts - tokens);
+  }
+
   /**
    * Looks up the connections to a target.
    *
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -71,6 +71,17 @@
     : organisation.plainTokens;
 }
 
+/**
+ * Tells how many tokens a request may generate.
+ *
+ * @param request - The request.
+ * @returns Tokens; 0 for plain services.
+ */
+export function outputTokensOf({head, route}: AdmittedRequest): number {
+  if (route.kind !== requestKinds.stream) return 0;
+  return Math.max(1, head.maxOutputTokens);
+}
+
 /**
  * Describes what a request asks of the pool.
  *
@@ -95,7 +106,7 @@
       arrivedMs + route.objectiveMs - spentMs - stats.firstMs(route.name),
     objectiveMs: route.objectiveMs,
     promptTokens: head.promptTokens,
-    outputTokens: stream ? Math.max(1, head.maxOutputTokens) : 0,
+    outputTokens: outputTokensOf(request),
     session: head.parts.at(-1)?.id,
     regions: route.regions,
   };
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -12,6 +12,7 @@
 } from '../../process/pool/pooled-target.js';
 import {requestKinds} from '../../version/deployment/types.js';
 import {
+  outputTokensOf,
   spentBeforeMs,
   toSlotRequest,
   unitsOf,
@@ -30,6 +31,8 @@
   readonly exchange: Exchange;
   readonly startMs: number;
   head?: AnswerHead;
+  /** Prompt tokens that the target has not read yet. */
+  unreadTokens: number;
   /** Whether the target was already blamed for not answering. */
   stalled: boolean;
 }
@@ -182,7 +185,13 @@
         onFailure: (failure, reason) => this.onFailure(failure, reason),
       },
     );
-    this.attempt = {target, exchange, startMs: nowMs, stalled: false};
+    this.attempt = {
+      target,
+      exchange,
+      startMs: nowMs,
+      unreadTokens: head.promptTokens,
+      stalled: false,
+    };
     exchange.start();
   }
 
@@ -202,8 +211,13 @@
   }
 
   private onData(chunk: Buffer): void {
-    if (this.attempt?.head?.notRun !== false) return;
-    this.relay.data(chunk, this.parts.clock.nowMs(), this.isRetryable());
+    const {attempt} = this;
+    if (attempt?.head?.notRun !== false) return;
+    const {clock, pool} = this.parts;
+    this.relay.data(chunk, clock.nowMs(), this.isRetryable());
+    if (attempt.unreadTokens === 0 || this.relay.events === 0) return;
+    pool.promptRead(attempt.target, attempt.unreadTokens);
+    attempt.unreadTokens = 0;
   }
 
   private onEnd(): void {
@@ -303,23 +317,18 @@
     judge.record(service, target.entry.version, route.name, failed, firstMs);
     if (failed) return;
     stats.record(route.name, slotMs, firstMs);
-    const {outputTokens} = this;
+    const outputTokens = outputTokensOf(this.request);
     if (outputTokens === 0) target.sampleAnswer(slotMs);
     else if (this.relay.events > 2) {
       target.sampleToken((slotMs - firstMs) / outputTokens);
     }
   }
 
-  private get outputTokens(): number {
-    const {head, route} = this.request;
-    return route.kind === requestKinds.stream ? head.maxOutputTokens : 0;
-  }
-
   private release(outcome: Outcome): void {
     const {attempt} = this;
     if (!attempt) return;
     this.attempt = undefined;
-    this.parts.pool.release(attempt.target, outcome);
+    this.parts.pool.release(attempt.target, outcome, attempt.unreadTokens);
     this.parts.dispatcher.serve(this.request.service);
   }
 
--- a/test/gateway/pool.test.ts
+++ b/test/gateway/pool.test.ts
@@ -17,12 +17,17 @@
     coldMs: 0,
     bornMs: 0,
   });
-  target.tokenMs = tokenMs;
+  if (tokenMs > 0) target.sampleToken(tokenMs);
   target.own = own;
   return target;
 }
 
-const demand = {promptTokens: 600, outputTokens: 200, zone: 'z'};
+const demand = {
+  promptTokens: 600,
+  outputTokens: 200,
+  objectiveMs: 400,
+  zone: 'z',
+};
 
 test('engines of unlike speed: the faster one is filled first', () => {
   const targets = [engine('slow', 10), engine('fast', 4, 9)];
@@ -33,10 +38,27 @@
   const long = {...demand, promptTokens: 20_000, cachedAt: 'b'};
   const targets = [engine('a', 4), engine('b', 4, 5)];
   assert.equal(chooseTarget(targets, long)?.entry.id, 'b');
-  targets[1].tokenMs = 12;
+  targets[1] = engine('b', 30, 5);
   assert.equal(chooseTarget(targets, long)?.entry.id, 'a');
 });
 
+test('long prompts: a request does not queue behind them where another engine is free', () => {
+  const reading = engine('reading', 4, 2);
+  reading.ownPrompts = 54_000;
+  const targets = [reading, engine('slower', 7, 4)];
+  const short = {...demand, outputTokens: 24};
+  assert.equal(chooseTarget(targets, short)?.entry.id, 'slower');
+  reading.ownPrompts = 0;
+  assert.equal(chooseTarget(targets, short)?.entry.id, 'reading');
+});
+
+test('a host that was restarted uses the speeds that others measured', () => {
+  const [fast, slow] = [engine('fast', 0), engine('slow', 0)];
+  slow.reportedTokenMs = 12;
+  fast.reportedTokenMs = 3;
+  assert.equal(chooseTarget([slow, fast], demand)?.entry.id, 'fast');
+});
+
 test('a target that fails part of its requests is avoided although it answers fast', () => {
   const failing = engine('failing', 2);
   for (let i = 0; i < 10; i++) {
