Leave an organisation's quota to first attempts while it is short

Ruled out: too small a quota, since the sum admitted equals rate and burst (test of one host that uses all). Change: a request that came back leaves 30 % of the burst.

--- a/src/process/limits/quota-ledger.ts
+++ b/src/process/limits/quota-ledger.ts
@@ -64,6 +64,7 @@
    * @param quota - Its quota.
    * @param units - Units that the request counts.
    * @param nowMs - Time on the process's clock, in milliseconds.
+   * @param reservedPart - Part of the burst that the request must leave to others.
    * @returns 0 if the units were taken, or else the time until some are there, in milliseconds.
    */
   take(
@@ -71,10 +72,11 @@
     quota: Quota,
     units: number,
     nowMs: number,
+    reservedPart = 0,
   ): number {
     const account = this.fill(organisation, quota, nowMs);
     // A request larger than what is left may pass; its excess is paid before the next one.
-    if (account.level <= 0) {
+    if (account.level <= reservedPart * quota.burst * this.share) {
       const perMs = (quota.rate * this.share) / 1000;
       const missing = units - account.level;
       return Math.max(1, perMs > 0 ? missing / perMs : 60_000);
--- /dev/null
+++ b/src/request/gateway/answer-learner.ts
@@ -0,0 +1,60 @@
+import type {PooledTarget} from '../../process/pool/pooled-target.js';
+import {requestKinds} from '../../version/deployment/types.js';
+import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import type {AnswerRelay} from './answer-relay.js';
+
+/** Events of a first answer from which the speed of its target is learnt. */
+const earlyEvents = 6;
+/** Events below which the times of an answer say little about the speed of its target. */
+const leastEvents = 3;
+
+/**
+ * Learns the speed of a target that is not known, before its first answer has ended.
+ *
+ * @param request - Request that is being answered.
+ * @param relay - What was relayed so far.
+ * @param target - Target that answers.
+ */
+export function learnEarly(
+  request: AdmittedRequest,
+  relay: AnswerRelay,
+  target: PooledTarget,
+): void {
+  const {events, firstAtMs, lastAtMs} = relay;
+  if (target.ownTokenMs > 0 || events < earlyEvents) return;
+  if (firstAtMs === undefined || lastAtMs === undefined) return;
+  const tokens = (events - 1) * request.tokensPerEvent;
+  target.sampleToken((lastAtMs - firstAtMs) / tokens);
+}
+
+/**
+ * Learns from an answer that has ended.
+ *
+ * @param parts - Where what is learnt is kept.
+ * @param request - Request that was answered.
+ * @param relay - What was relayed.
+ * @param target - Target that answered.
+ * @param startMs - Time at which the request was sent, on the process's clock.
+ * @param failed - Whether the target failed.
+ */
+export function learnFromAnswer(
+  {clock, judge, stats}: GatewayRequestParts,
+  request: AdmittedRequest,
+  relay: AnswerRelay,
+  target: PooledTarget,
+  startMs: number,
+  failed: boolean,
+): void {
+  const {route, service, tokensPerEvent} = request;
+  const nowMs = clock.nowMs();
+  const slotMs = nowMs - startMs;
+  const firstMs = (relay.firstAtMs ?? nowMs) - startMs;
+  judge.record(service, target.entry.version, route.name, failed, firstMs);
+  if (failed) return;
+  const tokens = relay.events * tokensPerEvent;
+  stats.record(route.name, slotMs, firstMs, tokens);
+  if (route.kind !== requestKinds.stream) target.sampleAnswer(slotMs);
+  else if (relay.events >= leastEvents) {
+    target.sampleToken((slotMs - firstMs) / tokens);
+  }
+}
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -19,6 +19,7 @@
   type AdmittedRequest,
   type GatewayRequestParts,
 } from './admitted-request.js';
+import {learnEarly, learnFromAnswer} from './answer-learner.js';
 import {AnswerRelay} from './answer-relay.js';
 import type {Ticket} from './dispatcher.js';
 import {holdMs, returnAfterMs} from './hold-policy.js';
@@ -26,8 +27,11 @@
 import {Sends, stallLimitMs} from './sends.js';
 import type {AnswerHead} from './wire-format.js';
 
-/** Events of a first answer from which the speed of its target is learnt. */
-const earlyEvents = 6;
+/**
+ * Part of the burst that a request which came back leaves to first attempts. Those can still meet their
+ * objective; while an organisation asks for more than its quota, one of the two is refused anyway.
+ */
+const returnedQuotaPart = 0.3;
 
 interface Attempt {
   readonly target: PooledTarget;
@@ -94,11 +98,13 @@
     if (this.res.destroyed) return this.finish();
     retries.request(service, nowMs);
     if (organisation && organisation.ratePerSecond > 0) {
-      const quota = {
-        rate: organisation.ratePerSecond,
-        burst: organisation.burst,
-      };
-      const waitMs = quotas.take(organisation.name, quota, this.units, nowMs);
+      const waitMs = quotas.take(
+        organisation.name,
+        {rate: organisation.ratePerSecond, burst: organisation.burst},
+        this.units,
+        nowMs,
+        spentBeforeMs(this.request) > 0 ? returnedQuotaPart : 0,
+      );
       if (waitMs > 0) {
         return this.refuse('overQuota', this.returnMs(waitMs));
       }
@@ -222,7 +228,7 @@
       pool.promptRead(attempt.target, attempt.unreadTokens);
       attempt.unreadTokens = 0;
     }
-    this.learnEarly(attempt);
+    learnEarly(this.request, this.relay, attempt.target);
   }
 
   private onEnd(): void {
@@ -312,30 +318,9 @@
     return true;
   }
 
-  /** Learns the speed of a target that is not known before its first answer has ended. */
-  private learnEarly({target}: Attempt): void {
-    const {events, firstAtMs, lastAtMs} = this.relay;
-    if (target.ownTokenMs > 0 || events < earlyEvents) return;
-    const tokens = (events - 1) * this.request.tokensPerEvent;
-    if (firstAtMs === undefined || lastAtMs === undefined) return;
-    target.sampleToken((lastAtMs - firstAtMs) / tokens);
-  }
-
-  private learn(attempt: Attempt, failed: boolean): void {
-    const {clock, judge, stats} = this.parts;
-    const {route, service} = this.request;
-    const {target} = attempt;
-    const nowMs = clock.nowMs();
-    const slotMs = nowMs - attempt.startMs;
-    const firstMs = (this.relay.firstAtMs ?? nowMs) - attempt.startMs;
-    judge.record(service, target.entry.version, route.name, failed, firstMs);
-    if (failed) return;
-    const tokens = this.relay.events * this.request.tokensPerEvent;
-    stats.record(route.name, slotMs, firstMs, tokens);
-    if (route.kind !== requestKinds.stream) target.sampleAnswer(slotMs);
-    else if (this.relay.events > 2) {
-      target.sampleToken((slotMs - firstMs) / tokens);
-    }
+  private learn({target, startMs}: Attempt, failed: boolean): void {
+    const {parts, relay, request} = this;
+    learnFromAnswer(parts, request, relay, target, startMs, failed);
   }
 
   private release(outcome: Outcome): void {
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -65,6 +65,26 @@
   assert.ok(taken >= 8900, String(taken));
 });
 
+test('a hot organisation: requests that came back leave the quota to first attempts', () => {
+  const ledger = new QuotaLedger(0, 1, true);
+  ledger.setShare(1, 1);
+  let first = 0;
+  let returned = 0;
+  for (let ms = 0; ms < 8000; ms += 10) {
+    if (ledger.take('o', quota, 20, ms) === 0) first++;
+    if (ledger.take('o', quota, 20, ms, 0.3) === 0) returned++;
+  }
+  assert.ok(first > 5 * returned, `${first} ${returned}`);
+  // Without first attempts they get all of it.
+  const calm = new QuotaLedger(0, 1, true);
+  calm.setShare(1, 1);
+  let alone = 0;
+  for (let ms = 0; ms < 8000; ms += 10) {
+    if (calm.take('o', quota, 20, ms, 0.3) === 0) alone++;
+  }
+  assert.ok(alone >= 390, String(alone));
+});
+
 test('a host that was restarted does not use again what it used before', () => {
   const ledger = new QuotaLedger(5000, 1, false);
   ledger.setShare(1, 1);
