Serve metrics on the address of the deploy file; fewer calls to the store

Change: GUAVASEAM_METRICS_PORT from deploy/system.toml; orders are waited for up to 2 s and targets read every 0.9 s, which keeps 2 s after an acknowledgement also after one silent connection.

--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -8,7 +8,7 @@
 /** Time for the answer of another host, in milliseconds; a copy has at most some 100 KB. */
 const answerTimeoutMs = 800;
 
-/** Serves this host's state to other hosts, and its metrics. */
+/** Serves this host's metrics, and its state to other hosts. */
 export class StateServer {
   private readonly server: Server;
 
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -183,13 +183,20 @@
       peerPort: settings.peers.port,
       random,
     });
-  const stateServer =
-    settings.peers &&
-    new StateServer(
-      settings.peers,
-      () => copyState(state, feed.offsets, clock.nowMs()),
-      () => metrics.render(),
-    );
+  const stateServers = [
+    settings.peers,
+    settings.metricsPort === undefined
+      ? undefined
+      : {address: ip, port: settings.metricsPort},
+  ].flatMap(endpoint =>
+    endpoint
+      ? new StateServer(
+          endpoint,
+          () => copyState(state, feed.offsets, clock.nowMs()),
+          () => metrics.render(),
+        )
+      : [],
+  );
 
   metrics.gauge(
     'guavaseam_gateway_open_requests',
@@ -301,7 +308,7 @@
       [readiness] = await Promise.all([
         serveReadiness(settings.ready, wire.readyPath, isReady),
         server.listen(),
-        stateServer?.listen(),
+        ...stateServers.map(each => each.listen()),
         gossip.start(),
       ]);
       void register();
@@ -346,7 +353,7 @@
     peerWatch?.stop();
     feed.stop();
     gossip.stop();
-    stateServer?.close();
+    for (const each of stateServers) each.close();
     server.closeAll();
     readiness?.close();
     readiness?.closeAllConnections();
--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -40,6 +40,8 @@
   readonly ready: Endpoint;
   /** Where other hosts read this host's state. */
   readonly peers?: Endpoint;
+  /** TCP port at which metrics are served; absent to serve them to other hosts only. */
+  readonly metricsPort?: number;
   /** UDP port for datagrams between hosts; the same on all hosts. */
   readonly gossipPort: number;
   /** Peer addresses of some hosts; may be out of date. */
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -7,7 +7,8 @@
 import type {Organisation} from '../../version/deployment/types.js';
 import type {GatewayRequestParts} from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
-import {sendRefusal, type RefusalName} from './refusal-reasons.js';
+import type {RefusalName} from './refusal-reasons.js';
+import {sendRefusal} from './refuse-request.js';
 import type {CallerHead} from './wire-format.js';
 
 /** Interval in which open requests are checked for stalled targets, in milliseconds. */
@@ -100,7 +101,7 @@
         organisation,
         arrivedMs,
       };
-      const request = new GatewayRequest(this.parts, admitted, req, res, done =>
+      const request = new GatewayRequest(this.parts, admitted, res, done =>
         this.open.delete(done),
       );
       this.open.add(request);
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -1,4 +1,4 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {
   Exchange,
   exchangeFailures,
@@ -23,7 +23,8 @@
 import {AnswerRelay} from './answer-relay.js';
 import type {Ticket} from './dispatcher.js';
 import {holdMs, returnAfterMs} from './hold-policy.js';
-import {sendRefusal, type RefusalName} from './refusal-reasons.js';
+import type {RefusalName} from './refusal-reasons.js';
+import {refuseRequest} from './refuse-request.js';
 import {Sends, stallLimitMs} from './sends.js';
 import type {AnswerHead} from './wire-format.js';
 
@@ -61,14 +62,12 @@
   /**
    * @param parts - Parts of the process.
    * @param request - Request to serve.
-   * @param req - Request as received.
    * @param res - Answer to the caller.
    * @param onDone - Called once, when nothing of the request is left.
    */
   constructor(
     private readonly parts: GatewayRequestParts,
     private readonly request: AdmittedRequest,
-    req: IncomingMessage,
     private readonly res: ServerResponse,
     private readonly onDone: (request: GatewayRequest) => void,
   ) {
@@ -87,7 +86,6 @@
     res.on('close', () => this.callerLeft());
     // A connection that the caller resets also closes the answer.
     res.on('error', () => {});
-    req.on('error', () => {});
   }
 
   /** Starts to serve the request. */
@@ -375,24 +373,12 @@
   }
 
   private refuse(name: RefusalName, returnMs?: number): void {
-    const {decisions, metrics, quotas, isDraining, pool, dispatcher, clock} =
-      this.parts;
-    const {organisation, service, head, arrivedMs, route} = this.request;
+    const {quotas} = this.parts;
+    const {organisation} = this.request;
     if (name !== 'overQuota' && organisation && !this.mayHaveRun) {
       quotas.giveBack(organisation.name, this.units);
     }
-    metrics.refused(name);
-    decisions.note('gatewayRefused', {
-      request: head.requestId,
-      reason: name,
-      route: route.name,
-      service,
-      waiting: dispatcher.waiting,
-      ...pool.occupancy(service),
-      heldMs: Math.round(clock.nowMs() - arrivedMs),
-      returnMs: returnMs && Math.round(returnMs),
-    });
-    sendRefusal(this.res, name, returnMs, isDraining());
+    refuseRequest(this.parts, this.request, this.res, name, returnMs);
     this.finish();
   }
 
--- a/src/request/gateway/refusal-reasons.ts
+++ b/src/request/gateway/refusal-reasons.ts
@@ -1,5 +1,3 @@
-import type {ServerResponse} from 'node:http';
-
 /** Why a gateway answers a request itself, with the status of the answer. */
 export const refusalReasons = {
   notConfigured: {status: 503, text: 'the host knows no configuration yet'},
@@ -21,31 +19,3 @@
 
 /** Name of one of {@link refusalReasons}. */
 export type RefusalName = keyof typeof refusalReasons;
-
-/**
- * Answers a request that is not sent to a target.
- *
- * @param res - Answer to the caller.
- * @param name - Why.
- * @param returnMs - Time after which the caller should come back, in milliseconds.
- * @param closes - Whether the connection is closed after the answer.
- */
-export function sendRefusal(
-  res: ServerResponse,
-  name: RefusalName,
-  returnMs: number | undefined,
-  closes: boolean,
-): void {
-  const {status, text} = refusalReasons[name];
-  const body = JSON.stringify({error: name, message: text});
-  const headers: Record<string, string | number> = {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-  };
-  if (returnMs !== undefined) {
-    headers['retry-after'] = (returnMs / 1000).toFixed(3);
-  }
-  if (closes) headers.connection = 'close';
-  res.writeHead(status, headers);
-  res.end(body);
-}
--- /dev/null
+++ b/src/request/gateway/refuse-request.ts
@@ -0,0 +1,64 @@
+import type {ServerResponse} from 'node:http';
+import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import {refusalReasons, type RefusalName} from './refusal-reasons.js';
+
+/**
+ * Refuses an admitted request, and records what decided it.
+ *
+ * @param parts - Parts of the process.
+ * @param request - The request.
+ * @param res - Answer to the caller.
+ * @param name - Why.
+ * @param returnMs - Time after which the caller should come back, in milliseconds.
+ */
+export function refuseRequest(
+  parts: GatewayRequestParts,
+  request: AdmittedRequest,
+  res: ServerResponse,
+  name: RefusalName,
+  returnMs: number | undefined,
+): void {
+  const {clock, decisions, dispatcher, isDraining, metrics, pool} = parts;
+  const {organisation, service, head, arrivedMs, route} = request;
+  metrics.refused(name);
+  decisions.note('gatewayRefused', {
+    request: head.requestId,
+    reason: name,
+    route: route.name,
+    service,
+    organisation: organisation?.name,
+    waiting: dispatcher.waiting,
+    ...pool.occupancy(service),
+    heldMs: Math.round(clock.nowMs() - arrivedMs),
+    returnMs: returnMs && Math.round(returnMs),
+  });
+  sendRefusal(res, name, returnMs, isDraining());
+}
+
+/**
+ * Answers a request that is not sent to a target.
+ *
+ * @param res - Answer to the caller.
+ * @param name - Why.
+ * @param returnMs - Time after which the caller should come back, in milliseconds.
+ * @param closes - Whether the connection is closed after the answer.
+ */
+export function sendRefusal(
+  res: ServerResponse,
+  name: RefusalName,
+  returnMs: number | undefined,
+  closes: boolean,
+): void {
+  const {status, text} = refusalReasons[name];
+  const body = JSON.stringify({error: name, message: text});
+  const headers: Record<string, string | number> = {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  };
+  if (returnMs !== undefined) {
+    headers['retry-after'] = (returnMs / 1000).toFixed(3);
+  }
+  if (closes) headers.connection = 'close';
+  res.writeHead(status, headers);
+  res.end(body);
+}
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -12,12 +12,12 @@
  * Time that a read of orders waits at the store, in milliseconds. Orders must be in force 2 s after
  * their acknowledgement; a connection that went silent is found within this and the call's timeout.
  */
-const ordersWaitMs = 1500;
+const ordersWaitMs = 2000;
 /**
  * Time between two reads of targets, in milliseconds. A leaving target must get nothing 2 s after
  * the store accepted its entry, and waiting reads would return with every heartbeat.
  */
-const targetsIntervalMs = 800;
+const targetsIntervalMs = 900;
 /** Time between two reads of rollout statuses while a rollout runs, in milliseconds. */
 const statusesIntervalMs = 700;
 /** Time between two reads of the list of hosts, in milliseconds; gossip tells of new ones sooner. */
