--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -84,8 +84,7 @@
       resume: () => this.attempt?.exchange.resume(),
     });
     res.on('close', () => this.callerLeft());
-    // A connection that the caller resets also closes the answer.
-    res.on('error', () => {});
+    res.on('error', () => {}); // 'close' follows.
   }
 
   /** Starts to serve the request. */
