--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -95,10 +95,11 @@
     logger,
     store,
     state,
+    bounds,
     random,
     onUnreadable: name => metrics.recordUnreadable(name),
   });
-  const trials = new TrialGate();
+  const trials = new TrialGate(bounds.exposeShare);
   const judge = new TrialJudge();
   const quotas = new QuotaLedger(startMs, incarnation, settings.firstStart);
   const retries = new RetryAllowance(bounds, () => hosts.length);
--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -8,6 +8,8 @@
 export interface Bounds {
   /** Time after which a leaving target gets no request any more, in milliseconds. */
   readonly drainMs: number;
+  /** Time after which a configuration is in force, in milliseconds. */
+  readonly configMs: number;
   /** Time between the signal to stop and the end of the process, in milliseconds. */
   readonly stopMs: number;
   /** Repeats that a service may get for each request, over all hosts. */
@@ -22,8 +24,6 @@
   readonly coldSlack: number;
   /** Part of a service's requests that an unproven version may get. */
   readonly exposeShare: number;
-  /** Requests that an unproven version may get in addition. */
-  readonly exposeSlack: number;
 }
 
 /** Settings of one gateway host. */
@@ -49,7 +49,5 @@
   /** Whether the whole deployment starts for the first time. */
   readonly firstStart: boolean;
   readonly store: Endpoint;
-  /** Interval in which targets write their entries, in milliseconds. */
-  readonly targetHeartbeatMs: number;
   readonly bounds: Bounds;
 }
--- a/src/request/scheduler/group-scheduler.ts
+++ b/src/request/scheduler/group-scheduler.ts
@@ -169,11 +169,7 @@
       expectedTokens,
       cost: req.promptTokens + expectedTokens,
     };
-    // A repeat is not kept waiting for targets that have just failed; another zone may have sound ones.
-    const reachable = retry
-      ? this.targets.anyHealthy(nowMs)
-      : this.targets.anyUsable;
-    if (!reachable) this.refuse(item, 'no-target');
+    if (!this.targets.anyUsable) this.refuse(item, 'no-target');
     else if (!this.deadlines.canMeet(item, nowMs)) {
       this.refuse(item, 'deadline-unreachable');
     } else {
--- a/src/request/scheduler/target-table.ts
+++ b/src/request/scheduler/target-table.ts
@@ -69,20 +69,6 @@
     return false;
   }
 
-  /**
-   * Whether any usable target may get a request now: breakers that are open let nothing through.
-   *
-   * @param nowMs - Time on the scheduler's clock, in milliseconds.
-   */
-  anyHealthy(nowMs: number): boolean {
-    for (const {view, breaker} of this.states.values()) {
-      if (view.usable && (!breaker.tripped || breaker.allows(nowMs))) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   /** Finds a target. */
   get(name: string): TargetState | undefined {
     return this.states.get(name);
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -5,19 +5,20 @@
 } from '../../connection/store/shared-store.js';
 import type {Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
+import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
 import {lapseGraceMs, type DeploymentState} from './deployment-state.js';
 
 /**
- * Time that a read of orders waits at the store, in milliseconds. Orders must be in force 2 s after
- * their acknowledgement; a connection that went silent is found within this and the call's timeout.
+ * Part of the time for a configuration that a read of orders waits at the store. A connection that went
+ * silent is found within this and the call's timeout.
  */
-const ordersWaitMs = 2000;
+const ordersWaitPart = 1;
 /**
- * Time between two reads of targets, in milliseconds. A leaving target must get nothing 2 s after
- * the store accepted its entry, and waiting reads would return with every heartbeat.
+ * Part of the time for a leaving target that passes between two reads of targets, so that one read may
+ * fail. Waiting reads would return with every heartbeat.
  */
-const targetsIntervalMs = 900;
+const targetsIntervalPart = 0.45;
 /** Time between two reads of rollout statuses while a rollout runs, in milliseconds. */
 const statusesIntervalMs = 700;
 /** Time between two reads of the list of hosts, in milliseconds; gossip tells of new ones sooner. */
@@ -32,6 +33,7 @@
   readonly logger: Logger;
   readonly store: SharedStore;
   readonly state: DeploymentState;
+  readonly bounds: Pick<Bounds, 'configMs' | 'drainMs'>;
   /** Random number in [0, 1), to spread the calls of hosts that started together. */
   readonly random: () => number;
   readonly onUnreadable: (feed: Feed) => void;
@@ -50,8 +52,9 @@
 
   /** Starts to read. */
   start(): void {
-    void this.follow(feeds.orders, ordersWaitMs, 0);
-    void this.follow(feeds.targets, 0, targetsIntervalMs);
+    const {configMs, drainMs} = this.parts.bounds;
+    void this.follow(feeds.orders, Math.round(configMs * ordersWaitPart), 0);
+    void this.follow(feeds.targets, 0, drainMs * targetsIntervalPart);
     void this.follow(feeds.hosts, 0, hostsIntervalMs);
     void this.follow(feeds.statuses, 0, statusesIntervalMs, () =>
       this.hasOpenRollout(),
--- a/src/version/deployment/trial-gate.ts
+++ b/src/version/deployment/trial-gate.ts
@@ -1,10 +1,7 @@
 import {rolloutStates, type RolloutOrder, type RolloutState} from './types.js';
 
-/**
- * Part of a service's requests that a new version gets while it is on trial. A bad version may get a
- * tenth of them; hosts count on their own.
- */
-export const trialShare = 0.07;
+/** Part of the share that a bad version may get which is used, since hosts count on their own. */
+const usedPart = 0.7;
 
 /** What this host does with the two versions of a service under rollout. */
 export const trialPhases = {
@@ -30,6 +27,12 @@
 /** Keeps the versions of services under rollout apart. */
 export class TrialGate {
   private readonly trials = new Map<string, Trial>();
+  private readonly share: number;
+
+  /** @param exposeShare - Part of a service's requests that a bad version may get. */
+  constructor(exposeShare: number) {
+    this.share = exposeShare * usedPart;
+  }
 
   /**
    * Begins a trial unless it has begun.
@@ -84,7 +87,7 @@
     const trial = this.trials.get(service);
     if (!trial || trial.phase !== trialPhases.trial) return false;
     trial.requests++;
-    if (trial.trials + 1 > trial.requests * trialShare) return false;
+    if (trial.trials + 1 > trial.requests * this.share) return false;
     trial.trials++;
     return true;
   }
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -206,9 +206,9 @@
     seeds: [],
     firstStart: true,
     store: {address, port: 1},
-    targetHeartbeatMs: 1000,
     bounds: {
       drainMs: 2000,
+      configMs: 2000,
       stopMs: 8000,
       retryRatio: 0.2,
       retryWindowMs: 10_000,
@@ -216,7 +216,6 @@
       coldOver: 1.5,
       coldSlack: 5,
       exposeShare: 0.1,
-      exposeSlack: 50,
     },
     ...options.change,
   };
--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -27,7 +27,7 @@
 }
 
 test('a version under trial gets its share and no other request', () => {
-  const gate = new TrialGate();
+  const gate = new TrialGate(0.1);
   gate.begin(order, 5);
   let trials = 0;
   for (let i = 0; i < 1000; i++) if (gate.draw('s')) trials++;
@@ -106,10 +106,11 @@
       logger,
       store,
       state,
+      bounds: {configMs: 2000, drainMs: 2000},
       random: () => 0.5,
       onUnreadable: () => {},
     });
-    const gate = new TrialGate();
+    const gate = new TrialGate(0.1);
     const judge = new TrialJudge();
     const duty = new RolloutDuty({
       clock,
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -26,6 +26,7 @@
     logger: Logger.create('silent'),
     store,
     state,
+    bounds: {configMs: 2000, drainMs: 2000},
     random: () => 0.5,
     onUnreadable: () => unreadable++,
   });
