Share the declaration of metrics; name the host's share of repeats

Change: both extend MetricRegistry and record microseconds; RetryShare. Ruled out: merging the two classes, whose metrics differ. No decision changes.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -16,7 +16,7 @@
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {ColdGate} from './process/limits/cold-gate.js';
 import {QuotaLedger, type Quota} from './process/limits/quota-ledger.js';
-import {RetryAllowance} from './process/limits/retry-allowance.js';
+import {RetryShare} from './process/limits/retry-share.js';
 import {Logger} from './process/logger.js';
 import {TargetPool} from './process/pool/target-pool.js';
 import {subscribe} from './process/subject.js';
@@ -102,7 +102,7 @@
   const trials = new TrialGate(bounds.exposeShare);
   const judge = new TrialJudge();
   const quotas = new QuotaLedger(startMs, incarnation, settings.firstStart);
-  const retries = new RetryAllowance(bounds, () => hosts.length);
+  const retries = new RetryShare(bounds, () => hosts.length);
   const coldGate = new ColdGate(host, bounds);
   const pool = new TargetPool({
     clock,
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -1,13 +1,16 @@
-import {build, type Histogram} from 'hdr-histogram-js';
-import {Counter, Gauge, Registry} from 'prom-client';
+import {Gauge} from 'prom-client';
 import type {ExchangeFailure} from '../connection/gateway/exchange.js';
 import type {RefusalName} from '../request/gateway/refusal-reasons.js';
 
 /** Why a request is sent again. */
 export type ResendReason = ExchangeFailure | 'failed' | 'refused';
 
-/** Upper bound of a recorded latency, in milliseconds. */
-const maxLatencyMs = 120_000;
+import {
+  createLatencyHistogram,
+  MetricRegistry,
+  toMicroseconds,
+} from './metric-registry.js';
+
 const quantiles = [0.5, 0.95, 0.99] as const;
 
 /** Latencies of one answer. */
@@ -19,8 +22,7 @@
 }
 
 /** Counters, gauges and latency histograms of a gateway host. */
-export class GatewayMetrics {
-  private readonly registry = new Registry();
+export class GatewayMetrics extends MetricRegistry {
   private readonly answers = this.counter(
     'guavaseam_gateway_answers_total',
     'Answers of targets that were delivered whole',
@@ -62,26 +64,8 @@
     labelNames: ['phase', 'quantile'],
     registers: [this.registry],
   });
-  private readonly first = createHistogram();
-  private readonly total = createHistogram();
-
-  /**
-   * Declares a gauge that is read when metrics are fetched.
-   *
-   * @param name - Name of the metric.
-   * @param help - What it says.
-   * @param read - Reads its value.
-   */
-  gauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
+  private readonly first = createLatencyHistogram();
+  private readonly total = createLatencyHistogram();
 
   /**
    * Counts an answer.
@@ -90,8 +74,8 @@
    */
   answered({firstMs, totalMs}: AnswerTimes): void {
     this.answers.inc();
-    this.first.recordValue(Math.min(maxLatencyMs, Math.max(0, firstMs)));
-    this.total.recordValue(Math.min(maxLatencyMs, Math.max(0, totalMs)));
+    this.first.recordValue(toMicroseconds(firstMs));
+    this.total.recordValue(toMicroseconds(totalMs));
   }
 
   /** @param reason - Why the host answered a request itself. */
@@ -138,27 +122,10 @@
       for (const quantile of quantiles) {
         this.latency.set(
           {phase, quantile: String(quantile)},
-          histogram.getValueAtPercentile(quantile * 100) / 1000,
+          histogram.getValueAtPercentile(quantile * 100) / 1_000_000,
         );
       }
     }
     return this.registry.metrics();
   }
-
-  private counter<L extends string = never>(
-    name: string,
-    help: string,
-    labelNames: L[] = [],
-  ): Counter<L> {
-    return new Counter({name, help, labelNames, registers: [this.registry]});
-  }
-}
-
-function createHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: maxLatencyMs,
-    numberOfSignificantValueDigits: 2,
-    bitBucketSize: 32,
-  });
 }
--- a/src/process/limits/retry-allowance.ts
+++ b/src/process/limits/retry-share.ts
@@ -1,6 +1,6 @@
 import type {Bounds} from '../gateway-settings.js';
 
-/** Part of the allowance that is used, so that requests which cross a period's end do not exceed it. */
+/** Part of the share that is used, so that requests which cross a period's end do not exceed it. */
 const usedPart = 0.8;
 /** Parts into which a period is divided. */
 const slices = 10;
@@ -12,9 +12,9 @@
 
 /**
  * Bounds how often requests for a service are sent again, over all hosts. Each host earns repeats by
- * its own requests and has an equal part of the fixed allowance, so no message is needed.
+ * its own requests and has an equal part of the fixed number, so no message is needed.
  */
-export class RetryAllowance {
+export class RetryShare {
   private readonly services = new Map<string, Slice[]>();
   private sliceStartMs = 0;
 
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,12 +1,15 @@
-import {build, type Histogram} from 'hdr-histogram-js';
-import {Counter, Gauge, Registry} from 'prom-client';
+import type {Histogram} from 'hdr-histogram-js';
+import {Gauge} from 'prom-client';
 import type {BreakReason} from '../request/answer-sink.js';
 import type {RefusalReason, RetryReason} from '../request/refusals.js';
 import {tierCount, type Tier} from '../version/resources/kinds.js';
+import {
+  createLatencyHistogram,
+  MetricRegistry,
+  toMicroseconds,
+} from './metric-registry.js';
 
 const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
-/** Upper bound of a recorded latency, in microseconds: one hour. */
-const maxLatencyUs = 3_600_000_000;
 
 /** Latencies of one tier. */
 interface TierHistograms {
@@ -15,10 +18,7 @@
 }
 
 /** Counters, gauges and latency histograms of one host. */
-export class Metrics {
-  /** Registry in which other parts declare their own metrics. */
-  readonly registry = new Registry();
-
+export class Metrics extends MetricRegistry {
   private readonly refusals = this.counter(
     'guavaseam_refusals_total',
     'Requests refused, by reason and tier',
@@ -52,43 +52,12 @@
   });
   private readonly tiers: readonly TierHistograms[] = Array.from(
     {length: tierCount},
-    () => ({firstByte: createHistogram(), total: createHistogram()}),
+    () => ({
+      firstByte: createLatencyHistogram(),
+      total: createLatencyHistogram(),
+    }),
   );
 
-  /**
-   * Declares a counter in this host's registry.
-   *
-   * @param name - Metric name, with unit.
-   * @param help - One line for operators.
-   * @param labelNames - Labels.
-   * @returns The counter.
-   */
-  counter<L extends string>(
-    name: string,
-    help: string,
-    labelNames: readonly L[],
-  ): Counter<L> {
-    return new Counter({name, help, labelNames, registers: [this.registry]});
-  }
-
-  /**
-   * Declares a gauge that is read when metrics are rendered.
-   *
-   * @param name - Metric name, with unit.
-   * @param help - One line for operators.
-   * @param read - Returns the current value.
-   */
-  gauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
-
   /**
    * Counts a refusal.
    *
@@ -156,16 +125,3 @@
     return this.registry.metrics();
   }
 }
-
-function createHistogram(): Histogram {
-  return build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: maxLatencyUs,
-    numberOfSignificantValueDigits: 2,
-    bitBucketSize: 32,
-  });
-}
-
-function toMicroseconds(ms: number): number {
-  return Math.min(maxLatencyUs, Math.max(1, Math.round(ms * 1000)));
-}
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -2,7 +2,7 @@
 import type {DecisionLog} from '../../process/decision-log.js';
 import type {GatewayMetrics} from '../../process/gateway-metrics.js';
 import type {QuotaLedger} from '../../process/limits/quota-ledger.js';
-import type {RetryAllowance} from '../../process/limits/retry-allowance.js';
+import type {RetryShare} from '../../process/limits/retry-share.js';
 import type {TargetPool} from '../../process/pool/target-pool.js';
 import type {TrialGate} from '../../version/deployment/trial-gate.js';
 import type {TrialJudge} from '../../version/deployment/trial-judge.js';
@@ -20,7 +20,7 @@
   readonly dispatcher: Dispatcher;
   readonly pool: TargetPool;
   readonly quotas: QuotaLedger;
-  readonly retries: RetryAllowance;
+  readonly retries: RetryShare;
   readonly trials: TrialGate;
   readonly judge: TrialJudge;
   readonly stats: RouteStats;
--- a/src/request/gateway/sends.ts
+++ b/src/request/gateway/sends.ts
@@ -1,5 +1,5 @@
 import type {ResendReason} from '../../process/gateway-metrics.js';
-import type {RetryAllowance} from '../../process/limits/retry-allowance.js';
+import type {RetryShare} from '../../process/limits/retry-share.js';
 import type {AdmittedRequest} from './admitted-request.js';
 
 /** Greatest number of times that one request is sent, refusals by targets included. */
@@ -22,12 +22,12 @@
   /**
    * @param request - The request.
    * @param endsAtMs - Time at which it ends, on the process's clock.
-   * @param allowance - Repeats that the host may send.
+   * @param share - Repeats that the host may send.
    */
   constructor(
     private readonly request: AdmittedRequest,
     private readonly endsAtMs: number,
-    private readonly allowance: RetryAllowance,
+    private readonly share: RetryShare,
   ) {}
 
   /** Targets that failed or refused the request. */
@@ -55,7 +55,7 @@
   }
 
   /**
-   * Takes a repeat from the host's allowance.
+   * Takes a repeat from the host's share.
    *
    * @param why - Why the request is sent again.
    * @param target - Id of the target that did not answer it.
@@ -66,8 +66,7 @@
     if (!this.allows(this.runs, nowMs)) return false;
     // A request that did not arrive anywhere is not repeated by sending it.
     const free = why === 'not-sent';
-    if (!free && !this.allowance.take(this.request.service, nowMs))
-      return false;
+    if (!free && !this.share.take(this.request.service, nowMs)) return false;
     this.used.add(target);
     return true;
   }
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {ColdGate} from '../../src/process/limits/cold-gate.js';
 import {QuotaLedger} from '../../src/process/limits/quota-ledger.js';
-import {RetryAllowance} from '../../src/process/limits/retry-allowance.js';
+import {RetryShare} from '../../src/process/limits/retry-share.js';
 
 const seed = 20261204;
 const quota = {rate: 1000, burst: 1000};
@@ -128,17 +128,17 @@
 test('repeats of all hosts stay within the budget of any window', () => {
   const bounds = {retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 58};
   const hosts = 9;
-  const allowances = Array.from(
+  const shares = Array.from(
     {length: hosts},
-    () => new RetryAllowance(bounds, () => hosts),
+    () => new RetryShare(bounds, () => hosts),
   );
   const requests: number[] = [];
   const repeats: number[] = [];
   for (let ms = 0; ms < 30_000; ms += 50) {
-    for (const allowance of allowances) {
-      allowance.request('s', ms);
+    for (const share of shares) {
+      share.request('s', ms);
       requests.push(ms);
-      while (allowance.take('s', ms)) repeats.push(ms);
+      while (share.take('s', ms)) repeats.push(ms);
     }
   }
   for (let from = 0; from <= 20_000; from += 500) {
