Send a repeat to another zone first when every own target has failed it

Change: the entry host, which knows what failed, asks another zone with targets that have not failed the request, and waits in its own zone if that refuses. The new test of the dispatcher fails without the change.

--- a/src/request/permit-dispatcher.ts
+++ b/src/request/permit-dispatcher.ts
@@ -26,7 +26,10 @@
   readonly onSpill?: (zone: string, reason: RefusalReason) => void;
 }
 
-/** Gets permits from the owner in the own zone first, then from one other zone. */
+/**
+ * Gets permits from the owner in the own zone first, then from one other zone. A repeat that every target
+ * of the own zone has failed goes the other way round: its owner would let it wait for them.
+ */
 export class PermitDispatcher extends Dispatcher {
   /**
    * @param parts - Parts of the process.
@@ -39,32 +42,40 @@
     req: QueuedRequest,
     signal: AbortSignal,
   ): Promise<Grant> {
-    const {clock, members, node} = this.parts;
-    const startMs = clock.nowMs();
-    const ownZone = members.self.zone;
+    const {clock, members} = this.parts;
+    const endMs = clock.nowMs() + req.timeoutMs;
+    const own = this.group(req, members.self.zone);
+    const other = this.otherGroup(req, members.self.zone);
+    const failedHere = own !== undefined && this.hasFailed(own, req);
+    const [first, second] = failedHere && other ? [other, own] : [own, other];
     let refused: FailureError;
     try {
-      const group = this.group(req, ownZone);
-      if (group === undefined) throw noTarget();
-      return await node.acquire(group, req, signal);
+      if (first === undefined) throw noTarget();
+      if (first === other) this.parts.onSpill?.(zoneOf(first), 'no-target');
+      return await this.parts.node.acquire(first, req, signal);
     } catch (err) {
       if (!(err instanceof FailureError) || signal.aborted) throw err;
       refused = err;
     }
     const {failure} = refused;
-    const timeoutMs = req.timeoutMs - (clock.nowMs() - startMs);
+    const timeoutMs = endMs - clock.nowMs();
     if (
       failure.kind !== 'refused' ||
       !spillReasons.has(failure.reason) ||
+      second === undefined ||
       timeoutMs < minSpillMs ||
-      node.cutOff
+      this.parts.node.cutOff
     ) {
       throw refused;
     }
-    const group = this.otherGroup(req, ownZone);
-    if (group === undefined) throw refused;
-    this.parts.onSpill?.(group.split('/')[0], failure.reason);
-    return node.acquire(group, {...req, timeoutMs}, signal);
+    if (second === other) this.parts.onSpill?.(zoneOf(second), failure.reason);
+    return this.parts.node.acquire(second, {...req, timeoutMs}, signal);
+  }
+
+  /** Whether every target of a group has failed the request. */
+  private hasFailed(group: string, {avoid}: QueuedRequest): boolean {
+    const targets = listGroups(this.parts.config()).get(group) ?? [];
+    return targets.every(target => avoid.includes(target));
   }
 
   private group(req: QueuedRequest, zone: string): string | undefined {
@@ -84,7 +95,7 @@
     for (const zone of [...zones].sort()) {
       if (getResource(config(), 'zone', zone)?.spec.state === 'out') continue;
       const group = this.group(req, zone);
-      if (group === undefined) continue;
+      if (group === undefined || this.hasFailed(group, req)) continue;
       // A zone of which nothing is known is tried before one that is known to be full.
       const slots = this.freeSlots(group) ?? 0.5;
       if (slots > 0 && (!best || slots > best.slots)) best = {group, slots};
@@ -98,6 +109,10 @@
   }
 }
 
+function zoneOf(group: string): string {
+  return group.split('/')[0];
+}
+
 function noTarget(): FailureError {
   return new FailureError({kind: 'refused', reason: 'no-target'});
 }
--- a/test/process/groups/permit-dispatcher.test.ts
+++ b/test/process/groups/permit-dispatcher.test.ts
@@ -112,3 +112,24 @@
   await fleet.run(50);
   assert.deepEqual(alone, {refusal: 'no-target', spills: []});
 });
+
+// Guards against a repeat that waits for the only target of its zone, which has just failed it.
+test('a repeat that every own target has failed goes to another zone, and waits here if that refuses', async () => {
+  const fleet = await startZones(6);
+  const repeat = (): QueuedRequest => ({
+    ...fleet.request(),
+    attempt: 1,
+    avoid: ['a0'],
+  });
+  const served = dispatch(fleet, 'ax', repeat());
+  await fleet.run(50);
+  assert.notEqual(served.grant?.target.zone, 'a');
+  assert.equal(served.spills.length, 1);
+  fleet.put('zone', 'b', {region: 'r', state: 'out'});
+  fleet.put('zone', 'c', {region: 'r', state: 'out'});
+  await fleet.run(50);
+  const alone = dispatch(fleet, 'ax', repeat());
+  await fleet.run(50);
+  // The core of this fleet never grants a target that is to be avoided, so the request waits.
+  assert.deepEqual(alone, {spills: []});
+});
--- a/test/version/rollout/rollouts-on-hosts.serial.test.ts
+++ b/test/version/rollout/rollouts-on-hosts.serial.test.ts
@@ -209,7 +209,7 @@
   await fleet.declare();
   const statuses = await runToEnd(fleet);
   agree(statuses);
-  assert.equal(statuses[0].state, 'Done');
+  assert.equal(statuses[0].state, 'Done', JSON.stringify(statuses[0]));
   const before = {...fleet.answered};
   for (let i = 0; i < 20; i++) await fleet.load();
   assert.equal(fleet.answered.v1, before.v1);
