Let one host read the store for all that hear of it

Ruled out: longer intervals, which miss drainMs when a call fails; copies of the whole state between hosts, which a link of 7 Mbit/s does not bear; random turns, whose spread must be far longer than the time between two datagrams. Change: hosts tell each other how far they have read, a digest of the targets and their latest changes; turns by rendezvous hashing; records of a page are applied before observers are told.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -12,6 +12,7 @@
 import {GossipTask} from './process/fleet/gossip-task.js';
 import {PeerTable} from './process/fleet/peer-table.js';
 import {PeerWatch} from './process/fleet/peer-watch.js';
+import {rendezvousRank} from './process/fleet/rendezvous.js';
 import {GatewayMetrics} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {ColdGate} from './process/limits/cold-gate.js';
@@ -97,6 +98,17 @@
     state,
     bounds,
     random,
+    turn: (log, failing) => {
+      const others = peers
+        .heard(clock.nowMs())
+        .filter(({message}) => failing || message?.storeAnswers);
+      const names = others.map(({host: name}) => name);
+      return rendezvousRank(log, host, names);
+    },
+    onRead: changed => {
+      if (changed) gossip.send();
+      else gossip.sendSoon();
+    },
     onUnreadable: name => metrics.recordUnreadable(name),
   });
   const trials = new TrialGate(bounds.exposeShare);
@@ -164,8 +176,7 @@
       sequence,
       leaving,
       storeAnswers: feed.awayMs() === 0,
-      orders: feed.offsets.orders,
-      targets: state.newestTargetOffset,
+      news: feed.news(),
       targetReports: pool.reports,
       used: Object.fromEntries(quotas.totals),
       evidence: judge.ownEvidence,
@@ -285,6 +296,7 @@
     }),
     subscribe(gossip.messages, message => {
       const {host: from, incarnation: start, used, evidence, phases} = message;
+      feed.hear(message.news);
       quotas.hear(from, start, used, quotaOf, clock.nowMs());
       judge.hear(from, evidence);
       duty.hear(phases);
@@ -312,7 +324,8 @@
         ...stateServers.map(each => each.listen()),
         gossip.start(),
       ]);
-      void register();
+      // Of two hosts that start at once, the one that registers later then finds the other.
+      void register().then(() => feed.startHosts());
       peerWatch?.start();
       handler.start();
       duty.start();
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -32,6 +32,11 @@
     level: 'warn',
     message: 'state of another host could not be read',
   },
+  newsMissed: {
+    id: 7112,
+    level: 'info',
+    message: 'targets differ from those of a host that has read further',
+  },
   registrationFailed: {
     id: 7107,
     level: 'warn',
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -2,11 +2,15 @@
   Evidence,
   EvidenceCell,
 } from '../../version/deployment/trial-judge.js';
+import type {FeedNews, TargetNews} from '../../version/deployment/feed-news.js';
 import {
   trialPhases,
   type TrialPhase,
 } from '../../version/deployment/trial-gate.js';
 
+/** Greatest age that is told, in milliseconds; a host that has read nothing states it. */
+const maxAgeMs = 1_000_000;
+
 /** What a host tells of one target. */
 export interface TargetReport {
   /** Requests of the host at the target. */
@@ -30,10 +34,8 @@
   readonly leaving: boolean;
   /** Whether the host reaches the store. */
   readonly storeAnswers: boolean;
-  /** Offset up to which the host has read orders; -1 if it has not. */
-  readonly orders: number;
-  /** Offset of the newest record that changed a target. */
-  readonly targets: number;
+  /** How far the host has followed the store, and what it has read lately. */
+  readonly news: FeedNews;
   /** Reports by target. */
   readonly targetReports: Readonly<Record<string, TargetReport>>;
   /** Units that the host used since its start, by organisation. */
@@ -53,6 +55,7 @@
  * @param message - Message to send.
  */
 export function encodeGossip(message: GossipMessage): Buffer {
+  const {news} = message;
   const evidence: Record<string, unknown> = {};
   for (const [service, cells] of message.evidence) {
     evidence[service] = Object.entries(cells).map(([name, cell]) => [
@@ -81,8 +84,9 @@
       n: message.sequence,
       b: message.leaving ? 1 : 0,
       s: message.storeAnswers ? 1 : 0,
-      o: message.orders,
-      t: message.targets,
+      o: [news.orders, encodeAge(news.ordersAgeMs)],
+      t: [news.targets, encodeAge(news.targetsAgeMs), news.digest],
+      c: news.changes.length > 0 ? news.changes.map(encodeChange) : undefined,
       l: reports,
       u: message.used,
       e: message.evidence.size > 0 ? evidence : undefined,
@@ -91,6 +95,18 @@
   );
 }
 
+function encodeAge(ageMs: number): number {
+  return Math.min(maxAgeMs, ageMs);
+}
+
+function encodeChange({offset, id, entry, keepMs}: TargetNews): unknown[] {
+  if (!entry) return [offset, id, keepMs];
+  const {service, address, zone, version, slots, bornMs} = entry;
+  const draining = entry.draining ? 1 : 0;
+  const rest = [service, address, zone, version, slots, draining];
+  return [offset, id, keepMs, ...rest, entry.coldMs, bornMs];
+}
+
 /**
  * Decodes a message.
  *
@@ -105,16 +121,15 @@
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
-  const {h, a, z, i, n, b, s, o, t, l, u, e, p} = value as Record<
+  const {h, a, z, i, n, b, s, o, t, c, l, u, e, p} = value as Record<
     string,
     unknown
   >;
   if (typeof h !== 'string' || typeof a !== 'string' || typeof z !== 'string') {
     return undefined;
   }
-  if (!isNumber(i) || !isNumber(n) || !isNumber(o) || !isNumber(t)) {
-    return undefined;
-  }
+  const news = newsOf(o, t, c);
+  if (!isNumber(i) || !isNumber(n) || !news) return undefined;
   return {
     host: h,
     ip: a,
@@ -123,8 +138,7 @@
     sequence: n,
     leaving: b === 1,
     storeAnswers: s === 1,
-    orders: o,
-    targets: t,
+    news,
     targetReports: reportsOf(l),
     used: numbersOf(u),
     evidence: evidenceOf(e),
@@ -150,6 +164,53 @@
   );
 }
 
+function newsOf(o: unknown, t: unknown, c: unknown): FeedNews | undefined {
+  if (!Array.isArray(o) || !Array.isArray(t)) return undefined;
+  const [orders, ordersAgeMs] = o as unknown[];
+  const [targets, targetsAgeMs, digest] = t as unknown[];
+  if (!isNumber(orders) || !isNumber(ordersAgeMs)) return undefined;
+  if (!isNumber(targets) || !isNumber(targetsAgeMs) || !isNumber(digest)) {
+    return undefined;
+  }
+  const rows = Array.isArray(c) ? (c as unknown[]) : [];
+  const changes = rows.flatMap(row => changeOf(row) ?? []);
+  return {orders, ordersAgeMs, targets, targetsAgeMs, digest, changes};
+}
+
+function changeOf(row: unknown): TargetNews | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [offset, id, keepMs, service, address, zone, version, ...numbers] =
+    row as unknown[];
+  if (!isNumber(offset) || !isNumber(keepMs) || typeof id !== 'string') {
+    return undefined;
+  }
+  if (row.length === 3) return {offset, id, keepMs};
+  const [slots, draining, coldMs, bornMs] = numbers;
+  if (
+    typeof service !== 'string' ||
+    typeof address !== 'string' ||
+    typeof zone !== 'string' ||
+    typeof version !== 'string' ||
+    !isNumber(slots) ||
+    !isNumber(coldMs) ||
+    !isNumber(bornMs)
+  ) {
+    return undefined;
+  }
+  const entry = {
+    id,
+    service,
+    address,
+    zone,
+    version,
+    slots,
+    draining: draining === 1,
+    coldMs,
+    bornMs,
+  };
+  return {offset, id, keepMs, entry};
+}
+
 function reportsOf(value: unknown): Record<string, TargetReport> {
   const reports: Record<string, TargetReport> = {};
   for (const [id, row] of entriesOf(value)) {
--- a/src/process/fleet/gossip-task.ts
+++ b/src/process/fleet/gossip-task.ts
@@ -75,6 +75,11 @@
     }
   }
 
+  /** Sends the state at the next interval, though it is not this host's time yet. */
+  sendSoon(): void {
+    this.nextSendMs = 0;
+  }
+
   /** Stops to send and to listen. */
   stop(): void {
     this.cancel();
--- a/src/process/fleet/peer-watch.ts
+++ b/src/process/fleet/peer-watch.ts
@@ -46,12 +46,12 @@
     const {clock, feed, logger, peerPort, peers, random, state} = this.parts;
     const isBehind = state.configuration === undefined;
     if (this.asking || (feed.awayMs() < askAfterMs && !isBehind)) return;
-    const {orders} = feed.offsets;
+    const {orders, targets} = feed.offsets;
     const ahead = peers.heard(clock.nowMs()).filter(({message}) => {
       if (!message) return false;
-      return (
-        message.orders > orders || message.targets > state.newestTargetOffset
-      );
+      const {news} = message;
+      const differs = news.digest !== state.targetsDigest;
+      return news.orders > orders || (news.targets > targets && differs);
     });
     const peer = ahead[Math.floor(random() * ahead.length)];
     if (!peer) return;
--- a/src/version/deployment/deployment-state.ts
+++ b/src/version/deployment/deployment-state.ts
@@ -1,4 +1,5 @@
 import {Subject} from '../../process/subject.js';
+import {hash32} from '../../process/fleet/rendezvous.js';
 import type {FeedRecord} from '../../connection/store/shared-store.js';
 import type {
   Change,
@@ -47,7 +48,7 @@
   private readonly recordedStatuses = new Map<string, RolloutStatus>();
   private readonly knownHosts = new Map<string, HostEntry>();
   private readonly subject = new Subject<StateChange>();
-  private targetsOffset = -1;
+  private digest: number | undefined;
 
   /** Kinds of what changed. */
   readonly changes = this.subject.stream;
@@ -82,24 +83,39 @@
     return this.knownHosts;
   }
 
-  /** Offset of the newest record that changed a target in more than its heartbeat. */
-  get newestTargetOffset(): number {
-    return this.targetsOffset;
+  /** Digest of the listed targets; equal on hosts that know the same ones. */
+  get targetsDigest(): number {
+    if (this.digest === undefined) {
+      let sum = 0;
+      for (const {entry, goneAtMs} of this.knownTargets.values()) {
+        if (goneAtMs === undefined) sum += hash32(identityOf(entry));
+      }
+      this.digest = sum % 2 ** 32;
+    }
+    return this.digest;
   }
 
   /**
-   * Applies a record.
+   * Applies records in their order. Observers are told once all are applied, so that they do not act on
+   * what a later record has already changed.
    *
-   * @param record - Record of any log.
+   * @param records - Records of one log.
    * @param nowMs - Time on the process's clock, in milliseconds.
    * @param keepLapsedUntilMs - Until when targets that are removed without a word are kept, because
    *   the store was away; 0 if it was not.
-   * @returns Whether anything changed.
+   * @returns The records that changed anything.
    */
-  apply(record: FeedRecord, nowMs: number, keepLapsedUntilMs = 0): boolean {
-    const {change, offset} = record;
-    const changed = this.fold(change, offset, nowMs, keepLapsedUntilMs);
-    if (changed) this.subject.next(change.kind);
+  apply(
+    records: readonly FeedRecord[],
+    nowMs: number,
+    keepLapsedUntilMs = 0,
+  ): FeedRecord[] {
+    const changed = records.filter(({change, offset}) =>
+      this.fold(change, offset, nowMs, keepLapsedUntilMs),
+    );
+    for (const kind of new Set(changed.map(({change}) => change.kind))) {
+      this.subject.next(kind);
+    }
     return changed;
   }
 
@@ -110,17 +126,19 @@
    * @param records - Newest record of each key.
    * @param nowMs - Time on the process's clock, in milliseconds.
    * @param keepLapsedUntilMs - As for {@link apply}.
+   * @returns The records that changed anything, removals included.
    */
   replace(
     kind: 'orders' | 'targets' | 'statuses' | 'hosts',
     records: readonly FeedRecord[],
     nowMs: number,
     keepLapsedUntilMs = 0,
-  ): void {
-    for (const change of this.missingFrom(kind, records)) {
-      this.apply({offset: 0, change}, nowMs, keepLapsedUntilMs);
-    }
-    for (const record of records) this.apply(record, nowMs, keepLapsedUntilMs);
+  ): FeedRecord[] {
+    const removals = this.missingFrom(kind, records).map(change => ({
+      offset: 0,
+      change,
+    }));
+    return this.apply([...removals, ...records], nowMs, keepLapsedUntilMs);
   }
 
   /**
@@ -163,7 +181,7 @@
         return true;
       }
       case 'target':
-        return this.foldTarget(change, offset, nowMs, keepLapsedUntilMs);
+        return this.foldTarget(change, nowMs, keepLapsedUntilMs);
       case 'host': {
         const known = this.knownHosts.get(change.host);
         if (!change.entry) return this.knownHosts.delete(change.host);
@@ -190,7 +208,6 @@
 
   private foldTarget(
     {id, entry}: Extract<Change, {kind: 'target'}>,
-    offset: number,
     nowMs: number,
     keepLapsedUntilMs: number,
   ): boolean {
@@ -203,17 +220,17 @@
         known.goneAtMs === undefined &&
         known.coldUntilMs > 0 === coldUntilMs > 0 &&
         isSameEntry(known.entry, entry);
-      if (!same) this.targetsOffset = Math.max(this.targetsOffset, offset);
+      if (!same) this.digest = undefined;
       return !same;
     }
     if (!known) return false;
+    this.digest = undefined;
     // A target that announced its end does not come back.
     if (keepLapsedUntilMs > nowMs && !known.entry.draining) {
       if (known.goneAtMs !== undefined) return false;
       this.knownTargets.set(id, {...known, goneAtMs: keepLapsedUntilMs});
       return true;
     }
-    this.targetsOffset = Math.max(this.targetsOffset, offset);
     return this.knownTargets.delete(id);
   }
 
@@ -256,13 +273,11 @@
 }
 
 function isSameEntry(a: TargetEntry, b: TargetEntry): boolean {
-  return (
-    a.address === b.address &&
-    a.service === b.service &&
-    a.zone === b.zone &&
-    a.version === b.version &&
-    a.slots === b.slots &&
-    a.draining === b.draining &&
-    a.bornMs === b.bornMs
-  );
+  return identityOf(a) === identityOf(b);
+}
+
+/** Everything of an entry that does not change by the mere passing of time. */
+function identityOf(entry: TargetEntry): string {
+  const {id, address, service, zone, version, slots, draining, bornMs} = entry;
+  return `${id} ${address} ${service} ${zone} ${version} ${slots} ${draining} ${bornMs}`;
 }
--- /dev/null
+++ b/src/version/deployment/heard-targets.ts
@@ -0,0 +1,78 @@
+import type {Logger} from '../../process/logger.js';
+import type {DeploymentState} from './deployment-state.js';
+import type {FeedNews} from './feed-news.js';
+
+/**
+ * Time for which this host's targets may differ from those of a host that has read further, in
+ * milliseconds. Its next message may tell what is missing; after that the store is read.
+ */
+const missedMs = 300;
+
+/** Takes over changes of targets that other hosts have read from the store. */
+export class HeardTargets {
+  /** Since when this host's targets differ from those of a host that has read further. */
+  private missingSinceMs: number | undefined;
+  private latestOffset = -1;
+  private hasMissed = false;
+
+  /**
+   * @param state - What this host knows.
+   * @param logger - Log of the process.
+   */
+  constructor(
+    private readonly state: DeploymentState,
+    private readonly logger: Logger,
+  ) {}
+
+  /** Offset of the latest change that another host told; -1 if none did. */
+  get toldOffset(): number {
+    return this.latestOffset;
+  }
+
+  /** Whether the store must be read because the news of other hosts were not enough. */
+  get missed(): boolean {
+    return this.hasMissed;
+  }
+
+  /** Notes that this host has read the store itself. */
+  caughtUp(): void {
+    this.hasMissed = false;
+    this.missingSinceMs = undefined;
+  }
+
+  /**
+   * Takes over the news of another host.
+   *
+   * @param news - News of a host that has read at least as far as this one.
+   * @param next - Offset up to which this host knows the targets.
+   * @param confirmedMs - Time at which its targets were last known to be those of the store.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   * @returns Whether this host now knows the same targets as the other one.
+   */
+  take(
+    news: FeedNews,
+    next: number,
+    confirmedMs: number,
+    nowMs: number,
+  ): boolean {
+    const {state} = this;
+    for (const {offset, id, entry, keepMs} of news.changes) {
+      if (offset < next || offset <= this.latestOffset) continue;
+      const change = {kind: 'target', id, entry} as const;
+      state.apply([{offset, change}], nowMs, keepMs > 0 ? nowMs + keepMs : 0);
+      this.latestOffset = offset;
+    }
+    if (news.digest === state.targetsDigest) {
+      this.caughtUp();
+      return true;
+    }
+    // A host that has read less than this one differs because it is behind.
+    if (nowMs - news.targetsAgeMs <= confirmedMs) return false;
+    this.missingSinceMs ??= nowMs;
+    if (nowMs - this.missingSinceMs < missedMs) return false;
+    this.logger.event('newsMissed', {targets: next, heard: news.targets});
+    this.missingSinceMs = undefined;
+    this.hasMissed = true;
+    return false;
+  }
+}
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -78,7 +78,7 @@
     state.replace('orders', changes, nowMs);
     for (const status of copy.statuses) {
       const {service} = status;
-      state.apply(record({kind: 'rollout-status', service, status}), nowMs);
+      state.apply([record({kind: 'rollout-status', service, status})], nowMs);
     }
   }
   if (copy.offsets.targets > own.targets) {
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -1,6 +1,7 @@
 import {
   feeds,
   type Feed,
+  type FeedRecord,
   type SharedStore,
 } from '../../connection/store/shared-store.js';
 import type {Clock} from '../../process/clock.js';
@@ -8,21 +9,27 @@
 import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
 import {lapseGraceMs, type DeploymentState} from './deployment-state.js';
+import {RecentChanges, type FeedNews} from './feed-news.js';
+import {HeardTargets} from './heard-targets.js';
+import {ReadTurn} from './read-turn.js';
+
+/** What became of a read. */
+const reads = {
+  changed: 'changed',
+  unchanged: 'unchanged',
+  /** Other hosts have told more in the meantime than the read contains, so it was left aside. */
+  overtaken: 'overtaken',
+} as const;
+
+type Read = (typeof reads)[keyof typeof reads];
+
+/** Logs that one host reads for the others. */
+type SharedFeed = typeof feeds.orders | typeof feeds.targets;
 
-/**
- * Part of the time for a configuration that a read of orders waits at the store. A connection that went
- * silent is found within this and the call's timeout.
- */
-const ordersWaitPart = 1;
-/**
- * Part of the time for a leaving target that passes between two reads of targets, so that one read may
- * fail. Waiting reads would return with every heartbeat.
- */
-const targetsIntervalPart = 0.45;
 /** Time between two reads of rollout statuses while a rollout runs, in milliseconds. */
 const statusesIntervalMs = 700;
-/** Time between two reads of the list of hosts, in milliseconds; gossip tells of new ones sooner. */
-const hostsIntervalMs = 10_000;
+/** Time between two reads of the list of hosts, in milliseconds; new hosts tell of themselves by gossip. */
+const hostsIntervalMs = 30_000;
 /** Pauses after failed calls, in milliseconds: the first, and the longest. */
 const firstPauseMs = 150;
 const longestPauseMs = 800;
@@ -34,6 +41,10 @@
   readonly store: SharedStore;
   readonly state: DeploymentState;
   readonly bounds: Pick<Bounds, 'configMs' | 'drainMs'>;
+  /** Number of other hosts that read a log before this one; those in the way of their duty do not count. */
+  readonly turn: (feed: Feed, failing: boolean) => number;
+  /** Called when other hosts should be told what this one has read. */
+  readonly onRead: (changed: boolean) => void;
   /** Random number in [0, 1), to spread the calls of hosts that started together. */
   readonly random: () => number;
   readonly onUnreadable: (feed: Feed) => void;
@@ -46,24 +57,94 @@
   /** Time of the last return of the store after an outage. */
   private returnedAtMs = -Infinity;
   private stopped = false;
+  private readonly turns: Readonly<Record<SharedFeed, ReadTurn>>;
+  private readonly recent = new RecentChanges();
+  private readonly wakes = new Map<SharedFeed, () => void>();
+  /** Offset up to which another host has read orders. */
+  private heardOrders = -1;
+  private readonly heard: HeardTargets;
 
   /** @param parts - Parts of the process. */
-  constructor(private readonly parts: FeedParts) {}
+  constructor(private readonly parts: FeedParts) {
+    const {configMs, drainMs} = parts.bounds;
+    this.heard = new HeardTargets(parts.state, parts.logger);
+    this.turns = {
+      orders: new ReadTurn(configMs, true),
+      // A waiting read would return with every heartbeat.
+      targets: new ReadTurn(drainMs, false),
+    };
+  }
 
   /** Starts to read. */
   start(): void {
-    const {configMs, drainMs} = this.parts.bounds;
-    void this.follow(feeds.orders, Math.round(configMs * ordersWaitPart), 0);
-    void this.follow(feeds.targets, 0, drainMs * targetsIntervalPart);
-    void this.follow(feeds.hosts, 0, hostsIntervalMs);
-    void this.follow(feeds.statuses, 0, statusesIntervalMs, () =>
+    void this.followShared(feeds.orders);
+    void this.followShared(feeds.targets);
+    void this.follow(feeds.statuses, statusesIntervalMs, () =>
       this.hasOpenRollout(),
     );
   }
 
+  /** Starts to read the list of hosts, once this one is on it. */
+  startHosts(): void {
+    void this.follow(feeds.hosts, hostsIntervalMs);
+  }
+
   /** Stops after the calls that are in progress. */
   stop(): void {
     this.stopped = true;
+    for (const wake of this.wakes.values()) wake();
+  }
+
+  /** What this host tells others. */
+  news(): FeedNews {
+    const nowMs = this.parts.clock.nowMs();
+    const {orders, targets} = this.turns;
+    return {
+      ...this.offsets,
+      ordersAgeMs: Math.round(nowMs - orders.confirmedMs),
+      targetsAgeMs: Math.round(nowMs - targets.confirmedMs),
+      digest: this.parts.state.targetsDigest,
+      changes: this.recent.list(nowMs),
+    };
+  }
+
+  /**
+   * Takes over what another host has read.
+   *
+   * @param news - News of the other host.
+   */
+  hear(news: FeedNews): void {
+    const nowMs = this.parts.clock.nowMs();
+    const {orders, targets} = this.offsets;
+    if (orders >= 0 && news.orders > orders) {
+      this.heardOrders = Math.max(this.heardOrders, news.orders);
+      this.wakes.get(feeds.orders)?.();
+    } else if (news.orders === orders) {
+      this.turns.orders.confirm(nowMs - news.ordersAgeMs);
+    }
+    if (targets >= 0 && news.targets >= targets) this.hearTargets(news, nowMs);
+  }
+
+  private hearTargets(news: FeedNews, nowMs: number): void {
+    const turn = this.turns.targets;
+    const same = this.heard.take(
+      news,
+      this.offsets.targets,
+      turn.confirmedMs,
+      nowMs,
+    );
+    if (same) {
+      turn.confirm(nowMs - news.targetsAgeMs);
+      this.advance({orders: -1, targets: news.targets});
+    } else if (this.heard.missed) {
+      this.wakes.get(feeds.targets)?.();
+    }
+  }
+
+  private isBehind(feed: SharedFeed): boolean {
+    return feed === feeds.orders
+      ? this.heardOrders > this.offsets.orders
+      : this.heard.missed;
   }
 
   /** Offsets up to which orders and targets were read; -1 before the first read. */
@@ -110,17 +191,48 @@
    *
    * @throws {@link FailureError} of kind `store-*`.
    */
-  readStatuses(): Promise<void> {
-    return this.readOnce(feeds.statuses, 0);
+  async readStatuses(): Promise<void> {
+    await this.readOnce(feeds.statuses, 0);
   }
 
   private hasOpenRollout(): boolean {
     return this.parts.state.orders.size > 0;
   }
 
+  /** Reads a log whenever it is this host's turn. */
+  private async followShared(feed: SharedFeed): Promise<void> {
+    const {clock, random} = this.parts;
+    const turn = this.turns[feed];
+    while (!this.stopped) {
+      const failing = this.failingSinceMs.has(feed);
+      const place = this.parts.turn(feed, failing);
+      const startMs = clock.nowMs();
+      const leftMs = turn.dueAtMs(place, this.isBehind(feed)) - startMs;
+      if (leftMs > 0) {
+        await this.sleepUntilWoken(feed, leftMs);
+        continue;
+      }
+      try {
+        const read = await this.readOnce(feed, turn.waitMs);
+        turn.succeeded();
+        this.succeeded(feed);
+        if (read === reads.overtaken) continue;
+        const spentMs = clock.nowMs() - startMs;
+        // A read that waited in vain has shown that nothing was written until its end.
+        turn.confirm(startMs + (spentMs >= turn.waitMs ? turn.waitMs : 0));
+        if (feed === feeds.targets) this.heard.caughtUp();
+        this.parts.onRead(read === reads.changed);
+      } catch (err) {
+        if (!(err instanceof FailureError)) throw err;
+        turn.failed(clock.nowMs(), random());
+        this.failed(feed, err);
+      }
+    }
+  }
+
+  /** Reads a log of this host's own at a fixed interval. */
   private async follow(
     feed: Feed,
-    waitMs: number,
     intervalMs: number,
     wanted: () => boolean = () => true,
   ): Promise<void> {
@@ -130,7 +242,7 @@
       const startMs = clock.nowMs();
       if (wanted()) {
         try {
-          await this.readOnce(feed, waitMs);
+          await this.readOnce(feed, 0);
           this.succeeded(feed);
           pauseMs = firstPauseMs;
         } catch (err) {
@@ -141,7 +253,6 @@
           continue;
         }
       }
-      if (intervalMs === 0) continue;
       const spentMs = clock.nowMs() - startMs;
       await this.sleep(
         Math.max(10, intervalMs * (0.9 + 0.2 * random()) - spentMs),
@@ -149,33 +260,81 @@
     }
   }
 
-  private async readOnce(feed: Feed, waitMs: number): Promise<void> {
+  private async readOnce(feed: Feed, waitMs: number): Promise<Read> {
     const {clock, state, store} = this.parts;
     const from = this.next.get(feed);
     if (from === undefined) return this.readNewest(feed);
     const result = await store.read(feed, from, waitMs);
     // A copy from another host may have gone further in the meantime.
-    if ((this.next.get(feed) ?? 0) > from) return;
+    if ((this.next.get(feed) ?? 0) > from) return reads.overtaken;
     if (result.kind === 'truncated') {
       this.parts.logger.event('feedTruncated', {feed, from});
       return this.readNewest(feed);
     }
+    if (this.isOlderThanTold(feed, result.next)) return reads.overtaken;
+    const readable = this.readable(feed, result.records);
     const nowMs = clock.nowMs();
-    for (const record of result.records) {
-      if (record.change.kind === 'unreadable') this.unreadable(feed, record);
-      else state.apply(record, nowMs, this.keepLapsedUntilMs());
-    }
+    const changed = state.apply(readable, nowMs, this.keepLapsedUntilMs());
     this.next.set(feed, result.next);
+    this.remember(changed, readable);
+    return changed.length > 0 ? reads.changed : reads.unchanged;
+  }
+
+  /** Whether other hosts have told of targets what lies beyond a read, which would be undone by it. */
+  private isOlderThanTold(feed: Feed, next: number): boolean {
+    return feed === feeds.targets && this.heard.toldOffset >= next;
   }
 
-  private async readNewest(feed: Feed): Promise<void> {
+  private async readNewest(feed: Feed): Promise<Read> {
     const {clock, state, store} = this.parts;
     const {records, next} = await store.newest(feed);
-    for (const record of records) {
-      if (record.change.kind === 'unreadable') this.unreadable(feed, record);
-    }
-    state.replace(feed, records, clock.nowMs(), this.keepLapsedUntilMs());
+    if (this.isOlderThanTold(feed, next)) return reads.overtaken;
+    const changed = state.replace(
+      feed,
+      this.readable(feed, records),
+      clock.nowMs(),
+      this.keepLapsedUntilMs(),
+    );
+    const isFirst = !this.next.has(feed);
     if (next >= (this.next.get(feed) ?? 0)) this.next.set(feed, next);
+    // What is new to a host that has just started is not new to the others.
+    if (isFirst) return reads.unchanged;
+    // A removal that the log no longer holds counts as the last record before its end.
+    this.remember(
+      changed.map(record => ({
+        ...record,
+        offset: record.offset > 0 ? record.offset : next - 1,
+      })),
+    );
+    return changed.length > 0 ? reads.changed : reads.unchanged;
+  }
+
+  /** Keeps what other hosts are to be told: changes, and targets that state that they are cold. */
+  private remember(
+    changed: readonly FeedRecord[],
+    read: readonly FeedRecord[] = [],
+  ): void {
+    const {clock, state} = this.parts;
+    const cold = read.filter(
+      record =>
+        record.change.kind === 'target' &&
+        (record.change.entry?.coldMs ?? 0) > 0 &&
+        !changed.includes(record),
+    );
+    const told = [...changed, ...cold].sort((a, b) => a.offset - b.offset);
+    this.recent.add(
+      told,
+      clock.nowMs(),
+      id => state.targets.get(id)?.goneAtMs ?? 0,
+    );
+  }
+
+  private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
+    return records.filter(record => {
+      if (record.change.kind !== 'unreadable') return true;
+      this.unreadable(feed, record);
+      return false;
+    });
   }
 
   private unreadable(
@@ -210,6 +369,16 @@
     this.parts.logger.event('storeLost', {feed, ...failure});
   }
 
+  private sleepUntilWoken(feed: SharedFeed, ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.parts.clock.after(ms, resolve);
+      this.wakes.set(feed, () => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+
   private sleep(ms: number): Promise<void> {
     return new Promise(resolve => this.parts.clock.after(ms, resolve));
   }
--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -108,6 +108,8 @@
       state,
       bounds: {configMs: 2000, drainMs: 2000},
       random: () => 0.5,
+      turn: () => 0,
+      onRead: () => {},
       onUnreadable: () => {},
     });
     const gate = new TrialGate(0.1);
--- /dev/null
+++ b/test/gateway/shared-reads.test.ts
@@ -0,0 +1,300 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+  feeds,
+  type Feed,
+  type ReadResult,
+  type Snapshot,
+} from '../../src/connection/store/shared-store.js';
+import {
+  decodeGossip,
+  encodeGossip,
+} from '../../src/process/fleet/gossip-message.js';
+import {rendezvousRank} from '../../src/process/fleet/rendezvous.js';
+import {Logger} from '../../src/process/logger.js';
+import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
+import type {FeedNews} from '../../src/version/deployment/feed-news.js';
+import {ReadTurn} from '../../src/version/deployment/read-turn.js';
+import {StateFeed} from '../../src/version/deployment/state-feed.js';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
+import {configuration, MemoryStore, targetChange} from './gateway-fakes.js';
+
+const bounds = {configMs: 2000, drainMs: 2000};
+/** Time between two messages of a host, in milliseconds. */
+const gossipMs = 150;
+
+/** Store that counts calls, refuses some hosts, and ends waiting reads by the clock. */
+class CountingStore extends MemoryStore {
+  reads = 0;
+
+  constructor(private readonly clock: ManualClock) {
+    super();
+  }
+
+  override async newest(feed: Feed): Promise<Snapshot> {
+    this.reads++;
+    return super.newest(feed);
+  }
+
+  override async read(
+    feed: Feed,
+    from: number,
+    waitMs: number,
+  ): Promise<ReadResult> {
+    this.reads++;
+    const endMs = this.clock.nowMs() + waitMs;
+    for (;;) {
+      const page = await super.read(feed, from, 0);
+      const found = page.kind !== 'records' || page.records.length > 0;
+      if (found || this.clock.nowMs() >= endMs) return page;
+      await new Promise<void>(resolve => this.clock.after(10, resolve));
+    }
+  }
+}
+
+interface FleetHost {
+  readonly name: string;
+  readonly state: DeploymentState;
+  readonly feed: StateFeed;
+  dead: boolean;
+}
+
+/** Hosts that follow one store and tell each other, with messages lost by seed. */
+class Fleet {
+  readonly clock = new ManualClock();
+  readonly store = new CountingStore(this.clock);
+  readonly hosts: FleetHost[] = [];
+  private readonly random: () => number;
+
+  constructor(
+    size: number,
+    private readonly lostPart: number,
+    seed: number,
+  ) {
+    const generator = xoroshiro128plus(seed);
+    this.random = () => (generator.next() >>> 0) / 2 ** 32;
+    for (let i = 0; i < size; i++) this.add(`host-${i}`);
+  }
+
+  private add(name: string): void {
+    const state = new DeploymentState();
+    const host: FleetHost = {
+      name,
+      state,
+      dead: false,
+      feed: new StateFeed({
+        clock: this.clock,
+        logger: Logger.create('silent'),
+        store: this.store,
+        state,
+        bounds,
+        random: this.random,
+        turn: feed =>
+          rendezvousRank(
+            feed,
+            name,
+            this.hosts.filter(({dead}) => !dead).map(each => each.name),
+          ),
+        onRead: changed => {
+          if (changed) this.tell(host);
+        },
+        onUnreadable: () => {},
+      }),
+    };
+    this.hosts.push(host);
+    const gossip = () => {
+      if (host.dead) return;
+      this.tell(host);
+      this.clock.after(gossipMs, gossip);
+    };
+    this.clock.after(Math.floor(this.random() * gossipMs), gossip);
+  }
+
+  private tell(from: FleetHost): void {
+    const news = throughWire(from.feed.news());
+    for (const host of this.hosts) {
+      if (host === from || host.dead || this.random() < this.lostPart) continue;
+      host.feed.hear(news);
+    }
+  }
+
+  async run(ms: number, each: () => void = () => {}): Promise<void> {
+    for (let passed = 0; passed < ms; passed += 10) {
+      this.clock.advance(10);
+      // A read passes through a few promises before the next one is timed.
+      for (let i = 0; i < 12; i++) await null;
+      each();
+    }
+  }
+}
+
+function throughWire(news: FeedNews): FeedNews {
+  const message = decodeGossip(
+    encodeGossip({
+      host: 'h',
+      ip: '10.0.0.1',
+      zone: 'z',
+      incarnation: 1,
+      sequence: 1,
+      leaving: false,
+      storeAnswers: true,
+      news,
+      targetReports: {},
+      used: {},
+      evidence: new Map(),
+      phases: new Map(),
+    }),
+  );
+  assert.ok(message);
+  return message.news;
+}
+
+async function startFleet(
+  size: number,
+  lostPart: number,
+  seed: number,
+): Promise<Fleet> {
+  const fleet = new Fleet(size, lostPart, seed);
+  for (let i = 0; i < 20; i++) {
+    fleet.store.put(feeds.targets, targetChange(`i-${i}`, `10.0.0.${i}:80`));
+  }
+  fleet.store.put(feeds.orders, {kind: 'configuration', configuration});
+  for (const {feed} of fleet.hosts) feed.start();
+  await fleet.run(2000);
+  return fleet;
+}
+
+// Guards against reads of the store that grow with the number of hosts.
+test('many hosts read the store about as often as one', async () => {
+  const counts: number[] = [];
+  for (const size of [1, 9, 75]) {
+    const fleet = await startFleet(size, 0, 1);
+    fleet.store.reads = 0;
+    await fleet.run(20_000, () => {
+      // Heartbeats of targets grow the log without changing anything.
+      fleet.store.put(feeds.targets, targetChange('i-0', '10.0.0.0:80'));
+    });
+    counts.push(fleet.store.reads);
+  }
+  const [one, nine, many] = counts;
+  assert.ok(nine <= one * 1.2, `${nine} reads by nine hosts, ${one} by one`);
+  assert.ok(many <= one * 1.2, `${many} reads by 75 hosts, ${one} by one`);
+});
+
+// Guards against DRAIN and CONFIG while the host that reads for the others ends, and messages are lost.
+test('all hosts know of a change within its bound though messages are lost and readers die', async () => {
+  for (let seed = 1; seed <= 20; seed++) {
+    const fleet = await startFleet(9, 0.2, seed);
+    for (const feed of [feeds.targets, feeds.orders]) {
+      const alive = fleet.hosts.filter(({dead}) => !dead);
+      const names = alive.map(({name}) => name);
+      const first = alive.find(
+        ({name}) => rendezvousRank(feed, name, names) === 0,
+      );
+      assert.ok(first);
+      // The others go on to count it for a while, as they do with a host that has just died.
+      first.feed.stop();
+      await fleet.run(100);
+    }
+    fleet.store.put(feeds.targets, {kind: 'target', id: 'i-3'});
+    const newer = {...configuration, version: 2};
+    fleet.store.put(feeds.orders, {
+      kind: 'configuration',
+      configuration: newer,
+    });
+    await fleet.run(1900);
+    const running = fleet.hosts.filter(
+      ({feed}) => feed.news().ordersAgeMs < 2000,
+    );
+    assert.ok(running.length >= 7);
+    for (const {name, state} of running) {
+      assert.ok(!state.targets.has('i-3'), `${name} with seed ${seed}`);
+      assert.equal(state.configuration?.version, 2, `${name}, seed ${seed}`);
+    }
+  }
+});
+
+test('a target that turns cold is told to all hosts, with the time that is left', async () => {
+  const fleet = await startFleet(9, 0, 3);
+  const change = targetChange('i-5', '10.0.0.5:80');
+  assert.ok(change.kind === 'target' && change.entry);
+  const cold = {...change, entry: {...change.entry, coldMs: 3000}};
+  const writtenMs = fleet.clock.nowMs();
+  fleet.store.put(feeds.targets, cold);
+  await fleet.run(800);
+  for (const {name, state} of fleet.hosts) {
+    const leftMs = (state.targets.get('i-5')?.coldUntilMs ?? 0) - writtenMs;
+    assert.ok(leftMs >= 3000 && leftMs <= 3800, `${name}: ${leftMs} ms`);
+  }
+});
+
+// Guards against a target that leaves and is used again because an older page arrives late.
+test('a read that is older than what another host told is left aside', async () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore();
+  const state = new DeploymentState();
+  let release = () => {};
+  const held = new (class extends MemoryStore {
+    override async read(feed: Feed, from: number): Promise<ReadResult> {
+      const result = await store.read(feed, from, 0);
+      if (feed === feeds.targets) {
+        await new Promise<void>(resolve => (release = resolve));
+      }
+      return result;
+    }
+    override newest(feed: Feed): Promise<Snapshot> {
+      return store.newest(feed);
+    }
+  })();
+  store.put(feeds.targets, targetChange('i', '10.0.0.1:80'));
+  const feed = new StateFeed({
+    clock,
+    logger: Logger.create('silent'),
+    store: held,
+    state,
+    bounds,
+    random: () => 0.5,
+    turn: () => 0,
+    onRead: () => {},
+    onUnreadable: () => {},
+  });
+  feed.start();
+  const settle = async () => {
+    for (let i = 0; i < 20; i++) await null;
+  };
+  await settle();
+  // The heartbeat is in the page that is on its way; the removal comes after it.
+  store.put(feeds.targets, targetChange('i', '10.0.0.1:80'));
+  clock.advance(600);
+  await settle();
+  feed.hear({
+    orders: -1,
+    ordersAgeMs: 0,
+    targets: 3,
+    targetsAgeMs: 0,
+    digest: 0,
+    changes: [{offset: 2, id: 'i', keepMs: 0}],
+  });
+  assert.ok(!state.targets.has('i'));
+  release();
+  await settle();
+  assert.ok(!state.targets.has('i'));
+  feed.stop();
+});
+
+test('a host steps in for each further host only after another step without news', () => {
+  const turn = new ReadTurn(2000, false);
+  turn.confirm(1000);
+  const due = [0, 1, 2, 3, 50].map(place => turn.dueAtMs(place, false));
+  assert.deepEqual(due, [1500, 1800, 2100, 2400, 2400]);
+  // A call that was not answered is repeated within the bound, but not at once.
+  turn.failed(2400, 0.5);
+  assert.equal(turn.dueAtMs(0, false), 2550);
+  assert.ok(turn.dueAtMs(50, false) > turn.dueAtMs(0, false));
+  // News of others put off the next attempt, not for ever.
+  turn.confirm(2500);
+  assert.ok(turn.dueAtMs(50, false) > 2550);
+  turn.confirm(60_000);
+  assert.ok(turn.dueAtMs(0, false) <= 5400);
+});
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -28,6 +28,8 @@
     state,
     bounds: {configMs: 2000, drainMs: 2000},
     random: () => 0.5,
+    turn: () => 0,
+    onRead: () => {},
     onUnreadable: () => unreadable++,
   });
   const run = async (ms: number) => {
@@ -79,20 +81,20 @@
   const change = targetChange('i', '10.0.0.1:80');
   assert.ok(change.kind === 'target' && change.entry);
   const draining = {...change, entry: {...change.entry, draining: true}};
-  state.apply({offset: 1, change: draining}, 0);
-  state.apply({offset: 2, change: {kind: 'target', id: 'i'}}, 10, 5000);
+  state.apply([{offset: 1, change: draining}], 0);
+  state.apply([{offset: 2, change: {kind: 'target', id: 'i'}}], 10, 5000);
   assert.ok(!state.targets.has('i'));
 });
 
 test('a host that the store refuses takes over the state of another one', () => {
   const from = new DeploymentState();
-  from.apply({offset: 3, change: {kind: 'configuration', configuration}}, 0);
-  from.apply({offset: 4, change: targetChange('i', '10.0.0.1:80')}, 0);
+  from.apply([{offset: 3, change: {kind: 'configuration', configuration}}], 0);
+  from.apply([{offset: 4, change: targetChange('i', '10.0.0.1:80')}], 0);
   const evacuation = {kind: 'evacuation', zone: 'z', active: true} as const;
-  from.apply({offset: 5, change: evacuation}, 0);
+  from.apply([{offset: 5, change: evacuation}], 0);
   const copy = copyState(from, {orders: 6, targets: 5}, 100);
   const state = new DeploymentState();
-  state.apply({offset: 1, change: targetChange('gone', '10.0.0.2:80')}, 0);
+  state.apply([{offset: 1, change: targetChange('gone', '10.0.0.2:80')}], 0);
   const wire = JSON.parse(JSON.stringify(copy)) as typeof copy;
   takeCopy(state, wire, {orders: -1, targets: 2}, 0);
   assert.equal(state.configuration?.version, configuration.version);
