Share targets and quotas among many hosts that hear each other late

Cause: at 69 hosts each host hears another one every 0.64 s. (2) All hosts chose the target that was idle when they last heard: engines rejected 4,021 of 23,400 arrivals. (3) What others used since their last message was unknown: QUOTA broken by 0.2 %. Change: reports are summed by what a message changes; each slot belongs to one host by hashing, and eight other targets are drawn for comparison; the load that a target states in an answer counts for 0.3 s; quotas expect what others usually use in the lag; a restarted host takes the levels of one that was not, or a part of the tolerance.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -9,10 +9,12 @@
 import {every, SystemClock, type Clock} from './process/clock.js';
 import {DecisionLog} from './process/decision-log.js';
 import {FailureError} from './process/errors/catalogue.js';
+import {gossipIntervalMs} from './process/fleet/gossip-interval.js';
 import {GossipTask} from './process/fleet/gossip-task.js';
 import {PeerTable} from './process/fleet/peer-table.js';
 import {PeerWatch} from './process/fleet/peer-watch.js';
 import {rendezvousRank} from './process/fleet/rendezvous.js';
+import {declareGauges} from './process/gateway-gauges.js';
 import {GatewayMetrics} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {ColdGate} from './process/limits/cold-gate.js';
@@ -41,6 +43,12 @@
 const stopMarginMs = 600;
 /** Interval in which a stopping host looks whether its requests have ended, in milliseconds. */
 const drainIntervalMs = 50;
+/**
+ * Time after which a host that was restarted goes on without the levels of others, in milliseconds,
+ * counted from the first message of another host, or from when it counts as alone.
+ */
+const settleMs = 400;
+const aloneMs = 1000;
 /** Hosts that are assumed while none is known, so that a host alone takes a small part of a quota. */
 const assumedHosts = 16;
 
@@ -113,7 +121,12 @@
   });
   const trials = new TrialGate(bounds.exposeShare);
   const judge = new TrialJudge();
-  const quotas = new QuotaLedger(startMs, incarnation, settings.firstStart);
+  const quotas = new QuotaLedger(
+    startMs,
+    incarnation,
+    settings.firstStart,
+    bounds,
+  );
   const retries = new RetryShare(bounds, () => hosts.length);
   const coldGate = new ColdGate(host, bounds);
   const pool = new TargetPool({
@@ -123,7 +136,9 @@
     routes: () => routes,
     coldGate,
     trials,
+    host,
     hosts: () => hosts,
+    random,
     zone,
     regions: settings.regions,
     onOpened: () => metrics.connectionOpened(),
@@ -179,6 +194,10 @@
       news: feed.news(),
       targetReports: pool.reports,
       used: Object.fromEntries(quotas.totals),
+      levels:
+        quotas.settled && peers.hasNew(clock.nowMs())
+          ? quotas.levels(clock.nowMs())
+          : undefined,
       evidence: judge.ownEvidence,
       phases: duty.phases,
     }),
@@ -210,31 +229,13 @@
       : [],
   );
 
-  metrics.gauge(
-    'guavaseam_gateway_open_requests',
-    'Requests that were admitted and have not ended',
-    () => handler.openRequests,
-  );
-  metrics.gauge(
-    'guavaseam_gateway_waiting_requests',
-    'Requests that wait for a slot',
-    () => dispatcher.waiting,
-  );
-  metrics.gauge(
-    'guavaseam_gateway_configuration_version',
-    'Version of the configuration in force; 0 if none is known',
-    () => routes?.configuration.version ?? 0,
-  );
-  metrics.gauge(
-    'guavaseam_gateway_store_away_seconds',
-    'Time for which the store has not answered; 0 if it answers',
-    () => feed.awayMs() / 1000,
-  );
-  metrics.gauge(
-    'guavaseam_gateway_hosts_heard',
-    'Other hosts that were heard lately',
-    () => peers.heard(clock.nowMs()).length,
-  );
+  declareGauges(metrics, {
+    openRequests: () => handler.openRequests,
+    waitingRequests: () => dispatcher.waiting,
+    configurationVersion: () => routes?.configuration.version ?? 0,
+    storeAwayMs: () => feed.awayMs(),
+    hostsHeard: () => peers.heard(clock.nowMs()).length,
+  });
 
   const isReady = () =>
     !draining && routes !== undefined && feed.offsets.targets >= 0;
@@ -264,6 +265,7 @@
   };
   let refreshedAtMs = -Infinity;
   let lastHeard = -1;
+  let heardSinceMs = Infinity;
   const refresh = () => {
     const nowMs = clock.nowMs();
     if (nowMs - refreshedAtMs < refreshIntervalMs / 2) return;
@@ -278,8 +280,13 @@
     quotas.setShare(
       heard.length + 1,
       hosts.length > 1 ? hosts.length : assumedHosts,
+      gossipIntervalMs(hosts.length - 1) / 2,
     );
-    pool.setOthers(heard.map(({message}) => message?.targetReports ?? {}));
+    if (heard.length > 0) heardSinceMs = Math.min(heardSinceMs, nowMs);
+    if (nowMs >= Math.min(heardSinceMs, startMs + aloneMs) + settleMs) {
+      quotas.settle();
+    }
+    pool.keepReportsOf(new Set(heard.map(({host: name}) => name)));
     dispatcher.serveAll();
   };
 
@@ -297,6 +304,8 @@
     subscribe(gossip.messages, message => {
       const {host: from, incarnation: start, used, evidence, phases} = message;
       feed.hear(message.news);
+      pool.hear(from, message.targetReports);
+      if (message.levels) quotas.adopt(message.levels, quotaOf, clock.nowMs());
       quotas.hear(from, start, used, quotaOf, clock.nowMs());
       judge.hear(from, evidence);
       duty.hear(phases);
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -40,6 +40,8 @@
   readonly targetReports: Readonly<Record<string, TargetReport>>;
   /** Units that the host used since its start, by organisation. */
   readonly used: Readonly<Record<string, number>>;
+  /** Levels of quotas by organisation; told while another host has just started. */
+  readonly levels?: Readonly<Record<string, number>>;
   /** Evidence by service, for services under rollout. */
   readonly evidence: ReadonlyMap<string, Evidence>;
   /** What the host does with services under rollout, by service. */
@@ -89,6 +91,7 @@
       c: news.changes.length > 0 ? news.changes.map(encodeChange) : undefined,
       l: reports,
       u: message.used,
+      q: message.levels,
       e: message.evidence.size > 0 ? evidence : undefined,
       p: message.phases.size > 0 ? phases : undefined,
     }),
@@ -121,7 +124,7 @@
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
-  const {h, a, z, i, n, b, s, o, t, c, l, u, e, p} = value as Record<
+  const {h, a, z, i, n, b, s, o, t, c, l, u, q, e, p} = value as Record<
     string,
     unknown
   >;
@@ -141,6 +144,7 @@
     news,
     targetReports: reportsOf(l),
     used: numbersOf(u),
+    levels: q === undefined ? undefined : numbersOf(q),
     evidence: evidenceOf(e),
     phases: phasesOf(p),
   };
--- a/src/process/fleet/gossip-task.ts
+++ b/src/process/fleet/gossip-task.ts
@@ -7,13 +7,9 @@
   encodeGossip,
   type GossipMessage,
 } from './gossip-message.js';
+import {gossipIntervalMs, leastIntervalMs} from './gossip-interval.js';
 import type {PeerTable} from './peer-table.js';
 
-/** Time between two messages to each host, in milliseconds, for deployments of up to 16 hosts. */
-const intervalMs = 150;
-/** Messages a second that a host sends at most; larger deployments hear each host less often. */
-const sendsPerSecond = 110;
-
 /** Parts that gossip uses. */
 export interface GossipParts {
   readonly clock: Clock;
@@ -53,7 +49,7 @@
       this.socket.once('error', reject);
       this.socket.bind(port, ip, () => {
         this.socket.removeListener('error', reject);
-        this.cancel = every(clock, intervalMs, () => this.tick());
+        this.cancel = every(clock, leastIntervalMs, () => this.tick());
         this.send();
         resolve();
       });
@@ -90,8 +86,8 @@
     const {clock, peers} = this.parts;
     const nowMs = clock.nowMs();
     if (nowMs < this.nextSendMs) return;
-    const everyMs = (peers.all.length / sendsPerSecond) * 1000;
-    this.nextSendMs = nowMs + Math.max(0, everyMs - intervalMs / 2);
+    const everyMs = gossipIntervalMs(peers.all.length);
+    this.nextSendMs = nowMs + everyMs - leastIntervalMs / 2;
     this.send();
   }
 
--- a/src/process/fleet/peer-table.ts
+++ b/src/process/fleet/peer-table.ts
@@ -1,10 +1,16 @@
+import {gossipIntervalMs} from './gossip-interval.js';
 import type {GossipMessage} from './gossip-message.js';
 
-/** Time after which a host that says nothing is not heard any more, in milliseconds. */
-export const heardWithinMs = 900;
+/** Least time after which a host that says nothing is not heard any more, in milliseconds. */
+const heardWithinMs = 900;
+/** Intervals between two messages after which it is not heard any more; two may be lost. */
+const heardIntervals = 3.5;
 /** Time after which a host that says nothing is not counted any more, in milliseconds. */
 const countedWithinMs = 30_000;
 
+/** Time for which a host counts as new, in milliseconds; a few messages of each other host. */
+const newForMs = 2000;
+
 /** What is known of another host. */
 export interface Peer {
   readonly host: string;
@@ -14,6 +20,8 @@
   message?: GossipMessage;
   /** Time of the newest message, or of the entry in the store, on the process's clock. */
   heardAtMs: number;
+  /** Time at which its present incarnation was heard first, on the process's clock. */
+  newAtMs: number;
   left: boolean;
 }
 
@@ -41,7 +49,14 @@
     if (host === this.self) return;
     const known = this.peers.get(host);
     if (!known) {
-      this.peers.set(host, {host, ip, zone, heardAtMs: nowMs, left: false});
+      this.peers.set(host, {
+        host,
+        ip,
+        zone,
+        heardAtMs: nowMs,
+        newAtMs: nowMs,
+        left: false,
+      });
     } else if (!known.message) {
       known.ip = ip;
     }
@@ -76,7 +91,15 @@
     ) {
       return false;
     }
-    const peer = known ?? {host, ip, zone, heardAtMs: nowMs, left: false};
+    const peer = known ?? {
+      host,
+      ip,
+      zone,
+      heardAtMs: nowMs,
+      newAtMs: nowMs,
+      left: false,
+    };
+    if (last?.incarnation !== incarnation) peer.newAtMs = nowMs;
     peer.ip = ip;
     peer.zone = zone;
     peer.message = message;
@@ -92,9 +115,23 @@
    * @param nowMs - Time on the process's clock, in milliseconds.
    */
   heard(nowMs: number): Peer[] {
-    return this.all.filter(
+    const {all} = this;
+    const everyMs = gossipIntervalMs(all.length);
+    const withinMs = Math.max(heardWithinMs, everyMs * heardIntervals);
+    return all.filter(
       ({message, heardAtMs}) =>
-        message !== undefined && nowMs - heardAtMs <= heardWithinMs,
+        message !== undefined && nowMs - heardAtMs <= withinMs,
+    );
+  }
+
+  /**
+   * Tells whether a host has started lately.
+   *
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  hasNew(nowMs: number): boolean {
+    return this.all.some(
+      ({message, newAtMs}) => message && nowMs - newAtMs <= newForMs,
     );
   }
 
--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -18,6 +18,12 @@
   readonly retryWindowMs: number;
   /** Repeats in a period that are allowed in addition, over all hosts. */
   readonly retrySlack: number;
+  /** Period over which the use of a quota is summed up, in milliseconds. */
+  readonly quotaWindowMs: number;
+  /** Part of a quota by which the sum over all hosts may exceed it. */
+  readonly quotaOver: number;
+  /** Units in a period that are allowed in addition, over all hosts. */
+  readonly quotaSlack: number;
   /** Factor by which the rate of a cold target may be exceeded. */
   readonly coldOver: number;
   /** Requests a second to a cold target that are allowed in addition. */
--- a/src/process/pool/choose-target.ts
+++ b/src/process/pool/choose-target.ts
@@ -14,6 +14,10 @@
   readonly cachedAt?: string;
   /** Availability zone of the host. */
   readonly zone: string;
+  /** Time on the process's clock, in milliseconds. */
+  readonly nowMs: number;
+  /** Price of a target for reasons of this host, in milliseconds. */
+  readonly extraMs?: (target: PooledTarget) => number;
 }
 
 /** Time for one token of a target that has not been measured, in milliseconds. */
@@ -47,7 +51,8 @@
  * @returns Time, in milliseconds, with failures and distance priced in.
  */
 export function costOf(target: PooledTarget, demand: Demand): number {
-  const busy = target.load / target.slots;
+  const load = target.loadAt(demand.nowMs);
+  const busy = load / target.slots;
   const distance = target.entry.zone === demand.zone ? 0 : otherZoneMs;
   const risk = target.failureRate * failureMs;
   if (demand.outputTokens === 0) {
@@ -62,7 +67,7 @@
     readMs + (target.unreadPrompts * tokenMs) / promptTokensPerStep;
   const lateMs = Math.max(0, firstMs - demand.objectiveMs * objectivePart);
   const streamMs = demand.outputTokens * tokenMs * (1 + fullSlowdown * busy);
-  const harmMs = harmPart * readMs * target.load;
+  const harmMs = harmPart * readMs * load;
   const unfinishedMs = Math.max(0, firstMs + streamMs - demand.leftMs);
   return (
     firstMs +
@@ -89,7 +94,7 @@
   let best: PooledTarget | undefined;
   let bestCost = Infinity;
   for (const target of targets) {
-    const cost = costOf(target, demand);
+    const cost = costOf(target, demand) + (demand.extraMs?.(target) ?? 0);
     if (cost < bestCost) {
       best = target;
       bestCost = cost;
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -1,3 +1,4 @@
+import type {ReportedLoad} from './load-reports.js';
 import type {TargetEntry} from '../../version/deployment/types.js';
 
 /** Weight of a new sample in the averages of one target. */
@@ -10,6 +11,9 @@
 const firstSuspensionMs = 300;
 const longestSuspensionMs = 2500;
 
+/** Time for which the load that a target states goes before the reports of hosts, in milliseconds. */
+const statedForMs = 300;
+
 /** How a request ended at a target. */
 export const outcomes = {
   /** Answered whole, whatever the caller thinks of the answer. */
@@ -31,14 +35,8 @@
 export class PooledTarget {
   /** Requests that this host has sent and that have not ended. */
   own = 0;
-  /** Requests that other hosts reported to have at the target. */
-  others = 0;
   /** Prompt tokens of this host's requests that have no first event yet. */
   ownPrompts = 0;
-  /** The same of other hosts, as reported. */
-  othersPrompts = 0;
-  /** Time for one generated token as other hosts measured it, in milliseconds; 0 if not known. */
-  reportedTokenMs = 0;
   private measuredTokenMs = 0;
   /** Time of a whole answer of a plain service, in milliseconds; 0 if not known. */
   answerMs = 0;
@@ -49,10 +47,19 @@
   /** Time until which the target is cold, on the process's clock. */
   coldUntilMs = 0;
   private failuresInRow = 0;
+  /** By how much the target's own figure differed from what was known, and until when that counts. */
+  private unseen = 0;
+  private unseenUntilMs = -Infinity;
   private suspensionMs = firstSuspensionMs;
 
-  /** @param entry - Entry of the target. */
-  constructor(public entry: TargetEntry) {}
+  /**
+   * @param entry - Entry of the target.
+   * @param reported - What other hosts report of it.
+   */
+  constructor(
+    public entry: TargetEntry,
+    readonly reported: Readonly<ReportedLoad>,
+  ) {}
 
   /** Requests that may run at once. */
   get slots(): number {
@@ -61,7 +68,7 @@
 
   /** Time for one generated token, in milliseconds; 0 if not known. */
   get tokenMs(): number {
-    return this.measuredTokenMs || this.reportedTokenMs;
+    return this.measuredTokenMs || this.reported.tokenMs;
   }
 
   /** Time for one generated token as this host measured it, in milliseconds; 0 if it has not. */
@@ -71,12 +78,31 @@
 
   /** Prompt tokens that the target has probably not read yet. */
   get unreadPrompts(): number {
-    return this.ownPrompts + this.othersPrompts;
+    return this.ownPrompts + this.reported.prompts;
   }
 
-  /** Requests that all hosts together have at the target, as far as is known. */
-  get load(): number {
-    return this.own + this.others;
+  /**
+   * Requests that all hosts together have at the target, as far as is known.
+   *
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  loadAt(nowMs: number): number {
+    const unseen = nowMs < this.unseenUntilMs ? this.unseen : 0;
+    return this.own + Math.max(0, this.reported.load + unseen);
+  }
+
+  /**
+   * Takes over the load that the target states in an answer, which is newer than the reports of hosts.
+   *
+   * @param load - Requests that run and that wait at the target.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  stated(
+    {running, waiting}: {readonly running: number; readonly waiting: number},
+    nowMs: number,
+  ): void {
+    this.unseen = running + waiting - this.own - this.reported.load;
+    this.unseenUntilMs = nowMs + statedForMs;
   }
 
   /**
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -5,10 +5,13 @@
 import type {TrialGate} from '../../version/deployment/trial-gate.js';
 import type {Clock} from '../clock.js';
 import type {ColdGate} from '../limits/cold-gate.js';
+import {gossipIntervalMs} from '../fleet/gossip-interval.js';
 import type {TargetReport} from '../fleet/gossip-message.js';
 import type {Logger} from '../logger.js';
 import {chooseTarget} from './choose-target.js';
+import {LoadReports} from './load-reports.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
+import {SlotShares} from './slot-shares.js';
 import {SessionMemory} from './session-memory.js';
 
 /** Part of a target's connections that all hosts together use. */
@@ -27,13 +30,29 @@
   readonly routes: () => RouteTable | undefined;
   readonly coldGate: ColdGate;
   readonly trials: TrialGate;
+  readonly host: string;
   /** Names of all hosts that may be running, this one included. */
   readonly hosts: () => readonly string[];
+  /** Random number in [0, 1). */
+  readonly random: () => number;
   readonly zone: string;
   readonly regions: ReadonlyMap<string, string>;
   readonly onOpened: () => void;
 }
 
+/**
+ * Time between two messages of a host from which its requests are heard of too late to choose among all
+ * targets, in milliseconds: several requests arrive at a target in this time.
+ */
+const lateNewsMs = 300;
+/** Targets of other hosts' shares that are looked at for one request, drawn anew each time. */
+const drawnTargets = 8;
+/**
+ * Price of a slot that belongs to another host, in milliseconds of estimated time: its owner may be
+ * sending there too.
+ */
+const foreignSlotMs = 60;
+
 interface Member {
   readonly target: PooledTarget;
   readonly connections: TargetConnections;
@@ -44,9 +63,13 @@
   private readonly members = new Map<string, Member>();
   private readonly byService = new Map<string, Member[]>();
   private readonly sessions = new SessionMemory();
+  private readonly reported = new LoadReports();
+  private readonly shares: SlotShares;
 
   /** @param parts - Parts of the process. */
-  constructor(private readonly parts: TargetPoolParts) {}
+  constructor(private readonly parts: TargetPoolParts) {
+    this.shares = new SlotShares(parts.host);
+  }
 
   /** What this host tells others of each target. */
   get reports(): Record<string, TargetReport> {
@@ -59,28 +82,23 @@
   }
 
   /**
-   * Takes over what other hosts report of each target.
+   * Takes over what another host reports of targets.
    *
-   * @param reports - Reports of each host that is heard.
+   * @param host - Name of the host.
+   * @param reports - Its reports by target.
    */
-  setOthers(reports: readonly Readonly<Record<string, TargetReport>>[]): void {
-    for (const [id, {target}] of this.members) {
-      let load = 0;
-      let prompts = 0;
-      let tokenMs = 0;
-      let measured = 0;
-      for (const report of reports) {
-        const entry = report[id];
-        if (!entry) continue;
-        load += entry.load;
-        prompts += entry.prompts;
-        tokenMs += entry.tokenMs;
-        if (entry.tokenMs > 0) measured++;
-      }
-      target.others = load;
-      target.othersPrompts = prompts;
-      target.reportedTokenMs = measured > 0 ? tokenMs / measured : 0;
-    }
+  hear(host: string, reports: Readonly<Record<string, TargetReport>>): void {
+    this.reported.hear(host, reports);
+  }
+
+  /**
+   * Drops the reports of hosts that are not heard any more.
+   *
+   * @param heard - Names of the hosts that are heard.
+   */
+  keepReportsOf(heard: ReadonlySet<string>): void {
+    this.reported.keepOnly(heard);
+    this.shares.setHosts([this.parts.host, ...heard]);
   }
 
   /** Takes over the targets that the deployment lists now. */
@@ -97,6 +115,8 @@
       this.members.delete(id);
       connections.closeIdle();
       coldGate.forget(id);
+      this.reported.forget(id);
+      this.shares.forget(id);
       logger.event('targetGone', {target: id, replaced});
     }
     this.byService.clear();
@@ -105,7 +125,7 @@
       if (!member) {
         const {onOpened} = this.parts;
         member = {
-          target: new PooledTarget(entry),
+          target: new PooledTarget(entry, this.reported.of(id)),
           connections: new TargetConnections(entry.address, onOpened),
         };
         this.members.set(id, member);
@@ -148,6 +168,8 @@
           ? undefined
           : this.sessions.get(request.session),
       zone: this.parts.zone,
+      nowMs,
+      extraMs: (target: PooledTarget) => this.foreignMs(target),
     };
     // A trial does not wait for the new version; the old one serves it just as well.
     const target =
@@ -244,11 +266,12 @@
    * @returns Requests and slots of all usable targets.
    */
   occupancy(service: string): {readonly load: number; readonly slots: number} {
+    const nowMs = this.parts.clock.nowMs();
     let load = 0;
     let slots = 0;
     for (const {target} of this.byService.get(service) ?? []) {
       if (target.entry.draining) continue;
-      load += target.load;
+      load += target.loadAt(nowMs);
       slots += target.slots;
     }
     return {load, slots};
@@ -261,9 +284,10 @@
    * @param version - Version that does not count.
    */
   loadBeside(service: string, version: string): number {
+    const nowMs = this.parts.clock.nowMs();
     let load = 0;
     for (const {target} of this.byService.get(service) ?? []) {
-      if (target.entry.version !== version) load += target.load;
+      if (target.entry.version !== version) load += target.loadAt(nowMs);
     }
     return load;
   }
@@ -282,12 +306,11 @@
           Math.floor((traits.maxConnections * connectionPart) / known.length),
         )
       : Infinity;
-    for (const {target, connections} of this.byService.get(request.service) ??
-      []) {
+    for (const {target, connections} of this.candidates(request.service)) {
       const {entry} = target;
       if (entry.draining || state.evacuatedZones.has(entry.zone)) continue;
       if (request.exclude.has(entry.id)) continue;
-      if (target.load >= target.slots) continue;
+      if (target.loadAt(nowMs) >= target.slots) continue;
       if (target.suspendedUntilMs > nowMs) continue;
       if (connections.idleSize === 0 && connections.size >= limit) continue;
       if (!trials.allows(request.service, entry.version, trial)) {
@@ -308,6 +331,37 @@
     }
   }
 
+  /**
+   * Lists the targets that are looked at for one request: all of them where hosts hear of each other in
+   * time, or else those of which this host owns a slot, and a few others.
+   */
+  private *candidates(service: string): Generator<Member> {
+    const members = this.byService.get(service) ?? [];
+    const {hosts, random} = this.parts;
+    if (gossipIntervalMs(hosts().length - 1) < lateNewsMs) {
+      yield* members;
+      return;
+    }
+    for (const member of members) {
+      if (this.ownsSlot(member.target)) yield member;
+    }
+    for (let i = 0; i < drawnTargets && members.length > 0; i++) {
+      const member = members[Math.floor(random() * members.length)];
+      if (!this.ownsSlot(member.target)) yield member;
+    }
+  }
+
+  private foreignMs(target: PooledTarget): number {
+    const hosts = this.parts.hosts().length;
+    const late = gossipIntervalMs(hosts - 1) >= lateNewsMs;
+    return late && !this.ownsSlot(target) ? foreignSlotMs : 0;
+  }
+
+  /** Whether one more request of this host at a target is within its share of the slots. */
+  private ownsSlot(target: PooledTarget): boolean {
+    return this.shares.of(target.entry.id, target.slots) > target.own;
+  }
+
   private isCold(target: PooledTarget, nowMs: number): boolean {
     const {service} = target.entry;
     const limit = this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -204,11 +204,12 @@
     const {attempt} = this;
     if (!attempt) return;
     attempt.head = answer;
+    const {target} = attempt;
+    const nowMs = this.parts.clock.nowMs();
     if (answer.coldMs) {
-      const {target} = attempt;
-      const untilMs = this.parts.clock.nowMs() + answer.coldMs;
-      target.coldUntilMs = Math.max(target.coldUntilMs, untilMs);
+      target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + answer.coldMs);
     }
+    if (answer.load) target.stated(answer.load, nowMs);
     if (!answer.notRun) {
       this.mayHaveRun = true;
       this.relay.begin(answer);
@@ -234,7 +235,7 @@
     if (!attempt || !head) return;
     if (head.notRun) {
       this.release(outcomes.refused);
-      return this.afterRefusal(attempt.target, head);
+      return this.afterRefusal(attempt.target);
     }
     if (!this.relay.isWhole(head.framed)) {
       return this.onFailure(exchangeFailures.cutOff, 'ends within an event');
@@ -289,8 +290,7 @@
     else this.refuse('targetsRefuse', this.returnMs(0));
   }
 
-  private afterRefusal(target: PooledTarget, head: AnswerHead): void {
-    if (head.load && head.load.waiting > 0) target.others++;
+  private afterRefusal(target: PooledTarget): void {
     if (this.repeat('refused', target)) return;
     if (this.relay.started) return this.breakOff();
     if (this.mayHaveRun) return this.refuse('targetFailed');
--- a/test/gateway/pool.test.ts
+++ b/test/gateway/pool.test.ts
@@ -1,22 +1,32 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {chooseTarget} from '../../src/process/pool/choose-target.js';
+import {LoadReports} from '../../src/process/pool/load-reports.js';
 import {outcomes, PooledTarget} from '../../src/process/pool/pooled-target.js';
+import {SlotShares} from '../../src/process/pool/slot-shares.js';
 import {RankQueue} from '../../src/process/pool/rank-queue.js';
 import {holdMs, returnAfterMs} from '../../src/request/gateway/hold-policy.js';
 
-function engine(id: string, tokenMs: number, own = 0): PooledTarget {
-  const target = new PooledTarget({
-    id,
-    service: 's',
-    address: '10.0.0.1:80',
-    zone: 'z',
-    version: 'v1',
-    slots: 10,
-    draining: false,
-    coldMs: 0,
-    bornMs: 0,
-  });
+function engine(
+  id: string,
+  tokenMs: number,
+  own = 0,
+  reportedTokenMs = 0,
+): PooledTarget {
+  const target = new PooledTarget(
+    {
+      id,
+      service: 's',
+      address: '10.0.0.1:80',
+      zone: 'z',
+      version: 'v1',
+      slots: 10,
+      draining: false,
+      coldMs: 0,
+      bornMs: 0,
+    },
+    {load: 0, prompts: 0, tokenMs: reportedTokenMs},
+  );
   if (tokenMs > 0) target.sampleToken(tokenMs);
   target.own = own;
   return target;
@@ -28,6 +38,7 @@
   objectiveMs: 400,
   leftMs: 12_000,
   zone: 'z',
+  nowMs: 0,
 };
 
 test('engines of unlike speed: the faster one is filled first', () => {
@@ -61,9 +72,8 @@
 });
 
 test('a host that was restarted uses the speeds that others measured', () => {
-  const [fast, slow] = [engine('fast', 0), engine('slow', 0)];
-  slow.reportedTokenMs = 12;
-  fast.reportedTokenMs = 3;
+  const fast = engine('fast', 0, 0, 3);
+  const slow = engine('slow', 0, 0, 12);
   assert.equal(chooseTarget([slow, fast], demand)?.entry.id, 'fast');
 });
 
@@ -173,3 +183,54 @@
     returnAfterMs(500, 12_000, 0.9),
   );
 });
+
+test('reports of other hosts add up, and end with the hosts that are not heard any more', () => {
+  const reports = new LoadReports();
+  const report = (load: number) => ({
+    t: {load, prompts: load * 100, tokenMs: 4},
+  });
+  reports.hear('a', report(3));
+  reports.hear('b', report(2));
+  reports.hear('a', report(1));
+  assert.deepEqual(reports.of('t'), {load: 3, prompts: 300, tokenMs: 4});
+  reports.hear('b', {});
+  assert.equal(reports.of('t').load, 1);
+  reports.keepOnly(new Set(['b']));
+  assert.deepEqual(reports.of('t'), {load: 0, prompts: 0, tokenMs: 4});
+});
+
+test('the load that a target states goes before older reports of hosts, for a while', () => {
+  const reports = new LoadReports();
+  const target = new PooledTarget(engine('t', 4).entry, reports.of('t'));
+  reports.hear('a', {t: {load: 2, prompts: 0, tokenMs: 4}});
+  target.own = 1;
+  assert.equal(target.loadAt(0), 3);
+  target.stated({running: 6, waiting: 2}, 0);
+  assert.equal(target.loadAt(100), 8);
+  target.own = 0;
+  assert.equal(target.loadAt(100), 7);
+  assert.equal(target.loadAt(1000), 2);
+  target.stated({running: 0, waiting: 0}, 1000);
+  assert.equal(target.loadAt(1100), 0);
+});
+
+// Guards against many hosts that all send to the target which was idle when they last heard of it.
+test('late news: each slot of a target belongs to one host, and all hosts agree on it', () => {
+  const hosts = Array.from({length: 69}, (_, i) => `host-${i}`);
+  const shares = hosts.map(host => new SlotShares(host));
+  for (const each of shares) each.setHosts([...hosts].reverse());
+  const owned = hosts.map(() => 0);
+  for (let id = 0; id < 98; id++) {
+    const slots = shares.map(each => each.of(`i-${id}`, 6));
+    assert.equal(
+      slots.reduce((sum, n) => sum + n, 0),
+      6,
+    );
+    slots.forEach((n, i) => (owned[i] += n));
+  }
+  assert.ok(Math.min(...owned) >= 2, 'every host owns some slots');
+  // A host that is not heard any more leaves its slots to the others.
+  for (const each of shares) each.setHosts(hosts.slice(0, 3));
+  const left = shares.slice(0, 3).map(each => each.of('i-0', 6));
+  assert.deepEqual(left, [2, 2, 2]);
+});
