Let one read pass after an offset that the log does not reach

Cause: found while reading the change: a datagram that names a target's change at an offset beyond the log made every later read count as overtaken, and the reads were repeated without a pause.

--- a/src/process/fleet/peer-table.ts
+++ b/src/process/fleet/peer-table.ts
@@ -49,14 +49,7 @@
     if (host === this.self) return;
     const known = this.peers.get(host);
     if (!known) {
-      this.peers.set(host, {
-        host,
-        ip,
-        zone,
-        heardAtMs: nowMs,
-        newAtMs: nowMs,
-        left: false,
-      });
+      this.peers.set(host, newPeer(host, ip, zone, nowMs));
     } else if (!known.message) {
       known.ip = ip;
     }
@@ -91,14 +84,7 @@
     ) {
       return false;
     }
-    const peer = known ?? {
-      host,
-      ip,
-      zone,
-      heardAtMs: nowMs,
-      newAtMs: nowMs,
-      left: false,
-    };
+    const peer: Peer = known ?? newPeer(host, ip, zone, nowMs);
     if (last?.incarnation !== incarnation) peer.newAtMs = nowMs;
     peer.ip = ip;
     peer.zone = zone;
@@ -148,3 +134,7 @@
     return names;
   }
 }
+
+function newPeer(host: string, ip: string, zone: string, nowMs: number): Peer {
+  return {host, ip, zone, heardAtMs: nowMs, newAtMs: nowMs, left: false};
+}
--- a/src/version/deployment/heard-targets.ts
+++ b/src/version/deployment/heard-targets.ts
@@ -24,9 +24,16 @@
     private readonly logger: Logger,
   ) {}
 
-  /** Offset of the latest change that another host told; -1 if none did. */
-  get toldOffset(): number {
-    return this.latestOffset;
+  /**
+   * Tells whether other hosts have told what lies beyond a read, which would be undone by it. The next
+   * read counts in any case, so that an offset which the log never reaches does not stop the reads.
+   *
+   * @param next - Offset up to which the log was read.
+   */
+  isBeyond(next: number): boolean {
+    const beyond = this.latestOffset >= next;
+    if (beyond) this.latestOffset = next - 1;
+    return beyond;
   }
 
   /** Whether the store must be read because the news of other hosts were not enough. */
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -271,7 +271,7 @@
       this.parts.logger.event('feedTruncated', {feed, from});
       return this.readNewest(feed);
     }
-    if (this.isOlderThanTold(feed, result.next)) return reads.overtaken;
+    if (this.isOvertaken(feed, result.next)) return reads.overtaken;
     const readable = this.readable(feed, result.records);
     const nowMs = clock.nowMs();
     const changed = state.apply(readable, nowMs, this.keepLapsedUntilMs());
@@ -280,15 +280,14 @@
     return changed.length > 0 ? reads.changed : reads.unchanged;
   }
 
-  /** Whether other hosts have told of targets what lies beyond a read, which would be undone by it. */
-  private isOlderThanTold(feed: Feed, next: number): boolean {
-    return feed === feeds.targets && this.heard.toldOffset >= next;
+  private isOvertaken(feed: Feed, next: number): boolean {
+    return feed === feeds.targets && this.heard.isBeyond(next);
   }
 
   private async readNewest(feed: Feed): Promise<Read> {
     const {clock, state, store} = this.parts;
     const {records, next} = await store.newest(feed);
-    if (this.isOlderThanTold(feed, next)) return reads.overtaken;
+    if (this.isOvertaken(feed, next)) return reads.overtaken;
     const changed = state.replace(
       feed,
       this.readable(feed, records),
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -282,6 +282,20 @@
   feed.stop();
 });
 
+// Guards against reads without a pause after a message that names an offset which the log never reaches.
+test('an offset that the log never reaches does not stop the reads of targets', async () => {
+  const fleet = await startFleet(1, 0, 4);
+  const [{feed, state}] = fleet.hosts;
+  const news = feed.news();
+  const changes = [{offset: 1_000_000, id: 'unknown', keepMs: 0}];
+  feed.hear({...news, digest: 0, targetsAgeMs: -1, changes});
+  fleet.store.reads = 0;
+  fleet.store.put(feeds.targets, {kind: 'target', id: 'i-3'});
+  await fleet.run(1500);
+  assert.ok(!state.targets.has('i-3'));
+  assert.ok(fleet.store.reads < 15, `${fleet.store.reads} reads`);
+});
+
 test('a host steps in for each further host only after another step without news', () => {
   const turn = new ReadTurn(2000, false);
   turn.confirm(1000);
