--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -338,8 +338,8 @@
    */
   private *candidates(service: string): Generator<Member> {
     const members = this.byService.get(service) ?? [];
-    const {hosts, random} = this.parts;
-    if (gossipIntervalMs(hosts().length - 1) < lateNewsMs) {
+    const {random} = this.parts;
+    if (!this.newsIsLate) {
       yield* members;
       return;
     }
@@ -352,10 +352,13 @@
     }
   }
 
+  /** Whether other hosts' requests are heard of too late to choose among all targets. */
+  private get newsIsLate(): boolean {
+    return gossipIntervalMs(this.parts.hosts().length - 1) >= lateNewsMs;
+  }
+
   private foreignMs(target: PooledTarget): number {
-    const hosts = this.parts.hosts().length;
-    const late = gossipIntervalMs(hosts - 1) >= lateNewsMs;
-    return late && !this.ownsSlot(target) ? foreignSlotMs : 0;
+    return this.newsIsLate && !this.ownsSlot(target) ? foreignSlotMs : 0;
   }
 
   /** Whether one more request of this host at a target is within its share of the slots. */
