Let a rollout wait for requests by the hosts' own account

Cause: found while reading the change: loadBeside, by which a rollout completes, used the load that targets state in answers, which may be lower than what hosts still have open for 0.3 s. Change: it counts what hosts report.

--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -81,6 +81,11 @@
     return this.ownPrompts + this.reported.prompts;
   }
 
+  /** Requests that hosts have at the target by their own account, whatever the target states. */
+  get reportedByHosts(): number {
+    return this.own + this.reported.load;
+  }
+
   /**
    * Requests that all hosts together have at the target, as far as is known.
    *
@@ -101,7 +106,7 @@
     {running, waiting}: {readonly running: number; readonly waiting: number},
     nowMs: number,
   ): void {
-    this.unseen = running + waiting - this.own - this.reported.load;
+    this.unseen = running + waiting - this.reportedByHosts;
     this.unseenUntilMs = nowMs + statedForMs;
   }
 
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -285,10 +285,9 @@
    * @param version - Version that does not count.
    */
   loadBeside(service: string, version: string): number {
-    const nowMs = this.parts.clock.nowMs();
     let load = 0;
     for (const {target} of this.byService.get(service) ?? []) {
-      if (target.entry.version !== version) load += target.loadAt(nowMs);
+      if (target.entry.version !== version) load += target.reportedByHosts;
     }
     return load;
   }
--- a/src/version/rollout/lease.ts
+++ b/src/version/rollout/lease.ts
@@ -4,7 +4,7 @@
 export const leaseMs = 10_000;
 /** Time between renewals, in milliseconds. */
 export const renewMs = 3000;
-/** Allowance for clocks that run at different speeds, in milliseconds. */
+/** Tolerance for clocks that run at different speeds, in milliseconds. */
 export const clockAllowanceMs = 2000;
 
 /** Record of stream `leases`. */
--- a/test/gateway/pool.test.ts
+++ b/test/gateway/pool.test.ts
@@ -220,6 +220,8 @@
   assert.equal(target.loadAt(1000), 2);
   target.stated({running: 0, waiting: 0}, 1000);
   assert.equal(target.loadAt(1100), 0);
+  // A rollout that waits for the last request of the old version must not miss one.
+  assert.equal(target.reportedByHosts, 2);
 });
 
 // Guards against many hosts that all send to the target which was idle when they last heard of it.
