Take over all removals of one message, and charge a repeat once

(1) Removals that a read of the newest records finds missing share an offset; a host that heard of them took over the first and read the store for the rest. (2) A repeat after a refusal was charged to the quota again, although the refused send did not run. (3) A query of HeardTargets changed its state under the name of a question, and a comment on turns did not say what it meant. Change: one bound for the whole message; a repeat is charged only if the send before it may have run; the method is dropBeyond.

--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -303,8 +303,8 @@
     const {id} = target.entry;
     if (!this.sends.takeRepeat(why, id, clock.nowMs())) return false;
     const {organisation, head} = this.request;
-    // Each run counts against the quota, not each request.
-    if (organisation && this.mayHaveRun) {
+    // Each run counts against the quota, not each request; what did not run is paid already.
+    if (organisation && why !== 'refused' && why !== 'not-sent') {
       this.parts.quotas.charge(organisation.name, this.units);
     }
     this.relay.restart();
--- a/src/version/deployment/heard-targets.ts
+++ b/src/version/deployment/heard-targets.ts
@@ -25,12 +25,13 @@
   ) {}
 
   /**
-   * Tells whether other hosts have told what lies beyond a read, which would be undone by it. The next
-   * read counts in any case, so that an offset which the log never reaches does not stop the reads.
+   * Tells whether other hosts have told what lies beyond a read, which would be undone by it, and drops
+   * that offset: the next read counts in any case, so that an offset which the log never reaches does not
+   * stop the reads.
    *
    * @param next - Offset up to which the log was read.
    */
-  isBeyond(next: number): boolean {
+  dropBeyond(next: number): boolean {
     const beyond = this.latestOffset >= next;
     if (beyond) this.latestOffset = next - 1;
     return beyond;
@@ -63,11 +64,13 @@
     nowMs: number,
   ): boolean {
     const {state} = this;
+    // Removals that one read has found missing share an offset, so the bound holds for the whole message.
+    const known = Math.max(next - 1, this.latestOffset);
     for (const {offset, id, entry, keepMs} of news.changes) {
-      if (offset < next || offset <= this.latestOffset) continue;
+      if (offset <= known) continue;
       const change = {kind: 'target', id, entry} as const;
       state.apply([{offset, change}], nowMs, keepMs > 0 ? nowMs + keepMs : 0);
-      this.latestOffset = offset;
+      this.latestOffset = Math.max(this.latestOffset, offset);
     }
     if (news.digest === state.targetsDigest) {
       this.caughtUp();
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -41,7 +41,10 @@
   readonly store: SharedStore;
   readonly state: DeploymentState;
   readonly bounds: Pick<Bounds, 'configMs' | 'drainMs'>;
-  /** Number of other hosts that read a log before this one; those in the way of their duty do not count. */
+  /**
+   * Number of other hosts that read a log before this one. While the store refuses this host (`failing`), all
+   * hosts that are heard count, or else only those that it answers.
+   */
   readonly turn: (feed: Feed, failing: boolean) => number;
   /** Called when other hosts should be told what this one has read. */
   readonly onRead: (changed: boolean) => void;
@@ -281,7 +284,7 @@
   }
 
   private isOvertaken(feed: Feed, next: number): boolean {
-    return feed === feeds.targets && this.heard.isBeyond(next);
+    return feed === feeds.targets && this.heard.dropBeyond(next);
   }
 
   private async readNewest(feed: Feed): Promise<Read> {
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -282,6 +282,17 @@
   feed.stop();
 });
 
+// Guards against a read of the store by every host after the log was cut and several targets were missing.
+test('removals that share an offset are all taken over from one message', async () => {
+  const fleet = await startFleet(1, 0, 5);
+  const [{feed, state}] = fleet.hosts;
+  const news = feed.news();
+  const offset = news.targets;
+  const changes = ['i-3', 'i-4', 'i-5'].map(id => ({offset, id, keepMs: 0}));
+  feed.hear({...news, targets: offset + 1, digest: 0, changes});
+  assert.equal(state.targets.size, 17);
+});
+
 // Guards against reads without a pause after a message that names an offset which the log never reaches.
 test('an offset that the log never reaches does not stop the reads of targets', async () => {
   const fleet = await startFleet(1, 0, 4);
