Log the age of the view when a host learns of changed targets

Change, none to decisions: messages carry the wall-clock time of the read on which the age of a view is based; event 7113 states, for each change of the targets, its source, the age of the view by messages, the age by wall clocks and the host that confirmed it last; a gauge shows the age of the view.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -195,7 +195,7 @@
       incarnation,
       sequence,
       leaving,
-      storeReachable: feed.awayMs() === 0,
+      storeReachable: feed.outage.durationMs === 0,
       feedUpdate: feed.composeUpdate(),
       targetReports: pool.reports,
       used: Object.fromEntries(quotas.totals),
@@ -238,7 +238,8 @@
     openRequests: () => handler.openRequests,
     waitingRequests: () => dispatcher.waiting,
     configurationVersion: () => routes?.configuration.version ?? 0,
-    storeUnavailableMs: () => feed.awayMs(),
+    storeUnavailableMs: () => feed.outage.durationMs,
+    targetsViewAgeMs: () => feed.targetsViewAgeMs,
     liveHosts: () => peers.heard(clock.nowMs()).length,
   });
 
@@ -308,7 +309,7 @@
     }),
     subscribe(gossip.messages, message => {
       const {host: from, incarnation: start, used, evidence, phases} = message;
-      feed.receiveUpdate(message.feedUpdate);
+      feed.receiveUpdate(message.feedUpdate, from);
       pool.applyReports(from, message.targetReports);
       if (message.levels)
         quotas.adoptLevels(message.levels, quotaOf, clock.nowMs());
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -38,6 +38,11 @@
     level: 'info',
     message: 'known targets differ from those of a host that has read further',
   },
+  targetsViewChanged: {
+    id: 7113,
+    level: 'info',
+    message: 'view of the targets changed',
+  },
   registrationFailed: {
     id: 7107,
     level: 'warn',
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -89,8 +89,13 @@
       n: message.sequence,
       b: message.leaving ? 1 : 0,
       s: message.storeReachable ? 1 : 0,
-      o: [update.orders, encodeAge(update.ordersAgeMs)],
-      t: [update.targets, encodeAge(update.targetsAgeMs), update.digest],
+      o: [update.orders, encodeAge(update.ordersAgeMs), update.ordersReadAtMs],
+      t: [
+        update.targets,
+        encodeAge(update.targetsAgeMs),
+        update.digest,
+        update.targetsReadAtMs,
+      ],
       c:
         update.changes.length > 0
           ? update.changes.map(encodeChange)
@@ -180,15 +185,24 @@
   c: unknown,
 ): FeedUpdate | undefined {
   if (!Array.isArray(o) || !Array.isArray(t)) return undefined;
-  const [orders, ordersAgeMs] = o as unknown[];
-  const [targets, targetsAgeMs, digest] = t as unknown[];
+  const [orders, ordersAgeMs, ordersReadAtMs] = o as unknown[];
+  const [targets, targetsAgeMs, digest, targetsReadAtMs] = t as unknown[];
   if (!isNumber(orders) || !isNumber(ordersAgeMs)) return undefined;
   if (!isNumber(targets) || !isNumber(targetsAgeMs) || !isNumber(digest)) {
     return undefined;
   }
   const rows = Array.isArray(c) ? (c as unknown[]) : [];
   const changes = rows.flatMap(row => decodeChange(row) ?? []);
-  return {orders, ordersAgeMs, targets, targetsAgeMs, digest, changes};
+  return {
+    orders,
+    ordersAgeMs,
+    ordersReadAtMs: isNumber(ordersReadAtMs) ? ordersReadAtMs : 0,
+    targets,
+    targetsAgeMs,
+    targetsReadAtMs: isNumber(targetsReadAtMs) ? targetsReadAtMs : 0,
+    digest,
+    changes,
+  };
 }
 
 function decodeChange(row: unknown): TargetUpdate | undefined {
--- a/src/process/fleet/peer-state-sync.ts
+++ b/src/process/fleet/peer-state-sync.ts
@@ -45,7 +45,10 @@
   private async sync(): Promise<void> {
     const {clock, feed, logger, peerPort, peers, random, state} = this.parts;
     const isBehind = state.configuration === undefined;
-    if (this.fetching || (feed.awayMs() < outageThresholdMs && !isBehind))
+    if (
+      this.fetching ||
+      (feed.outage.durationMs < outageThresholdMs && !isBehind)
+    )
       return;
     const {orders, targets} = feed.offsets;
     const ahead = peers.heard(clock.nowMs()).filter(({message}) => {
--- a/src/process/gateway-gauges.ts
+++ b/src/process/gateway-gauges.ts
@@ -8,6 +8,8 @@
   readonly configurationVersion: () => number;
   /** Time for which the store has not responded to reads, in milliseconds; 0 while it responds. */
   readonly storeUnavailableMs: () => number;
+  /** Time since the view of the targets was last known to be up to date, in milliseconds. */
+  readonly targetsViewAgeMs: () => number;
   /** Number of other hosts that sent gossip recently. */
   readonly liveHosts: () => number;
 }
@@ -42,6 +44,11 @@
     'Time for which the store has been unavailable; 0 while it responds',
     () => values.storeUnavailableMs() / 1000,
   );
+  metrics.gauge(
+    'guavaseam_gateway_targets_view_age_seconds',
+    'Time since the view of the targets was last known to be up to date',
+    () => values.targetsViewAgeMs() / 1000,
+  );
   metrics.gauge(
     'guavaseam_gateway_hosts_heard',
     'Other hosts from which gossip was received recently',
--- a/src/version/deployment/feed-update.ts
+++ b/src/version/deployment/feed-update.ts
@@ -20,9 +20,13 @@
   /** Offset up to which orders are known; -1 if they were not read. */
   readonly orders: number;
   readonly ordersAgeMs: number;
+  /** Wall-clock time of the read on which `ordersAgeMs` is based, by the reader's clock, in milliseconds; 0 for none. */
+  readonly ordersReadAtMs: number;
   /** Offset up to which targets are known; -1 if they were not read. */
   readonly targets: number;
   readonly targetsAgeMs: number;
+  /** The same as `ordersReadAtMs` for targets. */
+  readonly targetsReadAtMs: number;
   /** Digest of the listed targets; equal on hosts that know the same ones. */
   readonly digest: number;
   /** Recent changes of targets that the host has read from the store, oldest first. */
--- a/src/version/deployment/read-schedule.ts
+++ b/src/version/deployment/read-schedule.ts
@@ -21,12 +21,21 @@
  */
 const maxProbeIntervalMs = 3000;
 
+/** Evidence that this host was up to date with a log at some time. Only logged; no decision depends on it. */
+export interface Confirmation {
+  /** `store` for a read by this host, or else the host whose message it was. */
+  readonly by: string;
+  /** Wall-clock time of the read on which the evidence is based, by the reader's clock, in milliseconds. */
+  readonly readAtMs: number;
+}
+
 /**
  * Schedules the reads of one log by this host. Hosts share what they read by gossip, so the number of
  * reads does not grow with the number of hosts.
  */
 export class ReadSchedule {
   private confirmedAtMs = -Infinity;
+  private confirmation: Confirmation = {by: 'none', readAtMs: 0};
   private failedAtMs = -Infinity;
   private retryDelayMs = minRetryDelayMs;
   private failing = false;
@@ -50,13 +59,21 @@
     return this.confirmedAtMs;
   }
 
+  /** Evidence for {@link confirmedMs}. */
+  get confirmedBy(): Confirmation {
+    return this.confirmation;
+  }
+
   /**
    * Records that this host had applied everything that the log held at a time.
    *
    * @param atMs - Monotonic time, in milliseconds.
+   * @param confirmation - Evidence for it.
    */
-  confirm(atMs: number): void {
-    if (atMs > this.confirmedAtMs) this.confirmedAtMs = atMs;
+  confirm(atMs: number, confirmation: Confirmation): void {
+    if (atMs <= this.confirmedAtMs) return;
+    this.confirmedAtMs = atMs;
+    this.confirmation = confirmation;
   }
 
   /** Records a successful read. */
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -8,10 +8,11 @@
 import {FailureError} from '../../process/errors/catalogue.js';
 import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
-import {expiryGraceMs, type DeploymentState} from './deployment-state.js';
+import type {DeploymentState} from './deployment-state.js';
 import {RecentChanges, type FeedUpdate} from './feed-update.js';
 import {PeerTargetUpdates} from './peer-target-updates.js';
 import {ReadSchedule} from './read-schedule.js';
+import {StoreOutage} from './store-outage.js';
 
 /** Result of one read of a log. */
 const readOutcomes = {
@@ -34,6 +35,9 @@
 const minRetryDelayMs = 150;
 const maxRetryDelayMs = 800;
 
+/** Name of the evidence of a host's own reads; see {@link Confirmation.by}. */
+const ownRead = 'store';
+
 /** Dependencies of a {@link StateFeed}. */
 export interface StateFeedParts {
   readonly clock: Clock;
@@ -56,9 +60,7 @@
 /** Keeps the deployment state up to date from the logs of the store and the reports of other hosts. */
 export class StateFeed {
   private readonly next = new Map<Feed, number>();
-  private readonly failingSinceMs = new Map<Feed, number>();
-  /** Monotonic time at which the last outage of the store ended, in milliseconds. */
-  private storeBackAtMs = -Infinity;
+  private readonly storeOutage: StoreOutage;
   private stopped = false;
   private readonly schedules: Readonly<Record<SharedFeed, ReadSchedule>>;
   private readonly recent = new RecentChanges();
@@ -71,6 +73,7 @@
   /** @param parts - Dependencies. */
   constructor(private readonly parts: StateFeedParts) {
     const {configMs, drainMs} = parts.bounds;
+    this.storeOutage = new StoreOutage(parts.clock, parts.logger);
     this.heard = new PeerTargetUpdates(parts.state, parts.logger);
     this.schedules = {
       orders: new ReadSchedule(configMs, true),
@@ -106,7 +109,9 @@
     return {
       ...this.offsets,
       ordersAgeMs: Math.round(nowMs - orders.confirmedMs),
+      ordersReadAtMs: orders.confirmedBy.readAtMs,
       targetsAgeMs: Math.round(nowMs - targets.confirmedMs),
+      targetsReadAtMs: targets.confirmedBy.readAtMs,
       digest: this.parts.state.targetsDigest,
       changes: this.recent.list(nowMs),
     };
@@ -116,29 +121,40 @@
    * Applies what another host has read.
    *
    * @param peer - Report of the other host.
+   * @param from - Name of the other host.
    */
-  receiveUpdate(peer: FeedUpdate): void {
+  receiveUpdate(peer: FeedUpdate, from: string): void {
     const nowMs = this.parts.clock.nowMs();
     const {orders, targets} = this.offsets;
     if (orders >= 0 && peer.orders > orders) {
       this.reportedOrders = Math.max(this.reportedOrders, peer.orders);
       this.wakes.get(feeds.orders)?.();
     } else if (peer.orders === orders) {
-      this.schedules.orders.confirm(nowMs - peer.ordersAgeMs);
+      this.schedules.orders.confirm(nowMs - peer.ordersAgeMs, {
+        by: from,
+        readAtMs: peer.ordersReadAtMs,
+      });
+    }
+    if (targets >= 0 && peer.targets >= targets) {
+      this.syncTargets(peer, from, nowMs);
     }
-    if (targets >= 0 && peer.targets >= targets) this.syncTargets(peer, nowMs);
   }
 
-  private syncTargets(peer: FeedUpdate, nowMs: number): void {
+  private syncTargets(peer: FeedUpdate, from: string, nowMs: number): void {
     const schedule = this.schedules.targets;
+    const digest = this.parts.state.targetsDigest;
     const same = this.heard.apply(
       peer,
       this.offsets.targets,
       schedule.confirmedMs,
       nowMs,
     );
+    if (this.parts.state.targetsDigest !== digest) this.logViewChange(from);
     if (same) {
-      schedule.confirm(nowMs - peer.targetsAgeMs);
+      schedule.confirm(nowMs - peer.targetsAgeMs, {
+        by: from,
+        readAtMs: peer.targetsReadAtMs,
+      });
       this.advance({orders: -1, targets: peer.targets});
     } else if (this.heard.needsRead) {
       this.wakes.get(feeds.targets)?.();
@@ -164,17 +180,14 @@
     return this.next.get(feeds.statuses);
   }
 
-  /**
-   * Duration of the current outage of the store.
-   *
-   * @returns Milliseconds since reads of orders or targets began to fail; 0 if they succeed.
-   */
-  awayMs(): number {
-    const since = Math.min(
-      this.failingSinceMs.get(feeds.orders) ?? Infinity,
-      this.failingSinceMs.get(feeds.targets) ?? Infinity,
-    );
-    return since === Infinity ? 0 : this.parts.clock.nowMs() - since;
+  /** Whether and since when reads of the store fail. */
+  get outage(): StoreOutage {
+    return this.storeOutage;
+  }
+
+  /** Time since this host's view of the targets was last known to be up to date, in milliseconds. */
+  get targetsViewAgeMs(): number {
+    return this.parts.clock.nowMs() - this.schedules.targets.confirmedMs;
   }
 
   /**
@@ -207,9 +220,10 @@
     const {clock, random} = this.parts;
     const plan = this.schedules[feed];
     while (!this.stopped) {
-      const failing = this.failingSinceMs.has(feed);
+      const failing = this.storeOutage.affects(feed);
       const position = this.parts.position(feed, failing);
       const startMs = clock.nowMs();
+      const readAtMs = clock.wallMs();
       const leftMs = plan.dueAtMs(position, this.isBehind(feed)) - startMs;
       if (leftMs > 0) {
         await this.sleepUntilWoken(feed, leftMs);
@@ -218,17 +232,20 @@
       try {
         const read = await this.readOnce(feed, plan.waitMs);
         plan.succeeded();
-        this.succeeded(feed);
+        this.storeOutage.succeeded(feed);
         if (read === readOutcomes.overtaken) continue;
         const spentMs = clock.nowMs() - startMs;
         // A long poll that timed out proves that nothing was written until its end.
-        plan.confirm(startMs + (spentMs >= plan.waitMs ? plan.waitMs : 0));
+        plan.confirm(startMs + (spentMs >= plan.waitMs ? plan.waitMs : 0), {
+          by: ownRead,
+          readAtMs,
+        });
         if (feed === feeds.targets) this.heard.markCaughtUp();
         this.parts.onRead(read === readOutcomes.changed);
       } catch (err) {
         if (!(err instanceof FailureError)) throw err;
         plan.failed(clock.nowMs(), random());
-        this.failed(feed, err);
+        this.storeOutage.failed(feed, err.failure);
       }
     }
   }
@@ -246,11 +263,11 @@
       if (isNeeded()) {
         try {
           await this.readOnce(feed, 0);
-          this.succeeded(feed);
+          this.storeOutage.succeeded(feed);
           retryDelayMs = minRetryDelayMs;
         } catch (err) {
           if (!(err instanceof FailureError)) throw err;
-          this.failed(feed, err);
+          this.storeOutage.failed(feed, err.failure);
           await this.sleep(retryDelayMs * (0.5 + random()));
           retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
           continue;
@@ -277,8 +294,15 @@
     if (this.isReadOvertaken(feed, result.next)) return readOutcomes.overtaken;
     const readable = this.readable(feed, result.records);
     const nowMs = clock.nowMs();
-    const changed = state.apply(readable, nowMs, this.keepExpiredUntilMs());
+    const changed = state.apply(
+      readable,
+      nowMs,
+      this.storeOutage.keepExpiredUntilMs(),
+    );
     this.next.set(feed, result.next);
+    if (feed === feeds.targets && changed.length > 0) {
+      this.logViewChange(ownRead);
+    }
     this.recordChanges(changed, readable);
     return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
   }
@@ -295,7 +319,7 @@
       feed,
       this.readable(feed, records),
       clock.nowMs(),
-      this.keepExpiredUntilMs(),
+      this.storeOutage.keepExpiredUntilMs(),
     );
     const isFirst = !this.next.has(feed);
     if (next >= (this.next.get(feed) ?? 0)) this.next.set(feed, next);
@@ -331,6 +355,18 @@
     );
   }
 
+  /** Logs how old the view of the targets was when it changed, by the ages of messages and by wall clocks. */
+  private logViewChange(by: string): void {
+    const {clock, logger} = this.parts;
+    const {confirmedMs, confirmedBy} = this.schedules.targets;
+    logger.event('targetsViewChanged', {
+      by,
+      ageMs: Math.round(clock.nowMs() - confirmedMs),
+      readAgeMs: clock.wallMs() - confirmedBy.readAtMs,
+      confirmedBy: confirmedBy.by,
+    });
+  }
+
   private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
     return records.filter(record => {
       if (record.change.kind !== 'unreadable') return true;
@@ -347,30 +383,6 @@
     this.parts.logger.event('recordUnreadable', {feed, offset, ...change});
   }
 
-  /** Entries that expired during an outage of the store are written again soon after its end. */
-  private keepExpiredUntilMs(): number {
-    if (this.awayMs() > 0) return this.parts.clock.nowMs() + expiryGraceMs;
-    return this.storeBackAtMs + expiryGraceMs;
-  }
-
-  private succeeded(feed: Feed): void {
-    const sinceMs = this.failingSinceMs.get(feed);
-    if (sinceMs === undefined) return;
-    this.failingSinceMs.delete(feed);
-    const nowMs = this.parts.clock.nowMs();
-    this.storeBackAtMs = nowMs;
-    this.parts.logger.event('storeRegained', {
-      feed,
-      awayMs: Math.round(nowMs - sinceMs),
-    });
-  }
-
-  private failed(feed: Feed, {failure}: FailureError): void {
-    if (this.failingSinceMs.has(feed)) return;
-    this.failingSinceMs.set(feed, this.parts.clock.nowMs());
-    this.parts.logger.event('storeLost', {feed, ...failure});
-  }
-
   private sleepUntilWoken(feed: SharedFeed, ms: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.parts.clock.after(ms, resolve);
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -1,175 +1,28 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createRandom} from '../../src/process/random.js';
 import {
   feeds,
   type Feed,
   type ReadResult,
   type Snapshot,
 } from '../../src/connection/store/shared-store.js';
-import {
-  decodeGossip,
-  encodeGossip,
-} from '../../src/process/fleet/gossip-message.js';
 import {rendezvousRank} from '../../src/process/fleet/rendezvous.js';
 import {Logger} from '../../src/process/logger.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
-import type {FeedUpdate} from '../../src/version/deployment/feed-update.js';
 import {ReadSchedule} from '../../src/version/deployment/read-schedule.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {configuration, MemoryStore, targetChange} from './gateway-fakes.js';
+import {startFleet} from './simulated-fleet.js';
 
 const bounds = {configMs: 2000, drainMs: 2000};
-/** Gossip interval of each host, in milliseconds. */
-const gossipMs = 150;
-
-/** Store that counts reads and times long polls by the manual clock. */
-class CountingStore extends MemoryStore {
-  reads = 0;
-
-  constructor(private readonly clock: ManualClock) {
-    super();
-  }
-
-  override async newest(feed: Feed): Promise<Snapshot> {
-    this.reads++;
-    return super.newest(feed);
-  }
-
-  override async read(
-    feed: Feed,
-    from: number,
-    waitMs: number,
-  ): Promise<ReadResult> {
-    this.reads++;
-    const endMs = this.clock.nowMs() + waitMs;
-    for (;;) {
-      const page = await super.read(feed, from, 0);
-      const found = page.kind !== 'records' || page.records.length > 0;
-      if (found || this.clock.nowMs() >= endMs) return page;
-      await new Promise<void>(resolve => this.clock.after(10, resolve));
-    }
-  }
-}
-
-interface FleetHost {
-  readonly name: string;
-  readonly state: DeploymentState;
-  readonly feed: StateFeed;
-  dead: boolean;
-}
-
-/** Hosts that follow one store and exchange gossip; messages are lost at a seeded random rate. */
-class Fleet {
-  readonly clock = new ManualClock();
-  readonly store = new CountingStore(this.clock);
-  readonly hosts: FleetHost[] = [];
-  private readonly random: () => number;
-
-  constructor(
-    size: number,
-    private readonly lossRate: number,
-    seed: number,
-  ) {
-    this.random = createRandom(seed);
-    for (let i = 0; i < size; i++) this.add(`host-${i}`);
-  }
-
-  private add(name: string): void {
-    const state = new DeploymentState();
-    const host: FleetHost = {
-      name,
-      state,
-      dead: false,
-      feed: new StateFeed({
-        clock: this.clock,
-        logger: Logger.create('silent'),
-        store: this.store,
-        state,
-        bounds,
-        random: this.random,
-        position: feed =>
-          rendezvousRank(
-            feed,
-            name,
-            this.hosts.filter(({dead}) => !dead).map(each => each.name),
-          ),
-        onRead: changed => {
-          if (changed) this.sendUpdate(host);
-        },
-        onUnreadable: () => {},
-      }),
-    };
-    this.hosts.push(host);
-    const gossip = () => {
-      if (host.dead) return;
-      this.sendUpdate(host);
-      this.clock.after(gossipMs, gossip);
-    };
-    this.clock.after(Math.floor(this.random() * gossipMs), gossip);
-  }
-
-  private sendUpdate(from: FleetHost): void {
-    const update = encodeAndDecode(from.feed.composeUpdate());
-    for (const host of this.hosts) {
-      if (host === from || host.dead || this.random() < this.lossRate) continue;
-      host.feed.receiveUpdate(update);
-    }
-  }
-
-  async run(ms: number, each: () => void = () => {}): Promise<void> {
-    for (let passed = 0; passed < ms; passed += 10) {
-      this.clock.advance(10);
-      // Lets the promises of a read settle before the clock moves on.
-      for (let i = 0; i < 12; i++) await null;
-      each();
-    }
-  }
-}
-
-/** Passes an update through the encoding of the datagram. */
-function encodeAndDecode(update: FeedUpdate): FeedUpdate {
-  const message = decodeGossip(
-    encodeGossip({
-      host: 'h',
-      ip: '10.0.0.1',
-      zone: 'z',
-      incarnation: 1,
-      sequence: 1,
-      leaving: false,
-      storeReachable: true,
-      feedUpdate: update,
-      targetReports: {},
-      used: {},
-      evidence: new Map(),
-      phases: new Map(),
-    }),
-  );
-  assert.ok(message);
-  return message.feedUpdate;
-}
-
-async function startFleet(
-  size: number,
-  lossRate: number,
-  seed: number,
-): Promise<Fleet> {
-  const fleet = new Fleet(size, lossRate, seed);
-  for (let i = 0; i < 20; i++) {
-    fleet.store.put(feeds.targets, targetChange(`i-${i}`, `10.0.0.${i}:80`));
-  }
-  fleet.store.put(feeds.orders, {kind: 'configuration', configuration});
-  for (const {feed} of fleet.hosts) feed.start();
-  await fleet.run(2000);
-  return fleet;
-}
+const ownRead = {by: 'store', readAtMs: 0};
 
 // Guards against a load on the store that grows with the number of hosts: each host would read every log by itself.
 test('many hosts read the store about as often as one', async () => {
   const counts: number[] = [];
   for (const size of [1, 9, 75]) {
-    const fleet = await startFleet(size, 0, 1);
+    const fleet = await startFleet({size, seed: 1});
     fleet.store.reads = 0;
     await fleet.run(20_000, () => {
       // The heartbeats of targets add records to the log that change nothing.
@@ -186,7 +39,7 @@
 // log for all of them has crashed and gossip messages are lost.
 test('all hosts learn of a change in time despite lost messages and crashed readers', async () => {
   for (let seed = 1; seed <= 20; seed++) {
-    const fleet = await startFleet(9, 0.2, seed);
+    const fleet = await startFleet({size: 9, lossRate: 0.2, seed});
     for (const feed of [feeds.targets, feeds.orders]) {
       const alive = fleet.hosts.filter(({dead}) => !dead);
       const names = alive.map(({name}) => name);
@@ -217,7 +70,7 @@
 });
 
 test('all hosts learn that a target has become cold, with the remaining time', async () => {
-  const fleet = await startFleet(9, 0, 3);
+  const fleet = await startFleet({size: 9, seed: 3});
   const change = targetChange('i-5', '10.0.0.5:80');
   assert.ok(change.kind === 'target' && change.entry);
   const cold = {...change, entry: {...change.entry, coldMs: 3000}};
@@ -270,14 +123,19 @@
   store.put(feeds.targets, targetChange('i', '10.0.0.1:80'));
   clock.advance(600);
   await settle();
-  feed.receiveUpdate({
-    orders: -1,
-    ordersAgeMs: 0,
-    targets: 3,
-    targetsAgeMs: 0,
-    digest: 0,
-    changes: [{offset: 2, id: 'i', keepMs: 0}],
-  });
+  feed.receiveUpdate(
+    {
+      orders: -1,
+      ordersAgeMs: 0,
+      ordersReadAtMs: 0,
+      targets: 3,
+      targetsAgeMs: 0,
+      targetsReadAtMs: 0,
+      digest: 0,
+      changes: [{offset: 2, id: 'i', keepMs: 0}],
+    },
+    'other',
+  );
   assert.ok(!state.targets.has('i'));
   release();
   await settle();
@@ -288,23 +146,29 @@
 // Guards against a read of the store by every host after the log was truncated: several targets are then found missing
 // at once, so their removals are announced with the same offset.
 test('removals that share an offset are all applied from one message', async () => {
-  const fleet = await startFleet(1, 0, 5);
+  const fleet = await startFleet({size: 1, seed: 5});
   const [{feed, state}] = fleet.hosts;
   const update = feed.composeUpdate();
   const offset = update.targets;
   const changes = ['i-3', 'i-4', 'i-5'].map(id => ({offset, id, keepMs: 0}));
-  feed.receiveUpdate({...update, targets: offset + 1, digest: 0, changes});
+  feed.receiveUpdate(
+    {...update, targets: offset + 1, digest: 0, changes},
+    'other',
+  );
   assert.equal(state.targets.size, 17);
 });
 
 // Guards against reads without delay: a message reports an offset that the log never reaches, so every read would be
 // discarded as older and repeated at once.
 test('a reported offset that the log never reaches does not block the reads of targets', async () => {
-  const fleet = await startFleet(1, 0, 4);
+  const fleet = await startFleet({size: 1, seed: 4});
   const [{feed, state}] = fleet.hosts;
   const update = feed.composeUpdate();
   const changes = [{offset: 1_000_000, id: 'unknown', keepMs: 0}];
-  feed.receiveUpdate({...update, digest: 0, targetsAgeMs: -1, changes});
+  feed.receiveUpdate(
+    {...update, digest: 0, targetsAgeMs: -1, changes},
+    'other',
+  );
   fleet.store.reads = 0;
   fleet.store.put(feeds.targets, {kind: 'target', id: 'i-3'});
   await fleet.run(1500);
@@ -314,7 +178,7 @@
 
 test('each further host starts to read only after another step without an update', () => {
   const schedule = new ReadSchedule(2000, false);
-  schedule.confirm(1000);
+  schedule.confirm(1000, ownRead);
   const due = [0, 1, 2, 3, 50].map(position =>
     schedule.dueAtMs(position, false),
   );
@@ -324,8 +188,8 @@
   assert.equal(schedule.dueAtMs(0, false), 2550);
   assert.ok(schedule.dueAtMs(50, false) > schedule.dueAtMs(0, false));
   // Updates of other hosts postpone the next attempt, but not indefinitely.
-  schedule.confirm(2500);
+  schedule.confirm(2500, ownRead);
   assert.ok(schedule.dueAtMs(50, false) > 2550);
-  schedule.confirm(60_000);
+  schedule.confirm(60_000, ownRead);
   assert.ok(schedule.dueAtMs(0, false) <= 5400);
 });
