Date what another host has read by an echo, not by the receipt of its message

What callers saw: on grown deployments requests reached targets more than drainMs after they had said that they leave (DRAIN), with no failed read and a store that worked.

Cause: a message states how old its sender's view was when it was composed, and the recipient subtracted that age from the time at which it processed the message. The time in queues, on the link and in the event loop was lost at each step, and hosts pass the confirmation on to each other, so the age of a view grew more slowly than time. The host that reads for all believed it too. Class: the time at which a statement is processed taken for the time at which it was made.

Change: a message carries the sender's monotonic time; each copy of a message echoes that of its recipient's newest message, and how long it was held. So the recipient knows a time of its own clock before which the message was not composed, and dates the view by that. No clock is compared with another host's. The echo is encoded for each recipient, the rest of the message once.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -186,6 +186,7 @@
     clock,
     ip,
     port: settings.gossipPort,
+    incarnation,
     seeds: settings.seeds,
     peers,
     compose: sequence => ({
@@ -194,6 +195,7 @@
       zone,
       incarnation,
       sequence,
+      sentAtMs: clock.nowMs(),
       leaving,
       storeReachable: feed.outage.durationMs === 0,
       feedUpdate: feed.composeUpdate(),
@@ -307,9 +309,9 @@
       }
       dispatcher.serveAll();
     }),
-    subscribe(gossip.messages, message => {
+    subscribe(gossip.messages, ({message, composedAtMs}) => {
       const {host: from, incarnation: start, used, evidence, phases} = message;
-      feed.receiveUpdate(message.feedUpdate, from);
+      feed.receiveUpdate(message.feedUpdate, from, composedAtMs);
       pool.applyReports(from, message.targetReports);
       if (message.levels)
         quotas.adoptLevels(message.levels, quotaOf, clock.nowMs());
--- a/src/process/clock.ts
+++ b/src/process/clock.ts
@@ -62,3 +62,31 @@
     cancel();
   };
 }
+
+/** Sleep of one task that other code can end early. */
+export class InterruptibleSleep {
+  private wake: () => void = () => {};
+
+  /** @param clock - Clock that provides the timer. */
+  constructor(private readonly clock: Clock) {}
+
+  /**
+   * Waits for a time or until {@link interrupt} is called.
+   *
+   * @param ms - Maximum time, in milliseconds.
+   */
+  sleep(ms: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.clock.after(ms, resolve);
+      this.wake = () => {
+        cancel();
+        resolve();
+      };
+    });
+  }
+
+  /** Ends the current sleep, if there is one. */
+  interrupt(): void {
+    this.wake();
+  }
+}
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -24,6 +24,19 @@
   readonly tokenMs: number;
 }
 
+/**
+ * States how long ago the sender of a message received the newest message of its recipient. With it the
+ * recipient computes by its own clock when the sender composed the message; see {@link composedAtMs}.
+ */
+export interface Echo {
+  /** Incarnation of the recipient that sent the newest message. */
+  readonly incarnation: number;
+  /** `sentAtMs` of that message. */
+  readonly sentAtMs: number;
+  /** Time from its receipt to composing this message, in milliseconds. */
+  readonly heldMs: number;
+}
+
 /** Gossip message, which each host sends to all others several times per second. */
 export interface GossipMessage {
   readonly host: string;
@@ -33,6 +46,10 @@
   readonly incarnation: number;
   /** Increases with each message of an incarnation. */
   readonly sequence: number;
+  /** Monotonic time of the host when it composed the message, in milliseconds; only the host itself can interpret it. */
+  readonly sentAtMs: number;
+  /** About the recipient's newest message; differs between recipients, absent if none was received. */
+  readonly echo?: Echo;
   /** Whether the host is about to stop permanently. */
   readonly leaving: boolean;
   /** Whether calls of the host to the store succeed. */
@@ -55,9 +72,11 @@
 }
 
 /**
- * Encodes a message as JSON. Single-letter keys and arrays keep it within one datagram.
+ * Encodes a message as JSON, except for its echo, so that the part which is the same for all recipients is
+ * encoded once. Single-letter keys and arrays keep it within one datagram.
  *
  * @param message - Message to send.
+ * @returns The beginning of the datagram; {@link encodeEcho} returns the rest.
  */
 export function encodeGossip(message: GossipMessage): Buffer {
   const {feedUpdate: update} = message;
@@ -80,32 +99,42 @@
   )) {
     reports[id] = [load, pendingPromptTokens, Math.round(tokenMs * 100) / 100];
   }
+  const json = JSON.stringify({
+    h: message.host,
+    a: message.ip,
+    z: message.zone,
+    i: message.incarnation,
+    n: message.sequence,
+    m: Math.floor(message.sentAtMs),
+    b: message.leaving ? 1 : 0,
+    s: message.storeReachable ? 1 : 0,
+    o: [update.orders, encodeAge(update.ordersAgeMs), update.ordersReadAtMs],
+    t: [
+      update.targets,
+      encodeAge(update.targetsAgeMs),
+      update.digest,
+      update.targetsReadAtMs,
+    ],
+    c: update.changes.length > 0 ? update.changes.map(encodeChange) : undefined,
+    l: reports,
+    u: message.used,
+    q: message.levels,
+    e: message.evidence.size > 0 ? evidence : undefined,
+    p: message.phases.size > 0 ? phases : undefined,
+  });
+  return Buffer.from(json.slice(0, -1));
+}
+
+/**
+ * Encodes the end of a message, which differs between recipients.
+ *
+ * @param echo - Echo for the recipient.
+ */
+export function encodeEcho(echo: Echo | undefined): Buffer {
+  if (!echo) return Buffer.from('}');
+  const {incarnation, sentAtMs, heldMs} = echo;
   return Buffer.from(
-    JSON.stringify({
-      h: message.host,
-      a: message.ip,
-      z: message.zone,
-      i: message.incarnation,
-      n: message.sequence,
-      b: message.leaving ? 1 : 0,
-      s: message.storeReachable ? 1 : 0,
-      o: [update.orders, encodeAge(update.ordersAgeMs), update.ordersReadAtMs],
-      t: [
-        update.targets,
-        encodeAge(update.targetsAgeMs),
-        update.digest,
-        update.targetsReadAtMs,
-      ],
-      c:
-        update.changes.length > 0
-          ? update.changes.map(encodeChange)
-          : undefined,
-      l: reports,
-      u: message.used,
-      q: message.levels,
-      e: message.evidence.size > 0 ? evidence : undefined,
-      p: message.phases.size > 0 ? phases : undefined,
-    }),
+    `,"r":[${incarnation},${sentAtMs},${Math.floor(heldMs)}]}`,
   );
 }
 
@@ -135,7 +164,7 @@
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
-  const {h, a, z, i, n, b, s, o, t, c, l, u, q, e, p} = value as Record<
+  const {h, a, z, i, n, m, r, b, s, o, t, c, l, u, q, e, p} = value as Record<
     string,
     unknown
   >;
@@ -143,13 +172,15 @@
     return undefined;
   }
   const update = decodeFeedUpdate(o, t, c);
-  if (!isNumber(i) || !isNumber(n) || !update) return undefined;
+  if (!isNumber(i) || !isNumber(n) || !isNumber(m) || !update) return undefined;
   return {
     host: h,
     ip: a,
     zone: z,
     incarnation: i,
     sequence: n,
+    sentAtMs: m,
+    echo: decodeEcho(r),
     leaving: b === 1,
     storeReachable: s === 1,
     feedUpdate: update,
@@ -179,6 +210,15 @@
   );
 }
 
+function decodeEcho(value: unknown): Echo | undefined {
+  if (!Array.isArray(value)) return undefined;
+  const [incarnation, sentAtMs, heldMs] = value as unknown[];
+  if (!isNumber(incarnation) || !isNumber(sentAtMs) || !isNumber(heldMs)) {
+    return undefined;
+  }
+  return {incarnation, sentAtMs, heldMs};
+}
+
 function decodeFeedUpdate(
   o: unknown,
   t: unknown,
--- a/src/process/fleet/gossip-task.ts
+++ b/src/process/fleet/gossip-task.ts
@@ -4,17 +4,28 @@
 import {Subject} from '../subject.js';
 import {
   decodeGossip,
+  encodeEcho,
   encodeGossip,
   type GossipMessage,
 } from './gossip-message.js';
 import {gossipIntervalMs, minIntervalMs} from './gossip-interval.js';
-import type {PeerTable} from './peer-table.js';
+import {composedAtMs, echoFor} from './message-time.js';
+import type {Peer, PeerTable} from './peer-table.js';
+
+/** A message with the time to which its statements refer. */
+export interface ReceivedGossip {
+  readonly message: GossipMessage;
+  /** Monotonic time of this host before which the message was not composed; `-Infinity` if unknown. */
+  readonly composedAtMs: number;
+}
 
 /** Dependencies of a {@link GossipTask}. */
 export interface GossipParts {
   readonly clock: Clock;
   readonly ip: string;
   readonly port: number;
+  /** Unix time at which this host started, in milliseconds. */
+  readonly incarnation: number;
   /** Hosts that are contacted while no other host is known. */
   readonly seeds: readonly Endpoint[];
   readonly peers: PeerTable;
@@ -27,7 +38,7 @@
 /** Owns the gossip socket: sends this host's messages to all other hosts and receives theirs. */
 export class GossipTask {
   private readonly socket: Socket = createSocket('udp4');
-  private readonly subject = new Subject<GossipMessage>();
+  private readonly subject = new Subject<ReceivedGossip>();
   private sequence = 0;
   private cancel: Cancel = () => {};
   private nextSendMs = 0;
@@ -60,16 +71,19 @@
 
   /** Sends a message to all known hosts immediately. */
   send(): void {
-    const {peers, port, seeds, compose} = this.parts;
-    const datagram = encodeGossip(compose(++this.sequence));
-    const addresses = new Set(peers.all.map(({ip}) => ip));
+    const {clock, ip, peers, port, seeds, compose} = this.parts;
+    const nowMs = clock.nowMs();
+    const shared = encodeGossip(compose(++this.sequence));
+    const recipients = new Map<string, Peer | undefined>();
+    for (const peer of peers.all) recipients.set(peer.ip, peer);
     // Seeds are only contacted while no other host is known.
-    if (addresses.size === 0)
-      for (const seed of seeds) addresses.add(seed.address);
-    addresses.delete(this.parts.ip);
-    for (const address of addresses) {
+    if (recipients.size === 0)
+      for (const {address} of seeds) recipients.set(address, undefined);
+    recipients.delete(ip);
+    for (const [address, peer] of recipients) {
+      const rest = encodeEcho(peer && echoFor(peer, nowMs));
       // Send errors are ignored: the next message replaces this one.
-      this.socket.send(datagram, port, address, () => {});
+      this.socket.send([shared, rest], port, address, () => {});
     }
   }
 
@@ -99,8 +113,12 @@
       this.parts.onRejected(address);
       return;
     }
-    if (this.parts.peers.receive(message, this.parts.clock.nowMs())) {
-      this.subject.next(message);
-    }
+    const {clock, incarnation, peers} = this.parts;
+    const nowMs = clock.nowMs();
+    if (!peers.receive(message, nowMs)) return;
+    this.subject.next({
+      message,
+      composedAtMs: composedAtMs(message.echo, incarnation, nowMs),
+    });
   }
 }
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -4,7 +4,7 @@
   type FeedRecord,
   type SharedStore,
 } from '../../connection/store/shared-store.js';
-import type {Clock} from '../../process/clock.js';
+import {InterruptibleSleep, type Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
 import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
@@ -64,8 +64,8 @@
   private stopped = false;
   private readonly schedules: Readonly<Record<SharedFeed, ReadSchedule>>;
   private readonly recent = new RecentChanges();
-  /** Callbacks that end the current sleep of a shared log's loop. */
-  private readonly wakes = new Map<SharedFeed, () => void>();
+  /** Sleeps of the loops that read the shared logs. */
+  private readonly sleeps: Readonly<Record<SharedFeed, InterruptibleSleep>>;
   /** Highest offset up to which another host reported to have read orders. */
   private reportedOrders = -1;
   private readonly heard: PeerTargetUpdates;
@@ -73,6 +73,10 @@
   /** @param parts - Dependencies. */
   constructor(private readonly parts: StateFeedParts) {
     const {configMs, drainMs} = parts.bounds;
+    this.sleeps = {
+      orders: new InterruptibleSleep(parts.clock),
+      targets: new InterruptibleSleep(parts.clock),
+    };
     this.storeOutage = new StoreOutage(parts.clock, parts.logger);
     this.heard = new PeerTargetUpdates(parts.state, parts.logger);
     this.schedules = {
@@ -99,7 +103,8 @@
   /** Stops reading after the calls in progress. */
   stop(): void {
     this.stopped = true;
-    for (const wake of this.wakes.values()) wake();
+    this.sleeps.orders.interrupt();
+    this.sleeps.targets.interrupt();
   }
 
   /** Builds the report of this host's read positions and recent changes for the other hosts. */
@@ -122,25 +127,30 @@
    *
    * @param peer - Report of the other host.
    * @param from - Name of the other host.
+   * @param composedAtMs - Monotonic time before which the report was not composed, in milliseconds.
    */
-  receiveUpdate(peer: FeedUpdate, from: string): void {
-    const nowMs = this.parts.clock.nowMs();
+  receiveUpdate(peer: FeedUpdate, from: string, composedAtMs: number): void {
     const {orders, targets} = this.offsets;
     if (orders >= 0 && peer.orders > orders) {
       this.reportedOrders = Math.max(this.reportedOrders, peer.orders);
-      this.wakes.get(feeds.orders)?.();
+      this.sleeps.orders.interrupt();
     } else if (peer.orders === orders) {
-      this.schedules.orders.confirm(nowMs - peer.ordersAgeMs, {
+      this.schedules.orders.confirm(composedAtMs - peer.ordersAgeMs, {
         by: from,
         readAtMs: peer.ordersReadAtMs,
       });
     }
     if (targets >= 0 && peer.targets >= targets) {
-      this.syncTargets(peer, from, nowMs);
+      this.syncTargets(peer, from, composedAtMs);
     }
   }
 
-  private syncTargets(peer: FeedUpdate, from: string, nowMs: number): void {
+  private syncTargets(
+    peer: FeedUpdate,
+    from: string,
+    composedAtMs: number,
+  ): void {
+    const nowMs = this.parts.clock.nowMs();
     const schedule = this.schedules.targets;
     const digest = this.parts.state.targetsDigest;
     const same = this.heard.apply(
@@ -151,13 +161,13 @@
     );
     if (this.parts.state.targetsDigest !== digest) this.logViewChange(from);
     if (same) {
-      schedule.confirm(nowMs - peer.targetsAgeMs, {
+      schedule.confirm(composedAtMs - peer.targetsAgeMs, {
         by: from,
         readAtMs: peer.targetsReadAtMs,
       });
       this.advance({orders: -1, targets: peer.targets});
     } else if (this.heard.needsRead) {
-      this.wakes.get(feeds.targets)?.();
+      this.sleeps.targets.interrupt();
     }
   }
 
@@ -226,7 +236,7 @@
       const readAtMs = clock.wallMs();
       const leftMs = plan.dueAtMs(position, this.isBehind(feed)) - startMs;
       if (leftMs > 0) {
-        await this.sleepUntilWoken(feed, leftMs);
+        await this.sleeps[feed].sleep(leftMs);
         continue;
       }
       try {
@@ -383,16 +393,6 @@
     this.parts.logger.event('recordUnreadable', {feed, offset, ...change});
   }
 
-  private sleepUntilWoken(feed: SharedFeed, ms: number): Promise<void> {
-    return new Promise(resolve => {
-      const cancel = this.parts.clock.after(ms, resolve);
-      this.wakes.set(feed, () => {
-        cancel();
-        resolve();
-      });
-    });
-  }
-
   private sleep(ms: number): Promise<void> {
     return new Promise(resolve => this.parts.clock.after(ms, resolve));
   }
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -135,6 +135,7 @@
       changes: [{offset: 2, id: 'i', keepMs: 0}],
     },
     'other',
+    clock.nowMs(),
   );
   assert.ok(!state.targets.has('i'));
   release();
@@ -154,6 +155,7 @@
   feed.receiveUpdate(
     {...update, targets: offset + 1, digest: 0, changes},
     'other',
+    fleet.clock.nowMs(),
   );
   assert.equal(state.targets.size, 17);
 });
@@ -168,6 +170,7 @@
   feed.receiveUpdate(
     {...update, digest: 0, targetsAgeMs: -1, changes},
     'other',
+    fleet.clock.nowMs(),
   );
   fleet.store.reads = 0;
   fleet.store.put(feeds.targets, {kind: 'target', id: 'i-3'});
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -11,9 +11,10 @@
 } from '../../src/process/fleet/gossip-interval.js';
 import {
   decodeGossip,
+  encodeEcho,
   encodeGossip,
-  type GossipMessage,
 } from '../../src/process/fleet/gossip-message.js';
+import {composedAtMs, echoFor} from '../../src/process/fleet/message-time.js';
 import {PeerTable} from '../../src/process/fleet/peer-table.js';
 import {rendezvousRank} from '../../src/process/fleet/rendezvous.js';
 import {Logger} from '../../src/process/logger.js';
@@ -25,6 +26,7 @@
 
 /** Step of the simulation, in milliseconds; delays are rounded up to it. */
 const stepMs = 10;
+const incarnation = 1;
 /** Number of targets at the start: `i-0` to `i-19`. */
 const targets = 20;
 
@@ -196,12 +198,15 @@
 
   private send(from: FleetHost): void {
     const {lossRate = 0, delayMs = () => 0} = this.options;
-    const message = this.compose(from);
+    const shared = this.encode(from);
+    const nowMs = this.clock.nowMs();
     for (const to of this.hosts) {
       if (to === from || this.random() < lossRate) continue;
       const transitMs = delayMs(from.name, to.name, this.random());
       const steps = Math.ceil((this.clock.nowMs() + transitMs) / stepMs);
-      const deliver = () => this.deliver(message, from, to);
+      const peer = from.peers.all.find(({host}) => host === to.name);
+      const rest = encodeEcho(peer && echoFor(peer, nowMs));
+      const deliver = () => this.deliver([shared, rest], to);
       if (transitMs === 0) {
         deliver();
         continue;
@@ -212,36 +217,35 @@
     }
   }
 
-  /** Builds a message and passes it through the encoding of the datagram. */
-  private compose(from: FleetHost): GossipMessage {
-    const message = decodeGossip(
-      encodeGossip({
-        host: from.name,
-        ip: from.name,
-        zone: 'z',
-        incarnation: 1,
-        sequence: ++from.sequence,
-        leaving: false,
-        storeReachable: from.feed.outage.durationMs === 0,
-        feedUpdate: from.feed.composeUpdate(),
-        targetReports: {},
-        used: {},
-        evidence: new Map(),
-        phases: new Map(),
-      }),
-    );
-    if (!message) throw new Error('the message cannot be decoded');
-    return message;
+  private encode(from: FleetHost): Buffer {
+    return encodeGossip({
+      host: from.name,
+      ip: from.name,
+      zone: 'z',
+      incarnation,
+      sequence: ++from.sequence,
+      sentAtMs: this.clock.nowMs(),
+      leaving: false,
+      storeReachable: from.feed.outage.durationMs === 0,
+      feedUpdate: from.feed.composeUpdate(),
+      targetReports: {},
+      used: {},
+      evidence: new Map(),
+      phases: new Map(),
+    });
   }
 
-  private deliver(
-    message: GossipMessage,
-    from: FleetHost,
-    to: FleetHost,
-  ): void {
+  private deliver(datagram: Buffer[], to: FleetHost): void {
     if (to.dead) return;
-    if (!to.peers.receive(message, this.clock.nowMs())) return;
-    to.feed.receiveUpdate(message.feedUpdate, from.name);
+    const message = decodeGossip(Buffer.concat(datagram));
+    if (!message) throw new Error('the message cannot be decoded');
+    const nowMs = this.clock.nowMs();
+    if (!to.peers.receive(message, nowMs)) return;
+    to.feed.receiveUpdate(
+      message.feedUpdate,
+      message.host,
+      composedAtMs(message.echo, incarnation, nowMs),
+    );
   }
 }
 
