Do not take a late response of the store for a poll that timed out

What callers would see: a configuration, an evacuation or a rollout order in force later than its bound.

A long poll of orders that took as long as its timeout counted as proof that nothing was written until its end, also if it had returned records early and was processed late by a slow host.

Change: only an empty page that came after the timeout of the poll proves that; any other confirms the time of its start.

--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -18,6 +18,8 @@
 const readOutcomes = {
   changed: 'changed',
   unchanged: 'unchanged',
+  /** The log held no further record until the end of the poll. */
+  empty: 'empty',
   /** Discarded: while it ran, other hosts reported records beyond its end. */
   overtaken: 'overtaken',
 } as const;
@@ -245,8 +247,10 @@
         this.storeOutage.succeeded(feed);
         if (read === readOutcomes.overtaken) continue;
         const spentMs = clock.nowMs() - startMs;
-        // A long poll that timed out proves that nothing was written until its end.
-        plan.confirm(startMs + (spentMs >= plan.waitMs ? plan.waitMs : 0), {
+        // A long poll that timed out proves that nothing was written until its end. One that returned
+        // records proves nothing about the time after its start, however late it is processed.
+        const timedOut = read === readOutcomes.empty && spentMs >= plan.waitMs;
+        plan.confirm(startMs + (timedOut ? plan.waitMs : 0), {
           by: ownRead,
           readAtMs,
         });
@@ -314,6 +318,7 @@
       this.logViewChange(ownRead);
     }
     this.recordChanges(changed, readable);
+    if (result.records.length === 0) return readOutcomes.empty;
     return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
   }
 
@@ -378,21 +383,15 @@
   }
 
   private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
-    return records.filter(record => {
-      if (record.change.kind !== 'unreadable') return true;
-      this.unreadable(feed, record);
+    const {logger, onUnreadable} = this.parts;
+    return records.filter(({offset, change}) => {
+      if (change.kind !== 'unreadable') return true;
+      onUnreadable(feed);
+      logger.event('recordUnreadable', {feed, offset, ...change});
       return false;
     });
   }
 
-  private unreadable(
-    feed: Feed,
-    {offset, change}: {offset: number; change: {kind: string}},
-  ): void {
-    this.parts.onUnreadable(feed);
-    this.parts.logger.event('recordUnreadable', {feed, offset, ...change});
-  }
-
   private sleep(ms: number): Promise<void> {
     return new Promise(resolve => this.parts.clock.after(ms, resolve));
   }
--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -1,6 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {feeds} from '../../src/connection/store/shared-store.js';
+import {
+  feeds,
+  type Feed,
+  type ReadResult,
+} from '../../src/connection/store/shared-store.js';
+import {Logger} from '../../src/process/logger.js';
+import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
+import {StateFeed} from '../../src/version/deployment/state-feed.js';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
+import {configuration, MemoryStore} from './gateway-fakes.js';
 import {startFleet, type Fleet, type FleetOptions} from './simulated-fleet.js';
 
 const drainMs = 3000;
@@ -51,3 +60,43 @@
     }
   }
 });
+
+// Guards against a configuration or an evacuation that is not known in time: a long poll that had returned records
+// early, but was processed late, counted as proof that nothing was written until then.
+test('a response of the store that arrives late does not make the view younger', async () => {
+  const clock = new ManualClock();
+  const responseMs = 900;
+  class SlowStore extends MemoryStore {
+    override async read(feed: Feed, from: number): Promise<ReadResult> {
+      const page = await super.read(feed, from, 0);
+      await new Promise<void>(resolve => clock.after(responseMs, resolve));
+      return page;
+    }
+  }
+  const store = new SlowStore();
+  const feed = new StateFeed({
+    clock,
+    logger: Logger.create('silent'),
+    store,
+    state: new DeploymentState(),
+    bounds: {configMs: 3000, drainMs},
+    random: () => 0.5,
+    position: () => 0,
+    onRead: () => {},
+    onUnreadable: () => {},
+  });
+  feed.start();
+  const settle = async () => {
+    for (let i = 0; i < 20; i++) await null;
+  };
+  await settle();
+  store.put(feeds.orders, {kind: 'configuration', configuration});
+  clock.advance(responseMs);
+  await settle();
+  clock.advance(responseMs);
+  await settle();
+  const {orders, ordersAgeMs} = feed.composeUpdate();
+  assert.equal(orders, 1);
+  assert.ok(ordersAgeMs >= responseMs, `${ordersAgeMs} ms`);
+  feed.stop();
+});
