Report idle targets to other hosts only when their speed was measured again

On 69 hosts the news of leaving targets reached part of the hosts up to a second late, and requests took 0.6 s and more from a host to their target.

Cause: each message repeated the speed of every target that the host had ever measured. With 143 targets a message has 4.2 KB; a host sends it to 68 others every 0.62 s, which is 3.7 Mbit/s.

Sizes by encodeGossip without changes of targets: 143 reports 4,233 bytes, 20 reports 981.

Change: hosts keep reported speeds, so an idle target is reported only after a new measurement, and while another host has just started, which knows none.

Result: the test of the reports passes; the tests of the gateway pass.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -199,7 +199,7 @@
       leaving,
       storeReachable: feed.outage.durationMs === 0,
       feedUpdate: feed.composeUpdate(),
-      targetReports: pool.reports,
+      targetReports: pool.takeReports(peers.hasRecentlyStarted(clock.nowMs())),
       used: Object.fromEntries(quotas.totals),
       levels:
         quotas.settled && peers.hasRecentlyStarted(clock.nowMs())
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -1,3 +1,4 @@
+import type {TargetReport} from '../fleet/gossip-message.js';
 import type {ReportedLoad} from './load-reports.js';
 import type {TargetEntry} from '../../version/deployment/types.js';
 
@@ -38,6 +39,8 @@
   /** Prompt tokens of this host's open requests that have no first event yet. */
   localPendingTokens = 0;
   private measuredTokenMs = 0;
+  /** Whether `measuredTokenMs` has changed since the last report. */
+  private isSpeedUnreported = false;
   /** Response time of a plain service, in milliseconds; 0 if unknown. */
   responseMs = 0;
   /** Share of recent requests that failed, as a moving average. */
@@ -110,12 +113,33 @@
     this.unreportedUntilMs = nowMs + targetLoadValidMs;
   }
 
+  /**
+   * Builds this host's report for the other hosts. They keep the reported speed, so an idle target is reported
+   * only when its speed was measured again: the reports of all targets in each message would take most of a
+   * host's link.
+   *
+   * @param withIdle - Whether to report idle targets too, because another host has just started.
+   * @returns The report, or `undefined` if there is nothing to report.
+   */
+  takeReport(withIdle: boolean): TargetReport | undefined {
+    const {localRequests: load, localPendingTokens, measuredTokenMs} = this;
+    const isSpeedDue = this.isSpeedUnreported || withIdle;
+    this.isSpeedUnreported = false;
+    if (load === 0 && !(isSpeedDue && measuredTokenMs > 0)) return undefined;
+    return {
+      load,
+      pendingPromptTokens: localPendingTokens,
+      tokenMs: measuredTokenMs,
+    };
+  }
+
   /**
    * Adds a sample of the time per output token.
    *
    * @param ms - Time per token, in milliseconds.
    */
   sampleTokenMs(ms: number): void {
+    this.isSpeedUnreported = true;
     this.measuredTokenMs = updateAverage(this.measuredTokenMs, ms);
   }
 
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -71,17 +71,16 @@
     this.shares = new SlotShares(parts.host);
   }
 
-  /** Reports of this host about each target, for gossip. */
-  get reports(): Record<string, TargetReport> {
+  /**
+   * Builds this host's reports about its targets, for gossip.
+   *
+   * @param withIdle - Whether to report idle targets too, because another host has just started.
+   */
+  takeReports(withIdle: boolean): Record<string, TargetReport> {
     const reports: Record<string, TargetReport> = {};
     for (const [id, {target}] of this.members) {
-      const {
-        localRequests: load,
-        localPendingTokens: pendingPromptTokens,
-        localTokenMs: tokenMs,
-      } = target;
-      if (load > 0 || tokenMs > 0)
-        reports[id] = {load, pendingPromptTokens, tokenMs};
+      const report = target.takeReport(withIdle);
+      if (report) reports[id] = report;
     }
     return reports;
   }
--- a/test/gateway/pool.test.ts
+++ b/test/gateway/pool.test.ts
@@ -253,6 +253,18 @@
   assert.equal(target.hostReportedLoad, 2);
 });
 
+// Guards against messages that fill the links between hosts: each repeated the speeds of all targets, and what
+// other messages said about leaving targets waited or was lost.
+test('an idle target is reported once after its speed was measured, and to hosts that have just started', () => {
+  const target = createEngine('t', 4);
+  const report = {load: 0, pendingPromptTokens: 0, tokenMs: 4};
+  assert.deepEqual(target.takeReport(false), report);
+  assert.equal(target.takeReport(false), undefined);
+  assert.deepEqual(target.takeReport(true), report);
+  target.localRequests = 1;
+  assert.deepEqual(target.takeReport(false), {...report, load: 1});
+});
+
 // Guards against many hosts that send to the same target, because it was idle in their latest reports.
 test('all hosts agree on which host each slot of a target belongs to', () => {
   const hosts = Array.from({length: 69}, (_, i) => `host-${i}`);
