Tell an outage of the store from a host that alone does not reach it

Cause: targets whose entries expire in an outage of the store are kept until 2.2 s after its end, because they are written again. A host took its own failed reads for such an outage, and its end for the time at which both logs had been read again. Class: what one host observes taken for the state of all.

The new test failed before.

Change: the store counts as down only while no host is known to have had a response for 0.8 of drainMs; own reads and the reports of other hosts both count, with the lower bound of their times. The grace period begins with the first response after that.

Result: the test passes, and so does the one of an outage for all.

--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -79,7 +79,7 @@
       orders: new InterruptibleSleep(parts.clock),
       targets: new InterruptibleSleep(parts.clock),
     };
-    this.storeOutage = new StoreOutage(parts.clock, parts.logger);
+    this.storeOutage = new StoreOutage(parts.clock, parts.logger, drainMs);
     this.heard = new PeerTargetUpdates(parts.state, parts.logger);
     this.schedules = {
       orders: new ReadSchedule(configMs, true),
@@ -133,6 +133,8 @@
    */
   receiveUpdate(peer: FeedUpdate, from: string, composedAtMs: number): void {
     const {orders, targets} = this.offsets;
+    const ageMs = Math.min(peer.ordersAgeMs, peer.targetsAgeMs);
+    this.storeOutage.responded(composedAtMs - ageMs);
     if (orders >= 0 && peer.orders > orders) {
       this.reportedOrders = Math.max(this.reportedOrders, peer.orders);
       this.sleeps.orders.interrupt();
@@ -242,6 +244,7 @@
         continue;
       }
       try {
+        this.storeOutage.started(feed);
         const read = await this.readOnce(feed, plan.waitMs);
         plan.succeeded();
         this.storeOutage.succeeded(feed);
--- a/src/version/deployment/store-outage.ts
+++ b/src/version/deployment/store-outage.ts
@@ -4,20 +4,33 @@
 import type {Logger} from '../../process/logger.js';
 import {expiryGraceMs} from './deployment-state.js';
 
-/** Tracks whether this host's reads of the store fail, and since when. */
+/**
+ * Time without any known response of the store after which it counts as down for all, as a fraction of the
+ * time within which a change must be known. While it responds to any host, a read of it is known sooner.
+ */
+const silentShare = 0.8;
+
+/** Tracks whether this host's reads of the store fail, and whether the store responds to any host. */
 export class StoreOutage {
+  private readonly pendingSinceMs = new Map<Feed, number>();
   private readonly failingSinceMs = new Map<Feed, number>();
-  /** Monotonic time at which the last outage ended, in milliseconds. */
-  private endedAtMs = -Infinity;
+  /** Monotonic time of the last known response to this or another host, in milliseconds. */
+  private respondedAtMs: number;
+  /** Monotonic time of the first response after the store was last silent, in milliseconds. */
+  private returnedAtMs = -Infinity;
 
   /**
    * @param clock - Clock of the process.
    * @param logger - Logger of the process.
+   * @param boundMs - Time within which a change must be known, in milliseconds.
    */
   constructor(
     private readonly clock: Clock,
     private readonly logger: Logger,
-  ) {}
+    private readonly boundMs: number,
+  ) {
+    this.respondedAtMs = clock.nowMs();
+  }
 
   /**
    * Duration of the current outage.
@@ -42,13 +55,38 @@
   }
 
   /**
-   * Computes until when targets whose entries expire are kept: they are written again soon after an outage.
+   * Records that a read begins; {@link succeeded} or {@link failed} ends it.
+   *
+   * @param feed - Log that is read.
+   */
+  started(feed: Feed): void {
+    this.pendingSinceMs.set(feed, this.clock.nowMs());
+  }
+
+  /**
+   * Records that the store responded to this or another host.
+   *
+   * @param atMs - Monotonic time before which the response was not given, in milliseconds.
+   */
+  responded(atMs: number): void {
+    if (atMs <= this.respondedAtMs) return;
+    if (this.isSilentAt(atMs)) this.returnedAtMs = atMs;
+    this.respondedAtMs = atMs;
+  }
+
+  /**
+   * Computes until when targets whose entries expire are kept: after an outage of the store they are written
+   * again. A host that alone does not reach the store keeps none, because the entries of the others went on.
    *
    * @returns Monotonic time, in milliseconds; in the past if there was no recent outage.
    */
   keepExpiredUntilMs(): number {
-    if (this.durationMs > 0) return this.clock.nowMs() + expiryGraceMs;
-    return this.endedAtMs + expiryGraceMs;
+    const nowMs = this.clock.nowMs();
+    return expiryGraceMs + (this.isSilentAt(nowMs) ? nowMs : this.returnedAtMs);
+  }
+
+  private isSilentAt(atMs: number): boolean {
+    return atMs - this.respondedAtMs > this.boundMs * silentShare;
   }
 
   /**
@@ -57,11 +95,13 @@
    * @param feed - Log that was read.
    */
   succeeded(feed: Feed): void {
+    const startedAtMs = this.pendingSinceMs.get(feed);
+    if (startedAtMs !== undefined) this.responded(startedAtMs);
+    this.pendingSinceMs.delete(feed);
     const sinceMs = this.failingSinceMs.get(feed);
     if (sinceMs === undefined) return;
     this.failingSinceMs.delete(feed);
-    this.endedAtMs = this.clock.nowMs();
-    const awayMs = Math.round(this.endedAtMs - sinceMs);
+    const awayMs = Math.round(this.clock.nowMs() - sinceMs);
     this.logger.event('storeRegained', {feed, awayMs});
   }
 
@@ -72,6 +112,7 @@
    * @param failure - Why it failed.
    */
   failed(feed: Feed, failure: Failure): void {
+    this.pendingSinceMs.delete(feed);
     if (this.failingSinceMs.has(feed)) return;
     this.failingSinceMs.set(feed, this.clock.nowMs());
     this.logger.event('storeLost', {feed, ...failure});
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -79,6 +79,31 @@
   feed.stop();
 });
 
+// Guards against requests to a target whose entry was removed: a host that alone had lost the store took that for an
+// outage of the store, and kept the target for the time in which targets write their entries again.
+test('a target that is removed while only this host had lost the store is not kept', async () => {
+  const {clock, feed, run, state, store} = createFeed();
+  store.put(feeds.targets, targetChange('i', '10.0.0.1:80'));
+  feed.start();
+  await run(1000);
+  store.down = true;
+  for (let passed = 0; passed < 4000; passed += 500) {
+    await run(500);
+    const update = {
+      ...feed.composeUpdate(),
+      ordersAgeMs: 100,
+      targetsAgeMs: 100,
+    };
+    feed.receiveUpdate(update, 'other', clock.nowMs());
+  }
+  store.down = false;
+  await run(500);
+  store.put(feeds.targets, {kind: 'target', id: 'i'});
+  await run(1500);
+  assert.ok(!state.targets.has('i'));
+  feed.stop();
+});
+
 test('a draining target is not kept when its entry expires', () => {
   const state = new DeploymentState();
   const change = targetChange('i', '10.0.0.1:80');
