Hold requests while the view of the targets is too old, and check the target again at the send

Cause: nothing asked how old the view was when a target was chosen, nor whether the target still stood when its connection was open. A slow host that was late with its read went on with a view of any age. Class: a decision without a limit on the age of what it rests on.

Change: TargetsView knows the age of the view. An exchange asks once more when its connection is open, and is then free to go to another target, as nothing was sent. Events 7114 and 7115 state when requests wait for the view.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -39,6 +39,8 @@
 
 /** Receives the response of a target; `onEnd` or `onFailure` is called once, as the last call. */
 export interface ExchangeHandler {
+  /** Called once a connection is open; `false` ends the exchange as not sent. */
+  maySend(): boolean;
   onHead(head: ResponseHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -122,6 +124,11 @@
       controller.abort(new Error('aborted'));
       return;
     }
+    if (!this.handler.maySend()) {
+      controller.abort(new Error('target no longer usable'));
+      this.fail(exchangeFailures.notSent, 'target no longer usable');
+      return;
+    }
     this.controller = controller;
     this.sent = true;
   }
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -139,6 +139,7 @@
     routes: () => routes,
     coldLimiter,
     canaryRouter,
+    isViewCurrent: () => feed.targetsView.isCurrent,
     host,
     hosts: () => hosts,
     random,
@@ -169,6 +170,7 @@
     wire,
     dispatcher,
     pool,
+    state,
     quotas,
     retryBudget,
     canaryRouter,
@@ -241,7 +243,7 @@
     waitingRequests: () => dispatcher.waiting,
     configurationVersion: () => routes?.configuration.version ?? 0,
     storeUnavailableMs: () => feed.outage.durationMs,
-    targetsViewAgeMs: () => feed.targetsViewAgeMs,
+    targetsViewAgeMs: () => feed.targetsView.ageMs,
     liveHosts: () => peers.heard(clock.nowMs()).length,
   });
 
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -43,6 +43,16 @@
     level: 'info',
     message: 'view of the targets changed',
   },
+  viewTooOld: {
+    id: 7114,
+    level: 'warn',
+    message: 'requests wait because the view of the targets is too old',
+  },
+  viewCurrent: {
+    id: 7115,
+    level: 'info',
+    message: 'view of the targets is recent enough again',
+  },
   registrationFailed: {
     id: 7107,
     level: 'warn',
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -30,6 +30,8 @@
   readonly routes: () => RouteTable | undefined;
   readonly coldLimiter: ColdTargetLimiter;
   readonly canaryRouter: CanaryRouter;
+  /** Whether the deployment state is recent enough to choose targets from it. */
+  readonly isViewCurrent: () => boolean;
   readonly host: string;
   /** Names of all hosts that may be running, including this one. */
   readonly hosts: () => readonly string[];
@@ -311,6 +313,7 @@
   ): Generator<PooledTarget> {
     const {state, routes, canaryRouter, regions, hosts, coldLimiter} =
       this.parts;
+    if (!this.parts.isViewCurrent()) return;
     const config = routes()?.service(request.service);
     const known = hosts();
     const limit = config?.maxConnections
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -162,7 +162,7 @@
   }
 
   private send(target: PooledTarget): void {
-    const {clock, pool, wire} = this.parts;
+    const {clock, pool, state, wire} = this.parts;
     const {head, method, url, body, organisation} = this.request;
     this.ticket = undefined;
     const nowMs = clock.nowMs();
@@ -179,6 +179,7 @@
       wire,
       {method, path: url, headers, body, requestId},
       {
+        maySend: () => state.allows(target.entry),
         onHead: response => this.onHead(response),
         onData: chunk => this.onData(chunk),
         onEnd: () => this.onEnd(),
--- a/src/version/deployment/deployment-state.ts
+++ b/src/version/deployment/deployment-state.ts
@@ -142,6 +142,22 @@
     return this.apply([...removals, ...records], nowMs, keepExpiredUntilMs);
   }
 
+  /**
+   * Checks whether new requests may be sent to a target: it is known, of the same start, not draining and in
+   * no evacuated zone.
+   *
+   * @param entry - Entry by which the target was chosen.
+   */
+  allows({id, bornMs, zone}: TargetEntry): boolean {
+    const known = this.knownTargets.get(id)?.entry;
+    return (
+      known !== undefined &&
+      !known.draining &&
+      known.bornMs === bornMs &&
+      !this.evacuated.has(zone)
+    );
+  }
+
   /**
    * Removes kept targets whose entries expired and were not written again in time.
    *
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -13,6 +13,7 @@
 import {PeerTargetUpdates} from './peer-target-updates.js';
 import {ReadSchedule} from './read-schedule.js';
 import {StoreOutage} from './store-outage.js';
+import {TargetsView} from './targets-view.js';
 
 /** Result of one read of a log. */
 const readOutcomes = {
@@ -71,6 +72,8 @@
   /** Highest offset up to which another host reported to have read orders. */
   private reportedOrders = -1;
   private readonly heard: PeerTargetUpdates;
+  /** This host's view of the targets, and whether it may be used. */
+  readonly targetsView: TargetsView;
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: StateFeedParts) {
@@ -86,6 +89,13 @@
       // No long polling: the heartbeats of targets would end every poll at once.
       targets: new ReadSchedule(drainMs, false),
     };
+    this.targetsView = new TargetsView({
+      clock: parts.clock,
+      logger: parts.logger,
+      schedule: this.schedules.targets,
+      outage: this.storeOutage,
+      boundMs: drainMs,
+    });
   }
 
   /** Starts reading orders, targets and rollout statuses. */
@@ -163,7 +173,9 @@
       schedule.confirmedMs,
       nowMs,
     );
-    if (this.parts.state.targetsDigest !== digest) this.logViewChange(from);
+    this.targetsView.reported(composedAtMs - peer.targetsAgeMs);
+    if (this.parts.state.targetsDigest !== digest)
+      this.targetsView.logChange(from);
     if (same) {
       schedule.confirm(composedAtMs - peer.targetsAgeMs, {
         by: from,
@@ -199,11 +211,6 @@
     return this.storeOutage;
   }
 
-  /** Time since this host's view of the targets was last known to be up to date, in milliseconds. */
-  get targetsViewAgeMs(): number {
-    return this.parts.clock.nowMs() - this.schedules.targets.confirmedMs;
-  }
-
   /**
    * Moves the read positions forward after a copy of another host's state was applied.
    *
@@ -318,7 +325,7 @@
     );
     this.next.set(feed, result.next);
     if (feed === feeds.targets && changed.length > 0) {
-      this.logViewChange(ownRead);
+      this.targetsView.logChange(ownRead);
     }
     this.recordChanges(changed, readable);
     if (result.records.length === 0) return readOutcomes.empty;
@@ -373,18 +380,6 @@
     );
   }
 
-  /** Logs how old the view of the targets was when it changed, by the ages of messages and by wall clocks. */
-  private logViewChange(by: string): void {
-    const {clock, logger} = this.parts;
-    const {confirmedMs, confirmedBy} = this.schedules.targets;
-    logger.event('targetsViewChanged', {
-      by,
-      ageMs: Math.round(clock.nowMs() - confirmedMs),
-      readAgeMs: clock.wallMs() - confirmedBy.readAtMs,
-      confirmedBy: confirmedBy.by,
-    });
-  }
-
   private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
     const {logger, onUnreadable} = this.parts;
     return records.filter(({offset, change}) => {
--- a/src/version/deployment/store-outage.ts
+++ b/src/version/deployment/store-outage.ts
@@ -4,6 +4,9 @@
 import type {Logger} from '../../process/logger.js';
 import {expiryGraceMs} from './deployment-state.js';
 
+/** Time after which a read without a response counts as unanswered, in milliseconds; a slow store needs 240 ms. */
+const patienceMs = 350;
+
 /**
  * Time without any known response of the store after which it counts as down for all, as a fraction of the
  * time within which a change must be known. While it responds to any host, a read of it is known sooner.
@@ -54,6 +57,20 @@
     return this.failingSinceMs.has(feed);
   }
 
+  /**
+   * Checks whether the store does not respond to reads of a log: the last one failed, or the current one is
+   * taking too long.
+   *
+   * @param feed - Log.
+   */
+  isUnanswered(feed: Feed): boolean {
+    const pendingSinceMs = this.pendingSinceMs.get(feed) ?? Infinity;
+    return (
+      this.failingSinceMs.has(feed) ||
+      this.clock.nowMs() - pendingSinceMs > patienceMs
+    );
+  }
+
   /**
    * Records that a read begins; {@link succeeded} or {@link failed} ends it.
    *
