End an exchange whose target became unusable only once

Cause: aborting a request of undici calls its error callback before it returns. The exchange had not ended by then, so it reported its failure twice; the second report ended the attempt that had just begun on another target, and started a third.

Change: the exchange is marked as ended before it aborts.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -120,17 +120,20 @@
   }
 
   private onStart(controller: Dispatcher.DispatchController): void {
-    if (this.done) {
-      controller.abort(new Error('aborted'));
+    const mayStart = !this.done && this.handler.maySend();
+    if (mayStart) {
+      this.controller = controller;
+      this.sent = true;
       return;
     }
-    if (!this.handler.maySend()) {
-      controller.abort(new Error('target no longer usable'));
+    // Aborting calls onError() before it returns, so the exchange must have ended by then: a second failure
+    // would end the next attempt of the request, and the request would be sent again.
+    const wasDone = this.done;
+    this.done = true;
+    controller.abort(new Error('aborted'));
+    if (!wasDone) {
       this.fail(exchangeFailures.notSent, 'target no longer usable');
-      return;
     }
-    this.controller = controller;
-    this.sent = true;
   }
 
   private onHead(
