Date the copies of another host's state

What callers would see: a host that the store refuses and whose view is too old holds requests after it has copied the state of another host, until a message confirms the copy, up to 0.6 s on 69 hosts.

Cause: a copy did not say how old the state in it was.

Change: a copy states the ages of both logs. It was made after it was requested, so the view is dated by the time of the request less the age.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -31,7 +31,6 @@
 import {DeploymentState} from './version/deployment/deployment-state.js';
 import {RolloutController} from './version/deployment/rollout-controller.js';
 import {RouteTable} from './version/deployment/route-table.js';
-import {copyState} from './version/deployment/state-copy.js';
 import {StateFeed} from './version/deployment/state-feed.js';
 import {CanaryRouter} from './version/deployment/canary-router.js';
 import {CanaryEvaluator} from './version/deployment/canary-evaluator.js';
@@ -232,7 +231,7 @@
     endpoint
       ? new StateServer(
           endpoint,
-          () => copyState(state, feed.offsets, clock.nowMs()),
+          () => feed.copyState(),
           () => metrics.render(),
         )
       : [],
--- a/src/process/fleet/peer-state-sync.ts
+++ b/src/process/fleet/peer-state-sync.ts
@@ -1,7 +1,6 @@
 import {fetchState} from '../../connection/peer/state-server.js';
 import {CallError} from '../../connection/http/http-client.js';
 import type {DeploymentState} from '../../version/deployment/deployment-state.js';
-import {applyStateCopy} from '../../version/deployment/state-copy.js';
 import type {StateFeed} from '../../version/deployment/state-feed.js';
 import {every, type Cancel, type Clock} from '../clock.js';
 import type {Logger} from '../logger.js';
@@ -61,10 +60,10 @@
     if (!peer) return;
     this.fetching = true;
     try {
+      const requestedAtMs = clock.nowMs();
       const copy = await fetchState({address: peer.ip, port: peerPort});
       if (!copy) return;
-      applyStateCopy(state, copy, feed.offsets, clock.nowMs());
-      feed.advance(copy.offsets);
+      feed.adoptCopy(copy, peer.host, requestedAtMs);
       logger.event('stateCopied', {from: peer.host, ...copy.offsets});
     } catch (err) {
       if (!(err instanceof CallError || err instanceof SyntaxError)) throw err;
--- a/src/version/deployment/feed-update.ts
+++ b/src/version/deployment/feed-update.ts
@@ -54,17 +54,26 @@
   private announced: AnnouncedChange[] = [];
 
   /**
-   * Adds the changes that a read has found.
+   * Adds what a read has found: changes of targets, and targets that state that they are cold.
    *
-   * @param records - Records that changed a target, or state that one is cold.
+   * @param changed - Records that changed the state.
+   * @param read - All records of the read.
    * @param nowMs - Monotonic time, in milliseconds.
    * @param keptUntilMs - Monotonic time until which a removed target is kept, in milliseconds; 0 if it is not.
    */
   add(
-    records: readonly FeedRecord[],
+    changed: readonly FeedRecord[],
+    read: readonly FeedRecord[],
     nowMs: number,
     keptUntilMs: (id: string) => number,
   ): void {
+    const cold = read.filter(
+      record =>
+        record.change.kind === 'target' &&
+        (record.change.entry?.coldMs ?? 0) > 0 &&
+        !changed.includes(record),
+    );
+    const records = [...changed, ...cold].sort((a, b) => a.offset - b.offset);
     for (const {offset, change} of records) {
       if (change.kind !== 'target') continue;
       const {id, entry} = change;
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -1,5 +1,6 @@
 import type {FeedRecord} from '../../connection/store/shared-store.js';
 import type {DeploymentState} from './deployment-state.js';
+import type {FeedUpdate} from './feed-update.js';
 import type {
   Change,
   Configuration,
@@ -11,6 +12,8 @@
 /** Serialized deployment state that a host serves to hosts which cannot reach the store. */
 export interface StateCopy {
   readonly offsets: {readonly orders: number; readonly targets: number};
+  /** Time since the host was last known to be up to date, in milliseconds, for each log. */
+  readonly ages: {readonly orders: number; readonly targets: number};
   readonly configuration?: Configuration;
   readonly evacuated: readonly string[];
   readonly orders: readonly {order: RolloutOrder; offset: number}[];
@@ -23,16 +26,17 @@
  * an outage of the store are left out.
  *
  * @param state - State of this host.
- * @param offsets - Offsets up to which it has read the logs.
+ * @param update - How far it has read the logs.
  * @param nowMs - Monotonic time, in milliseconds.
  */
 export function copyState(
   state: DeploymentState,
-  offsets: StateCopy['offsets'],
+  update: FeedUpdate,
   nowMs: number,
 ): StateCopy {
   return {
-    offsets,
+    offsets: {orders: update.orders, targets: update.targets},
+    ages: {orders: update.ordersAgeMs, targets: update.targetsAgeMs},
     configuration: state.configuration,
     evacuated: [...state.evacuatedZones],
     orders: [...state.orders.values()].map(({order, offset}) => ({
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -12,6 +12,7 @@
 import {RecentChanges, type FeedUpdate} from './feed-update.js';
 import {PeerTargetUpdates} from './peer-target-updates.js';
 import {ReadSchedule} from './read-schedule.js';
+import {applyStateCopy, copyState, type StateCopy} from './state-copy.js';
 import {StoreOutage} from './store-outage.js';
 import {TargetsView} from './targets-view.js';
 
@@ -63,7 +64,8 @@
 /** Keeps the deployment state up to date from the logs of the store and the reports of other hosts. */
 export class StateFeed {
   private readonly next = new Map<Feed, number>();
-  private readonly storeOutage: StoreOutage;
+  /** Whether and since when reads of the store fail. */
+  readonly outage: StoreOutage;
   private stopped = false;
   private readonly schedules: Readonly<Record<SharedFeed, ReadSchedule>>;
   private readonly recent = new RecentChanges();
@@ -82,7 +84,7 @@
       orders: new InterruptibleSleep(parts.clock),
       targets: new InterruptibleSleep(parts.clock),
     };
-    this.storeOutage = new StoreOutage(parts.clock, parts.logger, drainMs);
+    this.outage = new StoreOutage(parts.clock, parts.logger, drainMs);
     this.heard = new PeerTargetUpdates(parts.state, parts.logger);
     this.schedules = {
       orders: new ReadSchedule(configMs, true),
@@ -93,7 +95,7 @@
       clock: parts.clock,
       logger: parts.logger,
       schedule: this.schedules.targets,
-      outage: this.storeOutage,
+      outage: this.outage,
       boundMs: drainMs,
     });
   }
@@ -144,7 +146,7 @@
   receiveUpdate(peer: FeedUpdate, from: string, composedAtMs: number): void {
     const {orders, targets} = this.offsets;
     const ageMs = Math.min(peer.ordersAgeMs, peer.targetsAgeMs);
-    this.storeOutage.responded(composedAtMs - ageMs);
+    this.outage.responded(composedAtMs - ageMs);
     if (orders >= 0 && peer.orders > orders) {
       this.reportedOrders = Math.max(this.reportedOrders, peer.orders);
       this.sleeps.orders.interrupt();
@@ -181,7 +183,7 @@
         by: from,
         readAtMs: peer.targetsReadAtMs,
       });
-      this.advance({orders: -1, targets: peer.targets});
+      this.advance(feeds.targets, peer.targets);
     } else if (this.heard.needsRead) {
       this.sleeps.targets.interrupt();
     }
@@ -206,23 +208,37 @@
     return this.next.get(feeds.statuses);
   }
 
-  /** Whether and since when reads of the store fail. */
-  get outage(): StoreOutage {
-    return this.storeOutage;
+  /** Copies the deployment state of this host for another one. */
+  copyState(): StateCopy {
+    const {clock, state} = this.parts;
+    return copyState(state, this.composeUpdate(), clock.nowMs());
   }
 
   /**
-   * Moves the read positions forward after a copy of another host's state was applied.
+   * Applies a copy of another host's state.
    *
-   * @param offsets - Offsets up to which the other host had read.
+   * @param copy - Copy of the other host.
+   * @param from - Name of the other host.
+   * @param requestedAtMs - Monotonic time before which the copy was not made, in milliseconds.
    */
-  advance(offsets: {readonly orders: number; readonly targets: number}): void {
-    for (const feed of [feeds.orders, feeds.targets]) {
-      const known = this.next.get(feed);
-      if (offsets[feed] > (known ?? -1)) this.next.set(feed, offsets[feed]);
+  adoptCopy(copy: StateCopy, from: string, requestedAtMs: number): void {
+    const {clock, state} = this.parts;
+    const {offsets} = this;
+    applyStateCopy(state, copy, offsets, clock.nowMs());
+    for (const feed of [feeds.orders, feeds.targets] as const) {
+      if (copy.offsets[feed] <= offsets[feed]) continue;
+      this.next.set(feed, copy.offsets[feed]);
+      this.schedules[feed].confirm(requestedAtMs - copy.ages[feed], {
+        by: from,
+        readAtMs: 0,
+      });
     }
   }
 
+  private advance(feed: SharedFeed, offset: number): void {
+    if (offset > this.offsets[feed]) this.next.set(feed, offset);
+  }
+
   /**
    * Reads the log of rollout statuses immediately.
    *
@@ -241,7 +257,7 @@
     const {clock, random} = this.parts;
     const plan = this.schedules[feed];
     while (!this.stopped) {
-      const failing = this.storeOutage.affects(feed);
+      const failing = this.outage.affects(feed);
       const position = this.parts.position(feed, failing);
       const startMs = clock.nowMs();
       const readAtMs = clock.wallMs();
@@ -251,10 +267,10 @@
         continue;
       }
       try {
-        this.storeOutage.started(feed);
+        this.outage.started(feed);
         const read = await this.readOnce(feed, plan.waitMs);
         plan.succeeded();
-        this.storeOutage.succeeded(feed);
+        this.outage.succeeded(feed);
         if (read === readOutcomes.overtaken) continue;
         const spentMs = clock.nowMs() - startMs;
         // A long poll that timed out proves that nothing was written until its end. One that returned
@@ -269,7 +285,7 @@
       } catch (err) {
         if (!(err instanceof FailureError)) throw err;
         plan.failed(clock.nowMs(), random());
-        this.storeOutage.failed(feed, err.failure);
+        this.outage.failed(feed, err.failure);
       }
     }
   }
@@ -287,11 +303,11 @@
       if (isNeeded()) {
         try {
           await this.readOnce(feed, 0);
-          this.storeOutage.succeeded(feed);
+          this.outage.succeeded(feed);
           retryDelayMs = minRetryDelayMs;
         } catch (err) {
           if (!(err instanceof FailureError)) throw err;
-          this.storeOutage.failed(feed, err.failure);
+          this.outage.failed(feed, err.failure);
           await this.sleep(retryDelayMs * (0.5 + random()));
           retryDelayMs = Math.min(maxRetryDelayMs, retryDelayMs * 2);
           continue;
@@ -321,13 +337,13 @@
     const changed = state.apply(
       readable,
       nowMs,
-      this.storeOutage.keepExpiredUntilMs(),
+      this.outage.keepExpiredUntilMs(),
     );
     this.next.set(feed, result.next);
     if (feed === feeds.targets && changed.length > 0) {
       this.targetsView.logChange(ownRead);
     }
-    this.recordChanges(changed, readable);
+    this.announce(changed, readable);
     if (result.records.length === 0) return readOutcomes.empty;
     return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
   }
@@ -344,14 +360,14 @@
       feed,
       this.readable(feed, records),
       clock.nowMs(),
-      this.storeOutage.keepExpiredUntilMs(),
+      this.outage.keepExpiredUntilMs(),
     );
     const isFirst = !this.next.has(feed);
     if (next >= (this.next.get(feed) ?? 0)) this.next.set(feed, next);
     // The first read is new to this host only, so it is not announced.
     if (isFirst) return readOutcomes.unchanged;
     // A removal without a record in the snapshot is announced at the last offset before its end.
-    this.recordChanges(
+    this.announce(
       changed.map(record => ({
         ...record,
         offset: record.offset > 0 ? record.offset : next - 1,
@@ -360,24 +376,10 @@
     return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
   }
 
-  /** Stores what is announced to other hosts: changes, and targets that state that they are cold. */
-  private recordChanges(
-    changed: readonly FeedRecord[],
-    read: readonly FeedRecord[] = [],
-  ): void {
+  private announce(changed: FeedRecord[], read: FeedRecord[] = []): void {
     const {clock, state} = this.parts;
-    const cold = read.filter(
-      record =>
-        record.change.kind === 'target' &&
-        (record.change.entry?.coldMs ?? 0) > 0 &&
-        !changed.includes(record),
-    );
-    const announced = [...changed, ...cold].sort((a, b) => a.offset - b.offset);
-    this.recent.add(
-      announced,
-      clock.nowMs(),
-      id => state.targets.get(id)?.goneAtMs ?? 0,
-    );
+    const keptUntilMs = (id: string) => state.targets.get(id)?.goneAtMs ?? 0;
+    this.recent.add(changed, read, clock.nowMs(), keptUntilMs);
   }
 
   private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -120,7 +120,17 @@
   from.apply([{offset: 4, change: targetChange('i', '10.0.0.1:80')}], 0);
   const evacuation = {kind: 'evacuation', zone: 'z', active: true} as const;
   from.apply([{offset: 5, change: evacuation}], 0);
-  const copy = copyState(from, {orders: 6, targets: 5}, 100);
+  const update = {
+    orders: 6,
+    ordersAgeMs: 0,
+    ordersReadAtMs: 0,
+    targets: 5,
+    targetsAgeMs: 0,
+    targetsReadAtMs: 0,
+    digest: 0,
+    changes: [],
+  };
+  const copy = copyState(from, update, 100);
   const state = new DeploymentState();
   state.apply([{offset: 1, change: targetChange('gone', '10.0.0.2:80')}], 0);
   const wire = JSON.parse(JSON.stringify(copy)) as typeof copy;
