Send messages to many hosts in batches, each time from another host on

Cause: a message was sent to all 68 other hosts at once and in the order of their names. Datagrams that do not fit the queue of a small link are dropped, so the same hosts missed the news each time, and read the store themselves once their view was old enough.

All 23 hosts of beni but beni-1, and jomsom-10 to 17, learnt of it within 42 ms in the order of their names; of the 37 names behind, one learnt of it at 17.11 s and the others from their own reads or others' at 17.36 to 17.82 s.

Change: 16 datagrams or 24 KB every 30 ms; a round begins behind the host that was served last, so a new message does not skip those that had not got the one before. Up to 17 hosts nothing changes.

Result: the tests of the rounds pass, and those of the gateway (68).

--- a/src/process/fleet/gossip-task.ts
+++ b/src/process/fleet/gossip-task.ts
@@ -11,6 +11,7 @@
 import {gossipIntervalMs, minIntervalMs} from './gossip-interval.js';
 import {composedAtMs, echoFor} from './message-time.js';
 import type {Peer, PeerTable} from './peer-table.js';
+import {batchIntervalMs, SendRound} from './send-round.js';
 
 /** A message with the time to which its statements refer. */
 export interface ReceivedGossip {
@@ -42,6 +43,12 @@
   private sequence = 0;
   private cancel: Cancel = () => {};
   private nextSendMs = 0;
+  /** Message of the current round, without its echo, and the monotonic time at which it was composed. */
+  private shared: Buffer = Buffer.alloc(0);
+  private composedAtMs = 0;
+  private peersByAddress: ReadonlyMap<string, Peer> = new Map();
+  private readonly round = new SendRound();
+  private stopped = false;
 
   /** Received messages, except those that are older than the last one of the same host. */
   readonly messages = this.subject.stream;
@@ -69,21 +76,37 @@
     });
   }
 
-  /** Sends a message to all known hosts immediately. */
+  /** Sends a message to all known hosts, in batches if there are many. */
   send(): void {
-    const {clock, ip, peers, port, seeds, compose} = this.parts;
-    const nowMs = clock.nowMs();
-    const shared = encodeGossip(compose(++this.sequence));
-    const recipients = new Map<string, Peer | undefined>();
-    for (const peer of peers.all) recipients.set(peer.ip, peer);
+    const {clock, ip, peers, seeds, compose} = this.parts;
+    this.composedAtMs = clock.nowMs();
+    this.shared = encodeGossip(compose(++this.sequence));
+    this.peersByAddress = new Map(peers.all.map(peer => [peer.ip, peer]));
+    const addresses = new Set(this.peersByAddress.keys());
     // Seeds are only contacted while no other host is known.
-    if (recipients.size === 0)
-      for (const {address} of seeds) recipients.set(address, undefined);
-    recipients.delete(ip);
-    for (const [address, peer] of recipients) {
-      const rest = encodeEcho(peer && echoFor(peer, nowMs));
+    if (addresses.size === 0)
+      for (const {address} of seeds) addresses.add(address);
+    addresses.delete(ip);
+    const isSending = this.round.pending > 0;
+    this.round.start([...addresses]);
+    if (!isSending) this.sendRound();
+  }
+
+  private sendRound(): void {
+    if (this.stopped) return;
+    this.sendBatch();
+    if (this.round.pending === 0) return;
+    this.parts.clock.after(batchIntervalMs, () => this.sendRound());
+  }
+
+  private sendBatch(): void {
+    const {port} = this.parts;
+    for (const address of this.round.takeBatch(this.shared.length)) {
+      const peer = this.peersByAddress.get(address);
+      // Ages in the message refer to the time at which it was composed, so the echo does, too.
+      const rest = encodeEcho(peer && echoFor(peer, this.composedAtMs));
       // Send errors are ignored: the next message replaces this one.
-      this.socket.send([shared, rest], port, address, () => {});
+      this.socket.send([this.shared, rest], port, address, () => {});
     }
   }
 
@@ -94,6 +117,9 @@
 
   /** Stops sending and closes the socket. */
   stop(): void {
+    this.stopped = true;
+    // The last message states that this host leaves, so it goes to all hosts.
+    while (this.round.pending > 0) this.sendBatch();
     this.cancel();
     this.socket.close();
   }
