--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -10,7 +10,7 @@
 
 /**
  * Maximum number of bytes that a target may send without a response head or a part of the body, in bytes. The
- * parser skips line breaks before a head, interim responses and extensions of chunks, without any limit.
+ * parser skips line breaks before a head and extensions of chunks without any limit.
  */
 const maxFillerBytes = 256 * 1024;
 
