--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -61,6 +61,23 @@
   }
 });
 
+// Guards against the same on hosts that the store refuses, which depend on the messages of the others, and on a host whose
+// messages are slow.
+test('a removed target is known in time while the store refuses a third of the hosts', async () => {
+  const slow = 'host-7';
+  for (let seed = 1; seed <= 3; seed++) {
+    const worstMs = await worstDelayMs({
+      size: 75,
+      seed,
+      lossRate: 0.02,
+      refuses: host => Number(host.slice('host-'.length)) % 3 === 0,
+      delayMs: (from, to, random) =>
+        (from === slow || to === slow ? 600 : 100) * (0.5 + random),
+    });
+    assert.ok(worstMs < drainMs, `${worstMs} ms with seed ${seed}`);
+  }
+});
+
 // Guards against a configuration or an evacuation that is not known in time: a long poll that had returned records
 // early, but was processed late, counted as proof that nothing was written until then.
 test('a response of the store that arrives late does not make the view younger', async () => {
