Move to a new version only after its latency was compared

Cause: a version counted as good after 12 requests unless it was bad, and bad needs 8 latencies on one route. In between, a slow version got all requests until enough of its slow answers had come. Class: missing evidence taken for good evidence.

The new test failed before.

Change: good needs 16 latencies over all routes that the old version serves, and a mean ratio below 2. Between 2 and 3, and with fewer samples, the verdict is open; a version still open at the end is rolled back, as before.

--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -33,7 +33,7 @@
   readonly incarnation: number;
   /** `sentAtMs` of that message. */
   readonly sentAtMs: number;
-  /** Time from its receipt to composing this message, in milliseconds. */
+  /** Time from receiving that message to composing this one, in milliseconds. */
   readonly heldMs: number;
 }
 
--- a/src/version/deployment/canary-evaluator.ts
+++ b/src/version/deployment/canary-evaluator.ts
@@ -39,6 +39,17 @@
 /** Minimum number of responses of each version for a comparison of latencies. */
 const minLatencySamples = 8;
 
+/**
+ * Latency samples of a new version, over all routes that can be compared, that the verdict `good` needs. While there are
+ * fewer, a slow version cannot be told from a good one.
+ */
+const minComparedSamples = 16;
+/**
+ * Ratio of latencies over all routes below which a version may be good. The rest up to `slowRatio` is left open:
+ * with few samples a slow version may be found there.
+ */
+const goodRatio = 2;
+
 /** Evaluates new versions from the evidence of this host and the reports of other hosts. */
 export class CanaryEvaluator {
   private readonly local = new Map<string, Record<string, EvidenceCell>>();
@@ -159,7 +170,35 @@
       return verdicts.bad;
     if (isSlower(pair.now, pair.old)) return verdicts.bad;
   }
-  return newCell.requests >= minRequests ? verdicts.good : verdicts.open;
+  const isProven =
+    newCell.requests >= minRequests && isAsFast([...routes.values()]);
+  return isProven ? verdicts.good : verdicts.open;
+}
+
+/** Compares the latencies of all routes at once, each with the old version on the same route. */
+function isAsFast(
+  routes: readonly {now: EvidenceCell; old: EvidenceCell}[],
+): boolean {
+  const comparable = routes.filter(
+    ({old}) => samplesOf(old) >= minLatencySamples,
+  );
+  // Without requests on the old version there is nothing to compare with.
+  if (comparable.length === 0) return true;
+  let samples = 0;
+  let logRatioSum = 0;
+  for (const {now, old} of comparable) {
+    const count = samplesOf(now);
+    samples += count;
+    logRatioSum +=
+      now.logLatencySum - (count * old.logLatencySum) / samplesOf(old);
+  }
+  return (
+    samples >= minComparedSamples && logRatioSum / samples < Math.log(goodRatio)
+  );
+}
+
+function samplesOf({requests, failures}: EvidenceCell): number {
+  return requests - failures;
 }
 
 function sum(a: EvidenceCell, b: EvidenceCell): EvidenceCell {
@@ -189,8 +228,8 @@
 }
 
 function isSlower(newCell: EvidenceCell, oldCell: EvidenceCell): boolean {
-  const newSamples = newCell.requests - newCell.failures;
-  const oldSamples = oldCell.requests - oldCell.failures;
+  const newSamples = samplesOf(newCell);
+  const oldSamples = samplesOf(oldCell);
   if (newSamples < minLatencySamples || oldSamples < minLatencySamples)
     return false;
   const ratio =
--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -69,6 +69,22 @@
   assert.equal(evaluate({'v2\na': cell(20, 0, 700)}), verdicts.bad);
 });
 
+// Guards against a slow version that gets all requests: it counted as good after 12 requests, before any route had enough of
+// them to compare its latency.
+test('a version is not good before its latency was compared', () => {
+  const old = {'v1\na': cell(90, 0, 100), 'v1\nb': cell(90, 0, 300)};
+  const evaluate = (now: Record<string, EvidenceCell>) =>
+    evaluateVersion([old, now], 'v2');
+  const few = {'v2\na': cell(7, 0, 400), 'v2\nb': cell(7, 0, 1200)};
+  assert.equal(evaluate(few), verdicts.open);
+  const between = {'v2\na': cell(20, 0, 250)};
+  assert.equal(evaluate(between), verdicts.open);
+  const sound = {'v2\na': cell(9, 0, 150), 'v2\nb': cell(7, 0, 300)};
+  assert.equal(evaluate(sound), verdicts.good);
+  // Without requests on the old version, the number of requests decides.
+  assert.equal(evaluateVersion([sound], 'v2'), verdicts.good);
+});
+
 test('all requests move to a good version before the rollout is recorded as completed', () => {
   const input = {
     ageMs: 7000,
