State ages as finite numbers, and accept messages of hosts with an older version

What callers would see: requests to targets that left, from a host that copied its state from one which was never up to date itself; and during an update of the hosts, new hosts that hear none of the old ones.

Cause: the age of a log that was never read is infinite, JSON writes it as null, and null counts as 0. The decoder of messages required the sender's time, which older hosts do not state, and a copy without ages would have thrown.

Change: an update caps its ages; a message without the sender's time gets no echo and a copy without ages dates nothing, so both leave the view as old as it was.

The tests of gateway, platform and docs pass.

--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -11,9 +11,6 @@
   type CanaryPhase,
 } from '../../version/deployment/canary-router.js';
 
-/** Maximum age in a message, in milliseconds; also sent for a log that the host has never read. */
-const maxAgeMs = 1_000_000;
-
 /** Load of one target as one host reports it. */
 export interface TargetReport {
   /** Requests of the reporting host in flight at the target. */
@@ -46,8 +43,11 @@
   readonly incarnation: number;
   /** Increases with each message of an incarnation. */
   readonly sequence: number;
-  /** Monotonic time of the host when it composed the message, in milliseconds; only the host itself can interpret it. */
-  readonly sentAtMs: number;
+  /**
+   * Monotonic time of the host when it composed the message, in milliseconds; only the host itself can
+   * interpret it. Absent in messages of hosts that run an older version.
+   */
+  readonly sentAtMs?: number;
   /** About the recipient's newest message; differs between recipients, absent if none was received. */
   readonly echo?: Echo;
   /** Whether the host is about to stop permanently. */
@@ -105,13 +105,14 @@
     z: message.zone,
     i: message.incarnation,
     n: message.sequence,
-    m: Math.floor(message.sentAtMs),
+    m:
+      message.sentAtMs === undefined ? undefined : Math.floor(message.sentAtMs),
     b: message.leaving ? 1 : 0,
     s: message.storeReachable ? 1 : 0,
-    o: [update.orders, encodeAge(update.ordersAgeMs), update.ordersReadAtMs],
+    o: [update.orders, update.ordersAgeMs, update.ordersReadAtMs],
     t: [
       update.targets,
-      encodeAge(update.targetsAgeMs),
+      update.targetsAgeMs,
       update.digest,
       update.targetsReadAtMs,
     ],
@@ -138,10 +139,6 @@
   );
 }
 
-function encodeAge(ageMs: number): number {
-  return Math.min(maxAgeMs, ageMs);
-}
-
 function encodeChange({offset, id, entry, keepMs}: TargetUpdate): unknown[] {
   if (!entry) return [offset, id, keepMs];
   const {service, address, zone, version, slots, bornMs} = entry;
@@ -172,14 +169,14 @@
     return undefined;
   }
   const update = decodeFeedUpdate(o, t, c);
-  if (!isNumber(i) || !isNumber(n) || !isNumber(m) || !update) return undefined;
+  if (!isNumber(i) || !isNumber(n) || !update) return undefined;
   return {
     host: h,
     ip: a,
     zone: z,
     incarnation: i,
     sequence: n,
-    sentAtMs: m,
+    sentAtMs: isNumber(m) ? m : undefined,
     echo: decodeEcho(r),
     leaving: b === 1,
     storeReachable: s === 1,
--- a/src/process/fleet/message-time.ts
+++ b/src/process/fleet/message-time.ts
@@ -8,8 +8,8 @@
  * @param nowMs - Monotonic time, in milliseconds.
  */
 export function echoFor(peer: Peer, nowMs: number): Echo | undefined {
-  if (!peer.message) return undefined;
-  const {incarnation, sentAtMs} = peer.message;
+  const {incarnation, sentAtMs} = peer.message ?? {};
+  if (incarnation === undefined || sentAtMs === undefined) return undefined;
   return {incarnation, sentAtMs, heldMs: nowMs - peer.lastSeenAtMs};
 }
 
--- a/src/version/deployment/feed-update.ts
+++ b/src/version/deployment/feed-update.ts
@@ -12,9 +12,24 @@
   readonly keepMs: number;
 }
 
+/**
+ * Maximum age in an update, in milliseconds; also stated for a log that was never read. JSON has no infinite
+ * numbers, and reads them as null.
+ */
+export const maxAgeMs = 1_000_000;
+
+/**
+ * Rounds an age up to a whole number that an update can state.
+ *
+ * @param ms - Age in milliseconds, possibly infinite.
+ */
+export function roundAgeMs(ms: number): number {
+  return Math.min(maxAgeMs, Math.ceil(ms));
+}
+
 /**
  * How far a host has followed the logs of the store. An age is the time since the host was last known to be
- * up to date, in milliseconds.
+ * up to date, in milliseconds, up to {@link maxAgeMs}.
  */
 export interface FeedUpdate {
   /** Offset up to which orders are known; -1 if they were not read. */
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -12,8 +12,11 @@
 /** Serialized deployment state that a host serves to hosts which cannot reach the store. */
 export interface StateCopy {
   readonly offsets: {readonly orders: number; readonly targets: number};
-  /** Time since the host was last known to be up to date, in milliseconds, for each log. */
-  readonly ages: {readonly orders: number; readonly targets: number};
+  /**
+   * Time since the host was last known to be up to date, in milliseconds, for each log. Absent in copies of
+   * hosts that run an older version.
+   */
+  readonly ages?: {readonly orders: number; readonly targets: number};
   readonly configuration?: Configuration;
   readonly evacuated: readonly string[];
   readonly orders: readonly {order: RolloutOrder; offset: number}[];
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -9,7 +9,12 @@
 import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
 import type {DeploymentState} from './deployment-state.js';
-import {RecentChanges, type FeedUpdate} from './feed-update.js';
+import {
+  maxAgeMs,
+  RecentChanges,
+  roundAgeMs,
+  type FeedUpdate,
+} from './feed-update.js';
 import {PeerTargetUpdates} from './peer-target-updates.js';
 import {ReadSchedule} from './read-schedule.js';
 import {applyStateCopy, copyState, type StateCopy} from './state-copy.js';
@@ -117,8 +122,7 @@
   /** Stops reading after the calls in progress. */
   stop(): void {
     this.stopped = true;
-    this.sleeps.orders.interrupt();
-    this.sleeps.targets.interrupt();
+    for (const sleep of Object.values(this.sleeps)) sleep.interrupt();
   }
 
   /** Builds the report of this host's read positions and recent changes for the other hosts. */
@@ -127,9 +131,9 @@
     const {orders, targets} = this.schedules;
     return {
       ...this.offsets,
-      ordersAgeMs: Math.round(nowMs - orders.confirmedMs),
+      ordersAgeMs: roundAgeMs(nowMs - orders.confirmedMs),
       ordersReadAtMs: orders.confirmedBy.readAtMs,
-      targetsAgeMs: Math.round(nowMs - targets.confirmedMs),
+      targetsAgeMs: roundAgeMs(nowMs - targets.confirmedMs),
       targetsReadAtMs: targets.confirmedBy.readAtMs,
       digest: this.parts.state.targetsDigest,
       changes: this.recent.list(nowMs),
@@ -228,10 +232,8 @@
     for (const feed of [feeds.orders, feeds.targets] as const) {
       if (copy.offsets[feed] <= offsets[feed]) continue;
       this.next.set(feed, copy.offsets[feed]);
-      this.schedules[feed].confirm(requestedAtMs - copy.ages[feed], {
-        by: from,
-        readAtMs: 0,
-      });
+      const atMs = requestedAtMs - (copy.ages?.[feed] ?? maxAgeMs);
+      this.schedules[feed].confirm(atMs, {by: from, readAtMs: 0});
     }
   }
 
--- a/src/version/deployment/store-outage.ts
+++ b/src/version/deployment/store-outage.ts
@@ -61,7 +61,7 @@
    * Checks whether the store does not respond to reads of a log: the last one failed, or the current one is
    * taking too long.
    *
-   * @param feed - Log.
+   * @param feed - Log that is read without long polls.
    */
   isUnanswered(feed: Feed): boolean {
     const pendingSinceMs = this.pendingSinceMs.get(feed) ?? Infinity;
--- a/test/gateway/message-time.test.ts
+++ b/test/gateway/message-time.test.ts
@@ -52,6 +52,16 @@
   assert.equal(composedAtMs(echo, 7, 5400), 5400);
 });
 
+test('a message of a host that does not state its time gets no echo', () => {
+  const older = {...message, sentAtMs: undefined};
+  const datagram = Buffer.concat([encodeGossip(older), encodeEcho(undefined)]);
+  const decoded = decodeGossip(datagram);
+  assert.ok(decoded);
+  const peers = new PeerTable('b');
+  peers.receive(decoded, 100);
+  assert.equal(echoFor(peers.all[0], 200), undefined);
+});
+
 test('a message without an echo, or with that of an earlier start, tells no time', () => {
   assert.equal(composedAtMs(passOn(undefined).echo, 7, 6400), -Infinity);
   const echo = {incarnation: 6, sentAtMs: 5000, heldMs: 100};
--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -117,3 +117,29 @@
   assert.ok(ordersAgeMs >= responseMs, `${ordersAgeMs} ms`);
   feed.stop();
 });
+
+// Guards against a view that counts as current because it was copied from a host that never was: an infinite age becomes
+// null in JSON, and null counts as 0.
+test('a copy of a host that was never up to date does not make the view current', () => {
+  const createFeed = (clock: ManualClock) =>
+    new StateFeed({
+      clock,
+      logger: Logger.create('silent'),
+      store: new MemoryStore(),
+      state: new DeploymentState(),
+      bounds: {configMs: 3000, drainMs},
+      random: () => 0.5,
+      position: () => 0,
+      onRead: () => {},
+      onUnreadable: () => {},
+    });
+  const clock = new ManualClock();
+  const copy = createFeed(clock).copyState();
+  const wire = JSON.parse(JSON.stringify(copy)) as typeof copy;
+  for (const ages of [wire.ages, undefined]) {
+    const feed = createFeed(clock);
+    const offsets = {orders: 3, targets: 5};
+    feed.adoptCopy({...wire, offsets, ages}, 'other', clock.nowMs());
+    assert.ok(feed.targetsView.ageMs > drainMs);
+  }
+});
