--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -5,26 +5,37 @@
   type Feed,
   type ReadResult,
 } from '../../src/connection/store/shared-store.js';
+import {hash32} from '../../src/process/fleet/rendezvous.js';
 import {Logger} from '../../src/process/logger.js';
+import {createRandom} from '../../src/process/random.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {configuration, MemoryStore} from './gateway-fakes.js';
-import {startFleet, type Fleet, type FleetOptions} from './simulated-fleet.js';
+import {
+  startFleet,
+  type Fleet,
+  type FleetHost,
+  type FleetOptions,
+} from './simulated-fleet.js';
 
 const drainMs = 3000;
 
 /**
- * Removes targets one after the other and records when each host learns of it.
+ * Removes targets one after the other and records until when a condition holds on any host.
  *
- * @returns Time from the removal to the last host that learnt of it, in milliseconds, by target.
+ * @returns Time from the removal of a target until then, in milliseconds, by target.
  */
-async function removeTargets(fleet: Fleet, count: number): Promise<number[]> {
+async function removeTargets(
+  fleet: Fleet,
+  count: number,
+  uses: (host: FleetHost, target: string) => boolean,
+): Promise<number[]> {
   const removedMs: number[] = [];
   const learntMs: number[] = [];
   const note = () => {
     for (const [i, startMs] of removedMs.entries()) {
-      const known = fleet.hosts.some(({state}) => state.targets.has(`i-${i}`));
+      const known = fleet.hosts.some(host => uses(host, `i-${i}`));
       if (known) learntMs[i] = fleet.clock.nowMs() - startMs;
     }
   };
@@ -37,10 +48,14 @@
   return learntMs;
 }
 
+function knows({state}: FleetHost, target: string): boolean {
+  return state.targets.has(target);
+}
+
 async function worstDelayMs(options: Omit<FleetOptions, 'bounds'>) {
   const bounds = {configMs: drainMs, drainMs};
   const fleet = await startFleet({...options, bounds});
-  return Math.max(...(await removeTargets(fleet, 8)));
+  return Math.max(...(await removeTargets(fleet, 8, knows)));
 }
 
 // Guards against requests to a target that has left: each host took the time at which it processed a message for the
@@ -78,6 +93,44 @@
   }
 });
 
+/** Number of random fleets; `SEEDS=60 npm run unit -- view-age` tests more. */
+const seeds = Number(process.env.SEEDS ?? 6);
+
+// Guards against the same under conditions that no other test names: size, transit, losses, hosts that the store refuses, a
+// slow host and one that dies. A host whose view is too old holds requests, so only views that may be used count.
+test('no host of a random fleet uses a removed target after the bound', async () => {
+  for (let seed = 101; seed < 101 + seeds; seed++) {
+    const random = createRandom(seed);
+    const size = 9 + Math.floor(random() * 67);
+    const transitMs = Math.floor(random() * 400);
+    const refusedShare = random() < 0.5 ? random() * 0.4 : 0;
+    const slow = `host-${Math.floor(random() * size)}`;
+    const fleet = await startFleet({
+      size,
+      seed,
+      lossRate: random() * 0.1,
+      bounds: {configMs: drainMs, drainMs},
+      refuses: host => hash32(host) / 2 ** 32 < refusedShare,
+      delayMs: (from, to, varied) =>
+        (from === slow || to === slow ? 300 : transitMs) * (0.5 + varied),
+    });
+    // Hosts that the store refused from the start know no target, and are not ready.
+    const ready = fleet.hosts.filter(({feed}) => feed.offsets.targets >= 0);
+    const dying = ready[Math.floor(random() * ready.length)];
+    fleet.clock.after(2000, () => {
+      dying.dead = true;
+      dying.feed.stop();
+    });
+    const uses = (host: FleetHost, target: string) =>
+      !host.dead &&
+      host.feed.offsets.targets >= 0 &&
+      host.feed.targetsView.isCurrent &&
+      knows(host, target);
+    const worstMs = Math.max(...(await removeTargets(fleet, 6, uses)));
+    assert.ok(worstMs < drainMs, `${worstMs} ms with seed ${seed}`);
+  }
+});
+
 // Guards against a configuration or an evacuation that is not known in time: a long poll that had returned records
 // early, but was processed late, counted as proof that nothing was written until then.
 test('a response of the store that arrives late does not make the view younger', async () => {
