--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -20,6 +20,8 @@
 import {FailureError} from '../../src/process/errors/catalogue.js';
 import type {GatewaySettings} from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
+import type {DeploymentState} from '../../src/version/deployment/deployment-state.js';
+import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {
   requestKinds,
   type Change,
@@ -364,3 +366,23 @@
     },
   };
 }
+
+/** Creates a feed of a host that is the first to read the store and whose reads cause no messages. */
+export function createStateFeed(
+  clock: Clock,
+  store: SharedStore,
+  state: DeploymentState,
+  bounds: {readonly configMs: number; readonly drainMs: number},
+): StateFeed {
+  return new StateFeed({
+    clock,
+    logger: Logger.create('silent'),
+    store,
+    state,
+    bounds,
+    random: () => 0.5,
+    position: () => 0,
+    onRead: () => {},
+    onUnreadable: () => {},
+  });
+}
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -7,12 +7,15 @@
   type Snapshot,
 } from '../../src/connection/store/shared-store.js';
 import {rendezvousRank} from '../../src/process/fleet/rendezvous.js';
-import {Logger} from '../../src/process/logger.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {ReadSchedule} from '../../src/version/deployment/read-schedule.js';
-import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, MemoryStore, targetChange} from './gateway-fakes.js';
+import {
+  configuration,
+  createStateFeed,
+  MemoryStore,
+  targetChange,
+} from './gateway-fakes.js';
 import {startFleet} from './simulated-fleet.js';
 
 const bounds = {configMs: 2000, drainMs: 2000};
@@ -103,17 +106,7 @@
     }
   })();
   store.put(feeds.targets, targetChange('i', '10.0.0.1:80'));
-  const feed = new StateFeed({
-    clock,
-    logger: Logger.create('silent'),
-    store: held,
-    state,
-    bounds,
-    random: () => 0.5,
-    position: () => 0,
-    onRead: () => {},
-    onUnreadable: () => {},
-  });
+  const feed = createStateFeed(clock, held, state, bounds);
   feed.start();
   const settle = async () => {
     for (let i = 0; i < 20; i++) await null;
--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -6,12 +6,10 @@
   type ReadResult,
 } from '../../src/connection/store/shared-store.js';
 import {hash32} from '../../src/process/fleet/rendezvous.js';
-import {Logger} from '../../src/process/logger.js';
 import {createRandom} from '../../src/process/random.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
-import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, MemoryStore} from './gateway-fakes.js';
+import {configuration, createStateFeed, MemoryStore} from './gateway-fakes.js';
 import {
   startFleet,
   type Fleet,
@@ -20,6 +18,7 @@
 } from './simulated-fleet.js';
 
 const drainMs = 3000;
+const bounds = {configMs: drainMs, drainMs};
 
 /**
  * Removes targets one after the other and records until when a condition holds on any host.
@@ -53,7 +52,6 @@
 }
 
 async function worstDelayMs(options: Omit<FleetOptions, 'bounds'>) {
-  const bounds = {configMs: drainMs, drainMs};
   const fleet = await startFleet({...options, bounds});
   return Math.max(...(await removeTargets(fleet, 8, knows)));
 }
@@ -109,7 +107,7 @@
       size,
       seed,
       lossRate: random() * 0.1,
-      bounds: {configMs: drainMs, drainMs},
+      bounds,
       refuses: host => hash32(host) / 2 ** 32 < refusedShare,
       delayMs: (from, to, varied) =>
         (from === slow || to === slow ? 300 : transitMs) * (0.5 + varied),
@@ -144,17 +142,7 @@
     }
   }
   const store = new SlowStore();
-  const feed = new StateFeed({
-    clock,
-    logger: Logger.create('silent'),
-    store,
-    state: new DeploymentState(),
-    bounds: {configMs: 3000, drainMs},
-    random: () => 0.5,
-    position: () => 0,
-    onRead: () => {},
-    onUnreadable: () => {},
-  });
+  const feed = createStateFeed(clock, store, new DeploymentState(), bounds);
   feed.start();
   const settle = async () => {
     for (let i = 0; i < 20; i++) await null;
@@ -174,23 +162,13 @@
 // Guards against a view that counts as current because it was copied from a host that never was: an infinite age becomes
 // null in JSON, and null counts as 0.
 test('a copy of a host that was never up to date does not make the view current', () => {
-  const createFeed = (clock: ManualClock) =>
-    new StateFeed({
-      clock,
-      logger: Logger.create('silent'),
-      store: new MemoryStore(),
-      state: new DeploymentState(),
-      bounds: {configMs: 3000, drainMs},
-      random: () => 0.5,
-      position: () => 0,
-      onRead: () => {},
-      onUnreadable: () => {},
-    });
   const clock = new ManualClock();
-  const copy = createFeed(clock).copyState();
+  const createFeed = () =>
+    createStateFeed(clock, new MemoryStore(), new DeploymentState(), bounds);
+  const copy = createFeed().copyState();
   const wire = JSON.parse(JSON.stringify(copy)) as typeof copy;
   for (const ages of [wire.ages, undefined]) {
-    const feed = createFeed(clock);
+    const feed = createFeed();
     const offsets = {orders: 3, targets: 5};
     feed.adoptCopy({...wire, offsets, ages}, 'other', clock.nowMs());
     assert.ok(feed.targetsView.ageMs > drainMs);
