--- a/src/version/deployment/canary-evaluator.ts
+++ b/src/version/deployment/canary-evaluator.ts
@@ -41,7 +41,7 @@
 
 /**
  * Latency samples of a new version, over all routes that can be compared, that the verdict `good` needs. While there are
- * fewer, a slow version cannot be told from a good one.
+ * fewer, a slow version cannot be distinguished from a good one.
  */
 const minComparedSamples = 16;
 /**
