Log the fingerprints of requests whose exchange with a target failed

Event 7302 did not state what ran on a target that ended, so the log could not tell one request that crashes targets from many that were beside it. It now states the route, a fingerprint of the request (service, path, organisation, body; not the id), one of each shared prompt part, and the number of requests beside.

No decision changes.

--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -8,6 +8,7 @@
 import type {CanaryRouter} from '../../version/deployment/canary-router.js';
 import type {CanaryEvaluator} from '../../version/deployment/canary-evaluator.js';
 import type {Organisation, Route} from '../../version/deployment/types.js';
+import type {Fingerprint} from '../../process/crashes/fingerprint.js';
 import {requestKinds} from '../../version/deployment/types.js';
 import type {Dispatcher, SlotRequest} from './dispatcher.js';
 import type {RouteStats} from './route-stats.js';
@@ -42,6 +43,8 @@
   /** Tokens in one event of the service's streams; 1 for plain services. */
   readonly tokensPerEvent: number;
   readonly organisation?: Organisation;
+  /** Recognize the request and its prompt parts when they come again; see {@link requestFingerprints}. */
+  readonly fingerprints: readonly Fingerprint[];
   /** Arrival time on the process's clock, in milliseconds. */
   readonly arrivedMs: number;
 }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -7,6 +7,7 @@
 import type {Organisation} from '../../version/deployment/types.js';
 import type {GatewayRequestParts} from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
+import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {sendRefusal} from './refuse-request.js';
 import type {CallerHead} from './wire-format.js';
@@ -90,15 +91,12 @@
     const method = req.method ?? 'GET';
     readBody(req, maxBodyBytes, body => {
       if (!body) return this.refuse(req, res, head, 'bodyTooLarge');
+      const content = {head, method, url, body, service, organisation};
       const admitted = {
-        head,
-        method,
-        url,
-        body,
+        ...content,
+        fingerprints: requestFingerprints(content),
         route,
-        service,
         tokensPerEvent: routes.service(service)?.engine?.tokensPerEvent ?? 1,
-        organisation,
         arrivedMs,
       };
       const request = new GatewayRequest(this.parts, admitted, res, done =>
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -271,6 +271,9 @@
       target: target.entry.id,
       failure,
       reason,
+      route: this.request.route.name,
+      fingerprints: this.request.fingerprints.map(({id}) => id),
+      beside: target.localRequests - 1,
     });
     this.recordResponse(attempt, true);
     this.release(failureOutcome(mayHaveArrived, stalled));
