--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -176,7 +176,7 @@
   return {kind: 'target', id, entry};
 }
 
-async function freePort(): Promise<number> {
+export async function freePort(): Promise<number> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
