--- a/sim/sim-host.ts
+++ b/sim/sim-host.ts
@@ -15,7 +15,7 @@
 import {subscribe} from '../src/process/subject.js';
 import type {ClaimGate} from '../src/request/claim-gate.js';
 import {CostEstimator} from '../src/request/cost-estimator.js';
-import {CrashEvidence} from '../src/request/crash-evidence.js';
+import {CrashEvidence} from '../src/process/crashes/crash-evidence.js';
 import {PermitDispatcher} from '../src/request/permit-dispatcher.js';
 import {RequestHandler} from '../src/request/request-handler.js';
 import {TokenBucketRetryBudget} from '../src/request/retry-budget.js';
--- a/src/connection/peer/crash-gossip.ts
+++ b/src/connection/peer/crash-gossip.ts
@@ -5,9 +5,11 @@
 import {
   maxCrashes,
   type CrashEvidence,
-  type CrashEvidenceExport,
-  type CrashRecord,
-} from '../../request/crash-evidence.js';
+} from '../../process/crashes/crash-evidence.js';
+import type {
+  CrashEvidenceExport,
+  CrashRecord,
+} from '../../process/crashes/crash-record.js';
 import {loadProtoMessage} from './proto.js';
 
 const topic = 'crash-evidence';
--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -1,5 +1,8 @@
 import {createServer, type Server} from 'node:http';
-import type {Endpoint} from '../../process/gateway-settings.js';
+import type {
+  Endpoint,
+  GatewaySettings,
+} from '../../process/gateway-settings.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
 
@@ -51,6 +54,27 @@
   }
 }
 
+/**
+ * Creates the state servers of a host: for other hosts, and for those who read its metrics.
+ *
+ * @param settings - Endpoints of the host.
+ * @param copy - Copies the state.
+ * @param metrics - Renders the metrics.
+ */
+export function createStateServers(
+  {ip, metricsPort, peers}: GatewaySettings,
+  copy: () => StateCopy,
+  metrics: () => Promise<string>,
+): StateServer[] {
+  const endpoints = [
+    peers,
+    metricsPort === undefined ? undefined : {address: ip, port: metricsPort},
+  ];
+  return endpoints.flatMap(endpoint =>
+    endpoint ? new StateServer(endpoint, copy, metrics) : [],
+  );
+}
+
 /**
  * Reads the state of another host.
  *
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -4,9 +4,11 @@
   GatewayServer,
   serveReadiness,
 } from './connection/gateway/gateway-server.js';
-import {StateServer} from './connection/peer/state-server.js';
+import {TcpTargetProbe} from './connection/gateway/target-probe.js';
+import {createStateServers} from './connection/peer/state-server.js';
 import type {SharedStore} from './connection/store/shared-store.js';
 import {every, SystemClock, type Clock} from './process/clock.js';
+import {createCrashControl} from './process/crashes/crash-control.js';
 import {DecisionLog} from './process/decision-log.js';
 import {FailureError} from './process/errors/catalogue.js';
 import {gossipIntervalMs} from './process/fleet/gossip-interval.js';
@@ -18,7 +20,7 @@
 import {GatewayMetrics} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {ColdTargetLimiter} from './process/limits/cold-target-limiter.js';
-import {QuotaBuckets, type Quota} from './process/limits/quota-buckets.js';
+import {QuotaBuckets} from './process/limits/quota-buckets.js';
 import {createRandom} from './process/random.js';
 import {ServiceRetryBudget} from './process/limits/service-retry-budget.js';
 import {Logger} from './process/logger.js';
@@ -163,6 +165,15 @@
         .filter(peer => peer.host < host && peer.message?.storeReachable)
         .length,
   });
+  const crashes = createCrashControl({
+    clock,
+    logger,
+    metrics,
+    probe: new TcpTargetProbe(),
+    isInService: entry => state.allows(entry),
+    lastHeardMs: () => peers.lastHeardMs(clock.nowMs()),
+    onChange: () => gossip.sendSoon(),
+  });
   const handler = new GatewayHandler({
     clock,
     random,
@@ -177,6 +188,7 @@
     stats: new RouteStats(),
     metrics,
     decisions,
+    crashWatch: crashes.watch,
     routes: () => routes,
     isDraining: () => draining,
   });
@@ -206,6 +218,7 @@
         quotas.settled && peers.hasRecentlyStarted(clock.nowMs())
           ? quotas.levels(clock.nowMs())
           : undefined,
+      crashReport: crashes.report(),
       evidence: canaryEvaluator.localEvidence,
       phases: rolloutController.phases,
     }),
@@ -222,19 +235,10 @@
       peerPort: settings.peers.port,
       random,
     });
-  const stateServers = [
-    settings.peers,
-    settings.metricsPort === undefined
-      ? undefined
-      : {address: ip, port: settings.metricsPort},
-  ].flatMap(endpoint =>
-    endpoint
-      ? new StateServer(
-          endpoint,
-          () => feed.copyState(),
-          () => metrics.render(),
-        )
-      : [],
+  const stateServers = createStateServers(
+    settings,
+    () => feed.copyState(),
+    () => metrics.render(),
   );
 
   declareGauges(metrics, {
@@ -243,19 +247,13 @@
     configurationVersion: () => routes?.configuration.version ?? 0,
     storeUnavailableMs: () => feed.outage.durationMs,
     targetsViewAgeMs: () => feed.targetsView.ageMs,
+    blockedFingerprints: () => crashes.blocked.size,
     liveHosts: () => peers.heard(clock.nowMs()).length,
   });
 
   const isReady = () =>
     !draining && routes !== undefined && feed.offsets.targets >= 0;
-  const quotaOf = (name: string): Quota | undefined => {
-    const organisation = routes?.configuration.organisations.find(
-      ({name: known}) => known === name,
-    );
-    return organisation && organisation.ratePerSecond > 0
-      ? {rate: organisation.ratePerSecond, burst: organisation.burst}
-      : undefined;
-  };
+  const quotaOf = (name: string) => routes?.quotaOf(name);
 
   const onConfiguration = () => {
     const {configuration} = state;
@@ -317,6 +315,7 @@
       if (message.levels)
         quotas.adoptLevels(message.levels, quotaOf, clock.nowMs());
       quotas.recordPeerUsage(from, start, used, quotaOf, clock.nowMs());
+      crashes.merge(message.crashReport, composedAtMs);
       canaryEvaluator.mergeRemote(from, evidence);
       rolloutController.receivePhases(phases);
     }),
--- /dev/null
+++ b/src/process/crashes/blame-rule.ts
@@ -0,0 +1,115 @@
+import type {CrashRecord} from './crash-record.js';
+
+/** Decides from the crashes under which fingerprints ran which of them are refused. */
+export abstract class BlameRule {
+  /** Number of crashes that are kept for each fingerprint. */
+  abstract readonly crashesKept: number;
+  /** Age up to which a crash may be judged differently later without new evidence, in milliseconds. */
+  abstract readonly settleMs: number;
+
+  /**
+   * Finds the fingerprints to refuse.
+   *
+   * @param crashes - Crashes by fingerprint, without those that expired or were cleared.
+   * @param nowMs - Current time in milliseconds.
+   * @returns The refused fingerprints.
+   */
+  abstract blocked(
+    crashes: ReadonlyMap<string, readonly CrashRecord[]>,
+    nowMs: number,
+  ): Set<string>;
+}
+
+/** Refuses each fingerprint with a number of crashes. */
+export class CrashCountRule extends BlameRule {
+  override readonly settleMs = 0;
+
+  /** @param crashesKept - Number of crashes from which a fingerprint is refused. */
+  constructor(override readonly crashesKept: number) {
+    super();
+  }
+
+  override blocked(
+    crashes: ReadonlyMap<string, readonly CrashRecord[]>,
+  ): Set<string> {
+    const blocked = new Set<string>();
+    for (const [fingerprint, records] of crashes) {
+      if (records.length >= this.crashesKept) blocked.add(fingerprint);
+    }
+    return blocked;
+  }
+}
+
+/**
+ * Time by which a run may seem to start before the crash that it followed, in milliseconds: hosts date each other's
+ * crashes by the ages in messages.
+ */
+const orderToleranceMs = 20;
+/** Number of crashes in a row from which a fingerprint is refused. */
+const crashesToBlame = 3;
+
+/**
+ * Refuses the fingerprints that explain crashes best. Runs that overlapped count as one crash, because one cause may
+ * have ended their targets together: a fingerprint is suspected again only by a run that started after the crash
+ * before. What a refused fingerprint explains is no evidence against others, so that of several under the same
+ * crashes only the most specific one is refused.
+ */
+export class BestExplanationRule extends BlameRule {
+  override readonly crashesKept = 8;
+  /** Time in which the reports of other hosts arrive, which may explain a crash by something more specific. */
+  override readonly settleMs = 300;
+
+  override blocked(
+    crashes: ReadonlyMap<string, readonly CrashRecord[]>,
+    nowMs: number,
+  ): Set<string> {
+    const blocked = new Set<string>();
+    const explained = new Set<string>();
+    const candidates = new Map(
+      [...crashes].filter(([, records]) => records.length >= crashesToBlame),
+    );
+    for (;;) {
+      let best: {fingerprint: string; count: number; rank: number} | undefined;
+      for (const [fingerprint, records] of candidates) {
+        const unexplained = records.filter(
+          ({target}) => !explained.has(target),
+        );
+        const rank = Math.min(...records.map(record => record.rank ?? 0));
+        const settledMs = rank > 0 ? nowMs - this.settleMs : nowMs;
+        const settled = unexplained.filter(({atMs}) => atMs <= settledMs);
+        if (countInSequence(settled) < crashesToBlame) {
+          candidates.delete(fingerprint);
+          continue;
+        }
+        const count = new Set(unexplained.map(({target}) => target)).size;
+        if (
+          !best ||
+          count > best.count ||
+          (count === best.count && rank < best.rank)
+        ) {
+          best = {fingerprint, count, rank};
+        }
+      }
+      if (!best) return blocked;
+      blocked.add(best.fingerprint);
+      for (const {target} of candidates.get(best.fingerprint) ?? []) {
+        explained.add(target);
+      }
+      candidates.delete(best.fingerprint);
+    }
+  }
+}
+
+/** Counts the crashes of which each run started after the crash counted before. */
+function countInSequence(records: readonly CrashRecord[]): number {
+  let count = 0;
+  let lastMs = -Infinity;
+  for (const {atMs, startedMs} of [...records].sort(
+    (a, b) => a.atMs - b.atMs,
+  )) {
+    if ((startedMs ?? atMs) < lastMs - orderToleranceMs) continue;
+    count++;
+    lastMs = atMs;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/process/crashes/crash-control.ts
@@ -0,0 +1,82 @@
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import type {Logger} from '../logger.js';
+import {BestExplanationRule} from './blame-rule.js';
+import {CrashEvidence} from './crash-evidence.js';
+import {CrashReporter, toEvidence, type CrashReport} from './crash-report.js';
+import {CrashWatch, type CrashWatchParts} from './crash-watch.js';
+
+/** Maximum number of requests and prompt parts with evidence; about 1 MB. */
+const maxFingerprints = 2000;
+/** Time from a broken attempt to the crash of its target within which it is suspected, in milliseconds. */
+const suspicionMs = 500;
+
+/** Dependencies of the crash control of a gateway host. */
+export interface CrashControlParts extends Omit<
+  CrashWatchParts,
+  'evidence' | 'onCrash'
+> {
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  /** Called when this host saw a crash, which the other hosts should know soon. */
+  readonly onChange: () => void;
+}
+
+/** Refuses requests that crash targets, with the evidence of all hosts. */
+export interface CrashControl {
+  readonly watch: CrashWatch;
+  /** Fingerprints of the refused requests and prompt parts. */
+  readonly blocked: ReadonlySet<string>;
+  /** Builds the report for the next message to the other hosts. */
+  report(): CrashReport;
+  /** Applies a report of another host, composed at a time of this host's clock, in milliseconds. */
+  merge(report: CrashReport, composedAtMs: number): void;
+}
+
+/**
+ * Creates the crash control of a gateway host.
+ *
+ * @param parts - Dependencies.
+ */
+export function createCrashControl(parts: CrashControlParts): CrashControl {
+  const {clock, logger, metrics, onChange} = parts;
+  const evidence = new CrashEvidence({
+    maxFingerprints,
+    suspicionMs,
+    rule: new BestExplanationRule(),
+  });
+  const reporter = new CrashReporter(evidence);
+  let logged = '';
+  const logBlocked = () => {
+    const blocked = [...evidence.blocked(clock.nowMs())];
+    const text = blocked.join(' ');
+    if (text === logged) return;
+    logged = text;
+    logger.event('crashSuspectsChanged', {blocked});
+  };
+  const watch = new CrashWatch({
+    ...parts,
+    evidence,
+    onCrash: (target, suspects) => {
+      metrics.targetCrashed();
+      logger.event('targetCrashed', {target, suspects});
+      logBlocked();
+      onChange();
+    },
+  });
+  return {
+    watch,
+    get blocked() {
+      return evidence.blocked(clock.nowMs());
+    },
+    report() {
+      logBlocked();
+      return reporter.take(clock.nowMs());
+    },
+    merge(report, composedAtMs) {
+      const nowMs = clock.nowMs();
+      // A host from which no echo was received is taken at the time of receipt.
+      const atMs = Number.isFinite(composedAtMs) ? composedAtMs : nowMs;
+      evidence.merge(toEvidence(report, atMs));
+    },
+  };
+}
--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -1,20 +1,10 @@
-/** Attribution of one target crash to one request. */
-export interface CrashRecord {
-  /** Fingerprint of the request: `key:…` or `content:…`. */
-  readonly fingerprint: string;
-  readonly target: string;
-  /** Wall time of the crash, in milliseconds. */
-  readonly atMs: number;
-  /** Number of requests that may have caused the crash, at least 1. */
-  readonly suspects: number;
-}
+import {CrashCountRule, type BlameRule} from './blame-rule.js';
 
-/** Crash evidence as hosts exchange it. */
-export interface CrashEvidenceExport {
-  readonly records: readonly CrashRecord[];
-  /** Fingerprints that completed after their latest crash, with the wall time of the completion. */
-  readonly cleared: readonly {fingerprint: string; atMs: number}[];
-}
+import type {
+  ClearedFingerprint,
+  CrashEvidenceExport,
+  CrashRecord,
+} from './crash-record.js';
 
 /** Settings of {@link CrashEvidence}. */
 export interface CrashEvidenceOptions {
@@ -24,27 +14,45 @@
   readonly suspicionMs?: number;
   /** Maximum number of fingerprints with evidence. */
   readonly maxFingerprints?: number;
+  /** Decides which fingerprints are refused; by default those with {@link maxCrashes} crashes. */
+  readonly rule?: BlameRule;
 }
 
-/** Number of crashes after which requests with a fingerprint are refused. */
+/** Number of crashes after which requests with a fingerprint are refused, unless a rule says otherwise. */
 export const maxCrashes = 2;
 /** Reports of a target's crash that are at most this far apart are about the same one, in milliseconds. */
 const sameCrashMs = 2000;
+/** Time after a reported crash from which a response of the same run disproves it, in milliseconds; clocks differ less. */
+const disproofMs = 500;
 
 interface RunningAttempt {
   readonly fingerprints: readonly string[];
-  /** Wall time at which the connection broke; the attempt stays a suspect for `suspicionMs`. */
+  readonly startedMs?: number;
+  /** Time at which the connection broke; the attempt stays a suspect for `suspicionMs`. */
   brokenAtMs?: number;
 }
 
+interface Verdict {
+  readonly blocked: ReadonlySet<string>;
+  /** Time until which it does not change without new evidence, in milliseconds. */
+  readonly untilMs: number;
+}
+
 /**
- * Identifies requests that crash targets. It reads no clock: its methods are given wall time, which
- * is comparable between hosts; a clock error changes only when evidence expires.
+ * Identifies requests and prompt parts that crash targets. It reads no clock: all times it is given are of one clock.
+ * Hosts that exchange evidence by wall time do not state when runs began, so that a clock error changes only
+ * when evidence expires.
  */
 export class CrashEvidence {
   private readonly running = new Map<string, Map<string, RunningAttempt>>();
   private readonly crashes = new Map<string, CrashRecord[]>();
-  private readonly cleared = new Map<string, number>();
+  private readonly cleared = new Map<string, ClearedFingerprint>();
+  /** Latest completion of each fingerprint on this host, which may be later than a crash that is reported afterwards. */
+  private readonly completions = new Map<string, number>();
+  /** Latest response of a target that disproves its crash, by target. */
+  private readonly disproofs = new Map<string, number>();
+  private verdict: Verdict | undefined;
+  private readonly rule: BlameRule;
   private readonly expiryMs: number;
   private readonly suspicionMs: number;
   private readonly maxFingerprints: number;
@@ -56,6 +64,7 @@
     this.expiryMs = options.expiryMs ?? 600_000;
     this.suspicionMs = options.suspicionMs ?? 2000;
     this.maxFingerprints = options.maxFingerprints ?? 10_000;
+    this.rule = options.rule ?? new CrashCountRule(maxCrashes);
   }
 
   /**
@@ -63,19 +72,21 @@
    *
    * @param target - Name of the target.
    * @param attemptId - Id of the attempt.
-   * @param fingerprints - Fingerprints of the request.
+   * @param fingerprints - Fingerprints of the request, the most specific first.
+   * @param startedMs - Current time, in milliseconds, unless starts are not compared with crashes.
    */
   started(
     target: string,
     attemptId: string,
     fingerprints: readonly string[],
+    startedMs?: number,
   ): void {
     let attempts = this.running.get(target);
     if (!attempts) {
       attempts = new Map();
       this.running.set(target, attempts);
     }
-    attempts.set(attemptId, {fingerprints});
+    attempts.set(attemptId, {fingerprints, startedMs});
   }
 
   /**
@@ -84,7 +95,7 @@
    * @param target - Name of the target.
    * @param attemptId - Id of the attempt.
    * @param outcome - `broken` attempts stay suspects until it is known whether the target crashed.
-   * @param nowMs - Wall time in milliseconds.
+   * @param nowMs - Current time in milliseconds.
    */
   ended(
     target: string,
@@ -104,10 +115,54 @@
     if (attempts.size === 0) this.running.delete(target);
     if (outcome !== 'completed') return;
     for (const fingerprint of run.fingerprints) {
-      if (this.crashes.delete(fingerprint)) {
-        this.cleared.set(fingerprint, nowMs);
-      }
+      // Re-inserting keeps the latest completions when the map is full.
+      this.completions.delete(fingerprint);
+      this.completions.set(fingerprint, nowMs);
+      if (this.crashes.has(fingerprint)) this.clear(fingerprint, nowMs);
+    }
+    this.limit(this.completions);
+  }
+
+  /**
+   * Records a response of a target. If the run started before a reported crash of that target, the target did not
+   * crash: the host that reported it was cut off.
+   *
+   * @param target - Name of the target.
+   * @param startedMs - Time at which the run began, in milliseconds.
+   * @param nowMs - Current time in milliseconds.
+   */
+  recordResponse(target: string, startedMs: number, nowMs: number): void {
+    const disproved = this.drop(
+      record =>
+        record.target === target &&
+        startedMs < record.atMs &&
+        nowMs > record.atMs + disproofMs,
+    );
+    if (disproved) this.disproofs.set(target, nowMs);
+    this.limit(this.disproofs);
+  }
+
+  /**
+   * Drops the broken attempts of a target that did not crash.
+   *
+   * @param target - Name of the target.
+   */
+  dismissBroken(target: string): void {
+    const attempts = this.running.get(target);
+    if (!attempts) return;
+    for (const [id, {brokenAtMs}] of attempts) {
+      if (brokenAtMs !== undefined) attempts.delete(id);
     }
+    if (attempts.size === 0) this.running.delete(target);
+  }
+
+  /**
+   * Withdraws the crash of a target that this host reported.
+   *
+   * @param target - Name of the target.
+   */
+  withdrawTargetCrash(target: string): void {
+    this.drop(record => record.target === target && record.isLocal === true);
   }
 
   /**
@@ -115,7 +170,7 @@
    * to the requests that were running on it.
    *
    * @param target - Name of the target.
-   * @param nowMs - Wall time in milliseconds.
+   * @param nowMs - Current time in milliseconds.
    * @returns Number of requests that may have caused the crash.
    */
   recordTargetCrash(target: string, nowMs: number): number {
@@ -127,10 +182,19 @@
         run.brokenAtMs === undefined ||
         nowMs - run.brokenAtMs <= this.suspicionMs,
     );
-    for (const {fingerprints} of suspects) {
-      for (const fingerprint of fingerprints) {
-        this.add({fingerprint, target, atMs: nowMs, suspects: suspects.length});
-      }
+    // Of several runs with one fingerprint the last one counts.
+    for (const {fingerprints, startedMs, brokenAtMs} of suspects.reverse()) {
+      fingerprints.forEach((fingerprint, rank) =>
+        this.add({
+          fingerprint,
+          target,
+          atMs: startedMs === undefined ? nowMs : (brokenAtMs ?? nowMs),
+          startedMs,
+          rank,
+          suspects: suspects.length,
+          isLocal: true,
+        }),
+      );
     }
     return suspects.length;
   }
@@ -139,33 +203,71 @@
    * Checks whether a request must be refused because it crashes targets.
    *
    * @param fingerprints - Fingerprints of the request.
-   * @param nowMs - Wall time in milliseconds.
-   * @returns Whether one of the fingerprints has {@link maxCrashes} crashes that have not expired.
+   * @param nowMs - Current time in milliseconds.
    */
   isBlocked(fingerprints: readonly string[], nowMs: number): boolean {
-    return fingerprints.some(
-      fingerprint => this.current(fingerprint, nowMs).length >= maxCrashes,
-    );
+    return this.blockedAmong(fingerprints, nowMs) !== undefined;
+  }
+
+  /**
+   * Finds the fingerprint for which a request must be refused.
+   *
+   * @param fingerprints - Fingerprints of the request.
+   * @param nowMs - Current time in milliseconds.
+   * @returns The fingerprint, or `undefined` if the request may run.
+   */
+  blockedAmong(
+    fingerprints: readonly string[],
+    nowMs: number,
+  ): string | undefined {
+    const blocked = this.blocked(nowMs);
+    if (blocked.size === 0) return undefined;
+    return fingerprints.find(fingerprint => blocked.has(fingerprint));
+  }
+
+  /**
+   * Lists the fingerprints whose requests are refused.
+   *
+   * @param nowMs - Current time in milliseconds.
+   */
+  blocked(nowMs: number): ReadonlySet<string> {
+    if (!this.verdict || nowMs >= this.verdict.untilMs) {
+      const records = this.unexpired(nowMs);
+      const {settleMs} = this.rule;
+      const changesMs = records.map(
+        ({atMs}) => atMs + (nowMs - atMs < settleMs ? settleMs : this.expiryMs),
+      );
+      this.verdict = {
+        blocked: this.rule.blocked(this.crashes, nowMs),
+        untilMs: Math.min(...changesMs),
+      };
+    }
+    return this.verdict.blocked;
+  }
+
+  /**
+   * Computes when the evidence expires for which a fingerprint is refused.
+   *
+   * @param fingerprint - Refused fingerprint.
+   * @returns Time in milliseconds.
+   */
+  blockedUntilMs(fingerprint: string): number {
+    const records = this.crashes.get(fingerprint) ?? [];
+    return Math.max(...records.map(({atMs}) => atMs)) + this.expiryMs;
   }
 
   /**
    * Exports the evidence for other hosts.
    *
-   * @param nowMs - Wall time in milliseconds.
+   * @param nowMs - Current time in milliseconds.
    * @returns Evidence and completions that have not expired.
    */
   export(nowMs: number): CrashEvidenceExport {
-    for (const [fingerprint, atMs] of this.cleared) {
+    for (const [fingerprint, {atMs}] of this.cleared) {
       if (nowMs - atMs > this.expiryMs) this.cleared.delete(fingerprint);
     }
-    const records = [...this.crashes.keys()].flatMap(fingerprint =>
-      this.current(fingerprint, nowMs),
-    );
-    const cleared = [...this.cleared].map(([fingerprint, atMs]) => ({
-      fingerprint,
-      atMs,
-    }));
-    return {records, cleared};
+    const cleared = [...this.cleared.values()];
+    return {records: this.unexpired(nowMs), cleared};
   }
 
   /**
@@ -175,45 +277,91 @@
    */
   merge(evidence: CrashEvidenceExport): void {
     for (const {fingerprint, atMs} of evidence.cleared) {
-      if (atMs <= (this.cleared.get(fingerprint) ?? -Infinity)) continue;
-      this.cleared.set(fingerprint, atMs);
-      const later = (this.crashes.get(fingerprint) ?? []).filter(
-        record => record.atMs > atMs,
+      if (atMs <= this.clearedAtMs(fingerprint)) continue;
+      this.cleared.set(fingerprint, {fingerprint, atMs});
+      this.limit(this.cleared);
+      const records = this.crashes.get(fingerprint);
+      if (!records) continue;
+      this.keep(
+        fingerprint,
+        records.filter(record => record.atMs > atMs),
       );
-      if (later.length > 0) this.crashes.set(fingerprint, later);
-      else this.crashes.delete(fingerprint);
     }
     for (const record of evidence.records) this.add(record);
   }
 
   private add(record: CrashRecord): void {
-    if (record.atMs <= (this.cleared.get(record.fingerprint) ?? -Infinity)) {
-      return;
-    }
-    const known = this.crashes.get(record.fingerprint) ?? [];
+    const {fingerprint, target, atMs} = record;
+    const completedMs = this.completions.get(fingerprint) ?? -Infinity;
+    // Clears it anew, so that a host which still reports the crash learns of the completion.
+    if (atMs <= completedMs) return this.clear(fingerprint, completedMs);
+    if (atMs <= this.clearedAtMs(fingerprint)) return;
+    if (atMs + disproofMs < (this.disproofs.get(target) ?? -Infinity)) return;
+    const known = this.crashes.get(fingerprint) ?? [];
     const duplicate = known.some(
       other =>
-        other.target === record.target &&
-        Math.abs(other.atMs - record.atMs) <= sameCrashMs,
+        other.target === target && Math.abs(other.atMs - atMs) <= sameCrashMs,
     );
     if (duplicate) return;
-    // Re-inserting keeps the map ordered by latest crash, so that the oldest entry is evicted first.
-    this.crashes.delete(record.fingerprint);
-    this.crashes.set(record.fingerprint, [...known, record].slice(-maxCrashes));
-    for (const map of [this.crashes, this.cleared]) {
-      if (map.size <= this.maxFingerprints) continue;
-      map.delete(map.keys().next().value as string);
+    // Re-inserting keeps the map ordered by latest crash.
+    this.crashes.delete(fingerprint);
+    this.keep(fingerprint, [...known, record].slice(-this.rule.crashesKept));
+    if (this.crashes.size > this.maxFingerprints) this.evict();
+  }
+
+  /** Drops the oldest fingerprint with a single crash, if there is one, so that others do not displace suspected ones. */
+  private evict(): void {
+    for (const [fingerprint, {length}] of this.crashes) {
+      if (length > 1) continue;
+      this.crashes.delete(fingerprint);
+      return;
     }
+    this.limit(this.crashes);
+  }
+
+  /** Drops crashes and returns whether there were any. */
+  private drop(isDropped: (record: CrashRecord) => boolean): boolean {
+    let dropped = false;
+    for (const [fingerprint, records] of this.crashes) {
+      const kept = records.filter(record => !isDropped(record));
+      if (kept.length === records.length) continue;
+      dropped = true;
+      this.keep(fingerprint, kept);
+    }
+    return dropped;
+  }
+
+  private clear(fingerprint: string, atMs: number): void {
+    this.keep(fingerprint, []);
+    this.cleared.delete(fingerprint);
+    this.cleared.set(fingerprint, {fingerprint, atMs, isLocal: true});
+    this.limit(this.cleared);
   }
 
-  private current(fingerprint: string, nowMs: number): CrashRecord[] {
-    const known = this.crashes.get(fingerprint);
-    if (!known) return [];
-    const remaining = known.filter(({atMs}) => nowMs - atMs <= this.expiryMs);
-    if (remaining.length === 0) this.crashes.delete(fingerprint);
-    else if (remaining.length < known.length)
-      this.crashes.set(fingerprint, remaining);
-    return remaining;
+  private clearedAtMs(fingerprint: string): number {
+    return this.cleared.get(fingerprint)?.atMs ?? -Infinity;
+  }
+
+  private keep(fingerprint: string, records: CrashRecord[]): void {
+    this.verdict = undefined;
+    if (records.length > 0) this.crashes.set(fingerprint, records);
+    else this.crashes.delete(fingerprint);
+  }
+
+  private unexpired(nowMs: number): CrashRecord[] {
+    for (const [fingerprint, records] of this.crashes) {
+      const kept = records.filter(({atMs}) => nowMs - atMs <= this.expiryMs);
+      if (kept.length < records.length) this.keep(fingerprint, kept);
+    }
+    return [...this.crashes.values()].flat();
+  }
+
+  /** Drops the oldest entries of a map beyond the limit. */
+  private limit(map: Map<string, unknown>): void {
+    for (const key of map.keys()) {
+      if (map.size <= this.maxFingerprints) return;
+      map.delete(key);
+    }
   }
 
   private dropOldSuspects(
--- /dev/null
+++ b/src/process/crashes/crash-watch.ts
@@ -0,0 +1,163 @@
+import {
+  probeResults,
+  type TargetProbe,
+} from '../../connection/gateway/target-probe.js';
+import type {TargetEntry} from '../../version/deployment/types.js';
+import type {Clock} from '../clock.js';
+import type {CrashEvidence} from './crash-evidence.js';
+
+/** Longest time for which a broken attempt waits to learn whether its target crashed, in milliseconds. */
+const maxCheckMs = 100;
+
+/**
+ * Time within which another host must be heard after a crash, in milliseconds. A host that hears none is cut off itself,
+ * and its refused connections say nothing about targets.
+ */
+const confirmMs = 500;
+
+/** How an attempt ended, as far as crashes are concerned. */
+export const attemptEnds = {
+  /** The target responded completely and without an error. */
+  completed: 'completed',
+  /** The target closed the connection before its response was complete. */
+  broken: 'broken',
+  /** Anything else, for example not sent or cancelled. */
+  other: 'other',
+} as const;
+
+/** One of {@link attemptEnds}. */
+export type AttemptEnd = (typeof attemptEnds)[keyof typeof attemptEnds];
+
+/** Dependencies of a {@link CrashWatch}. */
+export interface CrashWatchParts {
+  readonly clock: Clock;
+  readonly evidence: CrashEvidence;
+  readonly probe: TargetProbe;
+  /** Whether new requests may be sent to a target; one that is about to leave ends without a crash. */
+  readonly isInService: (entry: TargetEntry) => boolean;
+  /** Time at which another host was heard last, in milliseconds; `undefined` if no other host is live. */
+  readonly lastHeardMs: () => number | undefined;
+  /** Called for each crash, with the number of this host's requests that ran on the target. */
+  readonly onCrash: (target: string, suspects: number) => void;
+}
+
+/** An attempt that is watched. */
+export interface WatchedAttempt {
+  readonly id: string;
+  readonly entry: TargetEntry;
+  readonly startedMs: number;
+}
+
+/**
+ * Tells crashes of targets from lost responses and cut connections, and attributes them to the requests of this host
+ * that ran there. A target has crashed if it closed the connection of a request and nothing listens at its address.
+ */
+export class CrashWatch {
+  private attempts = 0;
+  private readonly checks = new Map<string, (() => void)[]>();
+
+  /** @param parts - Dependencies. */
+  constructor(private readonly parts: CrashWatchParts) {}
+
+  /**
+   * Finds the fingerprint for which a request must not be sent.
+   *
+   * @param fingerprints - Fingerprints of the request.
+   * @returns The fingerprint and the time until which it is refused, in milliseconds, if there is one.
+   */
+  blockedAmong(
+    fingerprints: readonly string[],
+  ): {readonly fingerprint: string; readonly forMs: number} | undefined {
+    const {clock, evidence} = this.parts;
+    const nowMs = clock.nowMs();
+    const fingerprint = evidence.blockedAmong(fingerprints, nowMs);
+    if (fingerprint === undefined) return undefined;
+    const forMs = evidence.blockedUntilMs(fingerprint) - nowMs;
+    return {fingerprint, forMs};
+  }
+
+  /**
+   * Records that a request is sent.
+   *
+   * @param entry - Target of the request.
+   * @param fingerprints - Fingerprints of the request, the most specific first.
+   * @returns The attempt, for {@link ended}.
+   */
+  started(entry: TargetEntry, fingerprints: readonly string[]): WatchedAttempt {
+    const startedMs = this.parts.clock.nowMs();
+    const id = String(this.attempts++);
+    this.parts.evidence.started(
+      incarnationOf(entry),
+      id,
+      fingerprints,
+      startedMs,
+    );
+    return {id, entry, startedMs};
+  }
+
+  /**
+   * Records the end of an attempt.
+   *
+   * @param attempt - Attempt from {@link started}.
+   * @param end - How it ended.
+   */
+  ended({id, entry, startedMs}: WatchedAttempt, end: AttemptEnd): void {
+    const {clock, evidence} = this.parts;
+    const nowMs = clock.nowMs();
+    const target = incarnationOf(entry);
+    evidence.ended(target, id, end, nowMs);
+    if (end === attemptEnds.completed) {
+      evidence.recordResponse(target, startedMs, nowMs);
+    }
+  }
+
+  /**
+   * Finds out whether the target of a broken attempt crashed, so that the attempt is not retried if its request is now
+   * known to crash targets.
+   *
+   * @param entry - Target of the attempt.
+   * @param onChecked - Called once, when it is known or after a short time.
+   */
+  check(entry: TargetEntry, onChecked: () => void): void {
+    const {clock, evidence, probe} = this.parts;
+    const target = incarnationOf(entry);
+    const waiting = this.checks.get(target);
+    if (waiting) {
+      waiting.push(onChecked);
+      return;
+    }
+    const callbacks = [onChecked];
+    this.checks.set(target, callbacks);
+    const finish = () => {
+      for (const callback of callbacks.splice(0)) callback();
+    };
+    const cancel = clock.after(maxCheckMs, finish);
+    void probe.probe(entry.address).then(result => {
+      cancel();
+      this.checks.delete(target);
+      if (result === probeResults.refused) this.recordCrash(entry);
+      evidence.dismissBroken(target);
+      finish();
+    });
+  }
+
+  private recordCrash(entry: TargetEntry): void {
+    const {clock, evidence, isInService, lastHeardMs, onCrash} = this.parts;
+    if (!isInService(entry)) return;
+    const target = incarnationOf(entry);
+    const nowMs = clock.nowMs();
+    const suspects = evidence.recordTargetCrash(target, nowMs);
+    if (suspects === 0) return;
+    onCrash(entry.id, suspects);
+    if (lastHeardMs() === undefined) return;
+    clock.after(confirmMs, () => {
+      const heardMs = lastHeardMs() ?? -Infinity;
+      if (heardMs < nowMs) evidence.withdrawTargetCrash(target);
+    });
+  }
+}
+
+/** Names one run of a target's process, which can crash only once. */
+function incarnationOf({id, bornMs}: TargetEntry): string {
+  return `${id}/${bornMs}`;
+}
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -91,6 +91,11 @@
     level: 'warn',
     message: 'target does not respond to a request',
   },
+  crashSuspectsChanged: {
+    id: 7206,
+    level: 'warn',
+    message: 'requests and prompt parts that are refused because targets crash',
+  },
   gatewayRefused: {
     id: 7301,
     level: 'info',
@@ -111,6 +116,11 @@
     level: 'warn',
     message: 'response aborted after a part was delivered',
   },
+  requestBlocked: {
+    id: 7305,
+    level: 'info',
+    message: 'request not sent because targets crashed under its like',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- /dev/null
+++ b/src/process/fleet/crash-codec.ts
@@ -0,0 +1,69 @@
+import type {CrashReport} from '../crashes/crash-report.js';
+
+/** Maximum length of a fingerprint or name of a target in a message. */
+const maxNameLength = 80;
+/** Maximum age in a message, in milliseconds; evidence expires earlier. */
+const maxAgeMs = 3_600_000;
+
+/**
+ * Encodes a crash report as rows for a datagram.
+ *
+ * @param report - Report to send.
+ * @returns Rows of crashes and of completions, or `undefined` if there are none.
+ */
+export function encodeCrashReport({
+  crashes,
+  cleared,
+}: CrashReport): unknown[] | undefined {
+  if (crashes.length === 0 && cleared.length === 0) return undefined;
+  return [
+    crashes.map(({fingerprint, target, rank, ageMs, startedAgeMs}) => [
+      fingerprint,
+      target,
+      rank,
+      Math.round(ageMs),
+      Math.round(startedAgeMs),
+    ]),
+    cleared.map(({fingerprint, ageMs}) => [fingerprint, Math.round(ageMs)]),
+  ];
+}
+
+/**
+ * Decodes a crash report. Malformed rows are skipped.
+ *
+ * @param value - Value from a datagram.
+ */
+export function decodeCrashReport(value: unknown): CrashReport {
+  const [crashRows, clearedRows] = Array.isArray(value)
+    ? (value as unknown[])
+    : [];
+  const crashes = rowsOf(crashRows).flatMap(row => {
+    const [fingerprint, target, rank, ageMs, startedAgeMs] = row;
+    if (!isName(fingerprint) || !isName(target) || !isAge(rank)) return [];
+    if (!isAge(ageMs) || !isAge(startedAgeMs)) return [];
+    return {fingerprint, target, rank, ageMs, startedAgeMs};
+  });
+  const cleared = rowsOf(clearedRows).flatMap(([fingerprint, ageMs]) =>
+    isName(fingerprint) && isAge(ageMs) ? {fingerprint, ageMs} : [],
+  );
+  return {crashes, cleared};
+}
+
+function rowsOf(value: unknown): unknown[][] {
+  return Array.isArray(value)
+    ? value.filter((row): row is unknown[] => Array.isArray(row))
+    : [];
+}
+
+function isName(value: unknown): value is string {
+  return (
+    typeof value === 'string' &&
+    value.length > 0 &&
+    value.length <= maxNameLength
+  );
+}
+
+/** Whether a value is a number from 0 to {@link maxAgeMs}; a negative age would be evidence from the future. */
+function isAge(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value <= maxAgeMs;
+}
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -6,6 +6,8 @@
   FeedUpdate,
   TargetUpdate,
 } from '../../version/deployment/feed-update.js';
+import {emptyReport, type CrashReport} from '../crashes/crash-report.js';
+import {decodeCrashReport, encodeCrashReport} from './crash-codec.js';
 import {
   canaryPhases,
   type CanaryPhase,
@@ -62,6 +64,8 @@
   readonly used: Readonly<Record<string, number>>;
   /** Levels of the quota buckets by organisation; only sent while another host has just started. */
   readonly levels?: Readonly<Record<string, number>>;
+  /** Crashes of targets that the host saw or for which it refuses requests. */
+  readonly crashReport: CrashReport;
   /** Evidence about new versions, by service under rollout. */
   readonly evidence: ReadonlyMap<string, Evidence>;
   /** Canary phases at the host, by service under rollout. */
@@ -120,6 +124,7 @@
     l: reports,
     u: message.used,
     q: message.levels,
+    k: encodeCrashReport(message.crashReport),
     e: message.evidence.size > 0 ? evidence : undefined,
     p: message.phases.size > 0 ? phases : undefined,
   });
@@ -161,10 +166,8 @@
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
-  const {h, a, z, i, n, m, r, b, s, o, t, c, l, u, q, e, p} = value as Record<
-    string,
-    unknown
-  >;
+  const {h, a, z, i, n, m, r, b, s, o, t, c, l, u, q, e, p, k} =
+    value as Record<string, unknown>;
   if (typeof h !== 'string' || typeof a !== 'string' || typeof z !== 'string') {
     return undefined;
   }
@@ -184,6 +187,7 @@
     targetReports: decodeReports(l),
     used: decodeNumbers(u),
     levels: q === undefined ? undefined : decodeNumbers(q),
+    crashReport: k === undefined ? emptyReport : decodeCrashReport(k),
     evidence: decodeEvidence(e),
     phases: decodePhases(p),
   };
--- a/src/process/fleet/peer-table.ts
+++ b/src/process/fleet/peer-table.ts
@@ -117,6 +117,17 @@
     );
   }
 
+  /**
+   * Finds when a message of any live host was received last.
+   *
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns Monotonic time in milliseconds, or `undefined` if no host is live.
+   */
+  lastHeardMs(nowMs: number): number | undefined {
+    const times = this.heard(nowMs).map(({lastSeenAtMs}) => lastSeenAtMs);
+    return times.length > 0 ? Math.max(...times) : undefined;
+  }
+
   /**
    * Checks whether another host has started recently.
    *
--- a/src/process/gateway-gauges.ts
+++ b/src/process/gateway-gauges.ts
@@ -10,6 +10,8 @@
   readonly storeUnavailableMs: () => number;
   /** Time since the view of the targets was last known to be up to date, in milliseconds. */
   readonly targetsViewAgeMs: () => number;
+  /** Number of requests and prompt parts that are refused because targets crashed under them. */
+  readonly blockedFingerprints: () => number;
   /** Number of other hosts that sent gossip recently. */
   readonly liveHosts: () => number;
 }
@@ -49,6 +51,11 @@
     'Time since the view of the targets was last known to be up to date',
     () => values.targetsViewAgeMs() / 1000,
   );
+  metrics.gauge(
+    'guavaseam_gateway_crash_suspects',
+    'Requests and prompt parts that are refused because targets crashed under them',
+    values.blockedFingerprints,
+  );
   metrics.gauge(
     'guavaseam_gateway_hosts_heard',
     'Other hosts from which gossip was received recently',
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -58,6 +58,10 @@
     'guavaseam_gateway_log_lines_dropped_total',
     'Log lines dropped because standard output was not read fast enough',
   );
+  private readonly crashes = this.counter(
+    'guavaseam_gateway_target_crashes_total',
+    'Crashes of targets that ran requests of this host',
+  );
   private readonly latency = new Gauge({
     name: 'guavaseam_gateway_latency_seconds',
     help: 'Latency quantiles since the process started, by phase',
@@ -103,6 +107,11 @@
     this.opened.inc();
   }
 
+  /** Counts a target that crashed while it ran requests of this host. */
+  targetCrashed(): void {
+    this.crashes.inc();
+  }
+
   /** Counts a log line that was dropped. */
   lineDropped(): void {
     this.droppedLines.inc();
--- a/src/request/attempt-loop.ts
+++ b/src/request/attempt-loop.ts
@@ -8,7 +8,7 @@
 import {decideAttempt, type AttemptDecision} from './attempt-decision.js';
 import {runAttempt, type AttemptResult} from './attempt-run.js';
 import {backoffMs, type RandomSource} from './backoff.js';
-import type {CrashEvidence} from './crash-evidence.js';
+import type {CrashEvidence} from '../process/crashes/crash-evidence.js';
 import type {Dispatcher, Grant} from './dispatcher.js';
 import type {RefusalReason} from './refusals.js';
 import type {Relay} from './relay.js';
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -1,4 +1,5 @@
 import type {Clock} from '../../process/clock.js';
+import type {CrashWatch} from '../../process/crashes/crash-watch.js';
 import type {DecisionLog} from '../../process/decision-log.js';
 import type {GatewayMetrics} from '../../process/gateway-metrics.js';
 import type {QuotaBuckets} from '../../process/limits/quota-buckets.js';
@@ -8,7 +9,6 @@
 import type {CanaryRouter} from '../../version/deployment/canary-router.js';
 import type {CanaryEvaluator} from '../../version/deployment/canary-evaluator.js';
 import type {Organisation, Route} from '../../version/deployment/types.js';
-import type {Fingerprint} from '../../process/crashes/fingerprint.js';
 import {requestKinds} from '../../version/deployment/types.js';
 import type {Dispatcher, SlotRequest} from './dispatcher.js';
 import type {RouteStats} from './route-stats.js';
@@ -29,6 +29,7 @@
   readonly stats: RouteStats;
   readonly metrics: GatewayMetrics;
   readonly decisions: DecisionLog;
+  readonly crashWatch: CrashWatch;
   readonly isDraining: () => boolean;
 }
 
@@ -43,8 +44,8 @@
   /** Tokens in one event of the service's streams; 1 for plain services. */
   readonly tokensPerEvent: number;
   readonly organisation?: Organisation;
-  /** Recognize the request and its prompt parts when they come again; see {@link requestFingerprints}. */
-  readonly fingerprints: readonly Fingerprint[];
+  /** Recognize the request and its prompt parts when they come again; the most specific first. */
+  readonly fingerprints: readonly string[];
   /** Arrival time on the process's clock, in milliseconds. */
   readonly arrivedMs: number;
 }
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -1,9 +1,12 @@
 import type {ServerResponse} from 'node:http';
 import {
-  Exchange,
   exchangeFailures,
   type ExchangeFailure,
 } from '../../connection/gateway/exchange.js';
+import {
+  attemptEnds,
+  type AttemptEnd,
+} from '../../process/crashes/crash-watch.js';
 import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
 import {
   outcomes,
@@ -26,20 +29,10 @@
 import {maxWaitMs, computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {refuseRequest} from './refuse-request.js';
+import {TargetAttempt} from './target-attempt.js';
 import {Attempts, failureOutcome, stallTimeoutMs} from './attempt-tracker.js';
 import type {ResponseHead} from './wire-format.js';
 
-interface Attempt {
-  readonly target: PooledTarget;
-  readonly exchange: Exchange;
-  readonly startMs: number;
-  head?: ResponseHead;
-  /** Prompt tokens that the target has not processed yet. */
-  pendingTokens: number;
-  /** Whether the stall was already recorded as a failure of the target. */
-  stalled: boolean;
-}
-
 /** Serves one admitted request until its response ends. */
 export class GatewayRequest {
   private readonly deadlineAtMs: number;
@@ -49,7 +42,7 @@
   private readonly trial: boolean;
   private readonly units: number;
   private ticket: Ticket | undefined;
-  private attempt: Attempt | undefined;
+  private attempt: TargetAttempt | undefined;
   private cancelTimer = () => {};
   private mayHaveRun = false;
   private done = false;
@@ -108,12 +101,14 @@
   }
 
   /**
-   * Checks for a stalled target, and retries the request elsewhere if that is possible.
+   * Refuses a waiting request that is now known to crash targets. Otherwise checks for a stalled target, and retries
+   * the request elsewhere if that is possible.
    *
    * @param nowMs - Time on the process's clock, in milliseconds.
    */
   check(nowMs: number): void {
     const {attempt} = this;
+    if (this.ticket && this.failIfBlocked()) return;
     if (!attempt || attempt.stalled) return;
     const {route} = this.request;
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
@@ -136,6 +131,7 @@
   }
 
   private requestSlot(): void {
+    if (this.failIfBlocked()) return;
     const {clock, dispatcher, stats} = this.parts;
     const {route} = this.request;
     const nowMs = clock.nowMs();
@@ -158,73 +154,53 @@
       () => this.onNoSlot(),
     );
     // The slot may have been assigned before `requestSlot` returned the ticket.
-    if (this.attempt) this.ticket = undefined;
+    if (this.attempt || this.done) this.ticket = undefined;
   }
 
   private send(target: PooledTarget): void {
-    const {clock, pool, state, wire} = this.parts;
-    const {head, method, url, body, organisation} = this.request;
+    const {pool, state} = this.parts;
     this.ticket = undefined;
-    const nowMs = clock.nowMs();
+    if (this.failIfBlocked()) {
+      const {promptTokens} = this.request.head;
+      return pool.release(target, outcomes.cancelled, promptTokens);
+    }
     this.attempts.sent();
-    const headers = wire.targetHeaders(head, {
-      deadlineMs: this.deadlineAtMs - nowMs,
-      targetId: target.entry.id,
-      organisation: organisation?.name,
-      lastEventId: this.relay.lastEventId,
-    });
-    const {requestId} = head;
-    const exchange = new Exchange(
-      pool.connections(target),
-      wire,
-      {method, path: url, headers, body, requestId},
+    this.attempt = new TargetAttempt(
+      this.parts,
+      this.request,
+      target,
       {
-        maySend: () => state.allows(target.entry),
+        deadlineAtMs: this.deadlineAtMs,
+        lastEventId: this.relay.lastEventId,
+      },
+      {
+        maySend: () => state.allows(target.entry) && !this.blocked,
         onHead: response => this.onHead(response),
         onData: chunk => this.onData(chunk),
         onEnd: () => this.onEnd(),
         onFailure: (failure, reason) => this.onFailure(failure, reason),
       },
     );
-    this.attempt = {
-      target,
-      exchange,
-      startMs: nowMs,
-      pendingTokens: head.promptTokens,
-      stalled: false,
-    };
-    exchange.start();
+    this.attempt.exchange.start();
   }
 
   private onHead(head: ResponseHead): void {
-    const {attempt} = this;
-    if (!attempt) return;
-    attempt.head = head;
-    const {target} = attempt;
-    const nowMs = this.parts.clock.nowMs();
-    if (head.coldMs) {
-      target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + head.coldMs);
-    }
-    if (head.load) target.recordTargetLoad(head.load, nowMs);
-    if (!head.notRun) {
-      this.mayHaveRun = true;
-      this.relay.begin(head);
-    }
+    this.attempt?.recordHead(head);
+    if (!this.attempt || head.notRun) return;
+    this.mayHaveRun = true;
+    this.relay.begin(head);
   }
 
   private onData(chunk: Buffer): void {
     const {attempt} = this;
     if (attempt?.head?.notRun !== false) return;
-    const {clock, pool} = this.parts;
+    const {clock} = this.parts;
     const {relay} = this;
     if (!relay.data(chunk, clock.nowMs(), this.isRetryable())) {
       return attempt.exchange.reject('an event of the stream is too large');
     }
     if (relay.events === 0) return;
-    if (attempt.pendingTokens > 0) {
-      pool.recordPromptRead(attempt.target, attempt.pendingTokens);
-      attempt.pendingTokens = 0;
-    }
+    attempt.recordPromptRead();
     sampleEarlyTokens(this.request, this.relay, attempt.target);
   }
 
@@ -242,7 +218,8 @@
     this.attempts.ran();
     const failed = head.status >= 500;
     this.recordResponse(attempt, failed);
-    this.release(failed ? outcomes.failed : outcomes.answered);
+    if (failed) this.release(outcomes.failed);
+    else this.release(outcomes.answered, attemptEnds.completed);
     if (this.isRetryable() && failed && this.retry('failed', attempt.target)) {
       return;
     }
@@ -266,31 +243,49 @@
       this.mayHaveRun = true;
       this.attempts.ran();
     }
-    this.parts.decisions.log('exchangeFailed', {
-      request: this.request.head.requestId,
-      target: target.entry.id,
-      failure,
-      reason,
-      route: this.request.route.name,
-      fingerprints: this.request.fingerprints.map(({id}) => id),
-      beside: target.localRequests - 1,
-    });
+    attempt.logFailure(failure, reason);
     this.recordResponse(attempt, true);
-    this.release(failureOutcome(mayHaveArrived, stalled));
+    const isBroken = attempt.isBroken(failure);
+    this.release(
+      failureOutcome(mayHaveArrived, stalled),
+      isBroken ? attemptEnds.broken : attemptEnds.other,
+    );
     const canRetry = mayHaveArrived ? this.isRetryable() : !this.relay.started;
-    if (canRetry && this.retry(mayHaveArrived ? failure : 'not-sent', target)) {
-      return;
-    }
-    if (this.relay.started) this.abortResponse();
-    else if (this.mayHaveRun) this.refuse('targetFailed');
-    else this.refuse('targetsRefuse', this.returnMs(0));
+    const proceed = () => {
+      if (this.done || this.failIfBlocked()) return;
+      const why = mayHaveArrived ? failure : 'not-sent';
+      if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
+    };
+    if (isBroken) this.parts.crashWatch.check(target.entry, proceed);
+    else proceed();
   }
 
   private onTargetRefusal(target: PooledTarget): void {
-    if (this.retry('refused', target)) return;
-    if (this.relay.started) return this.abortResponse();
-    if (this.mayHaveRun) return this.refuse('targetFailed');
-    this.refuse('targetsRefuse', this.returnMs(0));
+    if (!this.retry('refused', target)) this.failWith('targetsRefuse');
+  }
+
+  /** Fingerprint for which the request must not be sent, because targets crashed under it. */
+  private get blocked() {
+    return this.parts.crashWatch.blockedAmong(this.request.fingerprints);
+  }
+
+  private failIfBlocked(): boolean {
+    const {blocked} = this;
+    if (!blocked) return false;
+    const {decisions, dispatcher} = this.parts;
+    const {head} = this.request;
+    if (this.ticket) dispatcher.withdraw(this.ticket);
+    this.ticket = undefined;
+    decisions.log('requestBlocked', {request: head.requestId, ...blocked});
+    this.failWith('crashesTargets', blocked.forMs);
+    return true;
+  }
+
+  /** Ends the request without another attempt; the refusal applies if no target can have run it. */
+  private failWith(refusal: RefusalName, returnMs = this.returnMs(0)): void {
+    if (this.relay.started) this.abortResponse();
+    else if (this.mayHaveRun) this.refuse('targetFailed');
+    else this.refuse(refusal, returnMs);
   }
 
   /** Whether the route and the relayed part of the response allow a retry on another target. */
@@ -315,24 +310,24 @@
     return true;
   }
 
-  private recordResponse({target, startMs}: Attempt, failed: boolean): void {
+  private recordResponse(
+    {target, startMs}: TargetAttempt,
+    failed: boolean,
+  ): void {
     const {parts, relay, request} = this;
     recordResponse(parts, request, relay, target, startMs, failed);
   }
 
-  private release(outcome: Outcome): void {
+  private release(outcome: Outcome, end: AttemptEnd = attemptEnds.other): void {
     const {attempt} = this;
     if (!attempt) return;
     this.attempt = undefined;
-    this.parts.pool.release(attempt.target, outcome, attempt.pendingTokens);
-    this.parts.dispatcher.serve(this.request.service);
+    attempt.release(outcome, end);
   }
 
   private onNoSlot(): void {
     this.ticket = undefined;
-    if (this.relay.started) this.abortResponse();
-    else if (this.mayHaveRun) this.refuse('targetFailed');
-    else this.refuse('noSlot', this.returnMs(0));
+    this.failWith('noSlot');
   }
 
   private onDeadline(): void {
--- a/src/request/gateway/refusal-reasons.ts
+++ b/src/request/gateway/refusal-reasons.ts
@@ -20,6 +20,10 @@
     status: 504,
     text: 'the time ended while a target worked',
   },
+  crashesTargets: {
+    status: 503,
+    text: 'targets crashed each time they ran such a request',
+  },
   targetFailed: {status: 502, text: 'the target gave no whole answer'},
 } as const satisfies Record<string, {status: number; text: string}>;
 
--- a/src/request/gateway/request-fingerprints.ts
+++ b/src/request/gateway/request-fingerprints.ts
@@ -1,5 +1,4 @@
 import {createHash} from 'node:crypto';
-import type {Fingerprint} from '../../process/crashes/fingerprint.js';
 import type {AdmittedRequest} from './admitted-request.js';
 
 /**
@@ -9,8 +8,6 @@
 const maxParts = 16;
 /** Length of the hash in a fingerprint, in characters of 6 bits; a collision among 10,000 has a chance of 2 in 10^7. */
 const hashLength = 8;
-/** Specificity of a whole request; parts have their position in the prompt, from 1. */
-const requestSpecificity = maxParts + 1;
 
 /** What {@link requestFingerprints} uses of a request. */
 export type FingerprintedRequest = Pick<
@@ -20,10 +17,11 @@
 
 /**
  * Computes the fingerprints of a request: one of the whole request, independent of its id, and one of each prompt part
- * but the last, which belongs to the request or its session alone.
+ * but the last, which belongs to the request or its session alone. Equal requests and parts have equal fingerprints on
+ * every host.
  *
  * @param request - Request of a caller.
- * @returns Fingerprints, that of the whole request first.
+ * @returns Fingerprints, the most specific first: the whole request, then its parts from the last one to the first.
  */
 export function requestFingerprints({
   head,
@@ -32,17 +30,14 @@
   body,
   service,
   organisation,
-}: FingerprintedRequest): Fingerprint[] {
+}: FingerprintedRequest): string[] {
   const {hosts, parts} = head;
   const caller = organisation?.name ?? '';
   const content = hash([service, hosts[0] ?? '', method, url, caller], body);
   const shared = parts.slice(0, -1).slice(-maxParts);
   return [
-    {id: `r${content}`, specificity: requestSpecificity},
-    ...shared.map(({id}, i) => ({
-      id: `p${hash([service, id])}`,
-      specificity: i + 1,
-    })),
+    `r${content}`,
+    ...shared.reverse().map(({id}) => `p${hash([service, id])}`),
   ];
 }
 
--- /dev/null
+++ b/src/request/gateway/target-attempt.ts
@@ -0,0 +1,138 @@
+import {
+  Exchange,
+  exchangeFailures,
+  type ExchangeFailure,
+  type ExchangeHandler,
+} from '../../connection/gateway/exchange.js';
+import {
+  attemptEnds,
+  type AttemptEnd,
+  type WatchedAttempt,
+} from '../../process/crashes/crash-watch.js';
+import type {Outcome, PooledTarget} from '../../process/pool/pooled-target.js';
+import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import type {ResponseHead} from './wire-format.js';
+
+/** Failures with which the connection of a crashed target ends. */
+const brokenFailures: ReadonlySet<ExchangeFailure> = new Set([
+  exchangeFailures.noAnswer,
+  exchangeFailures.cutOff,
+]);
+
+/** What an attempt adds to the request of the caller. */
+export interface AttemptOptions {
+  /** Deadline on the process's clock, in milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Id of the last event that the caller received, if a stream is resumed. */
+  readonly lastEventId?: string;
+}
+
+/** One attempt of a request at a target, from the assignment of a slot to its release. */
+export class TargetAttempt {
+  readonly exchange: Exchange;
+  /** Time on the process's clock at which it began, in milliseconds. */
+  readonly startMs: number;
+  head?: ResponseHead;
+  /** Whether the stall was already recorded as a failure of the target. */
+  stalled = false;
+  private readonly watched: WatchedAttempt;
+  /** Prompt tokens that the target has not processed yet. */
+  private pendingTokens: number;
+
+  /**
+   * @param parts - Dependencies of requests.
+   * @param request - Request to send.
+   * @param target - Target whose slot was taken.
+   * @param options - What is added to the request.
+   * @param handler - Receives the response.
+   */
+  constructor(
+    private readonly parts: GatewayRequestParts,
+    private readonly request: AdmittedRequest,
+    readonly target: PooledTarget,
+    {deadlineAtMs, lastEventId}: AttemptOptions,
+    handler: ExchangeHandler,
+  ) {
+    const {clock, crashWatch, pool, wire} = parts;
+    const {head, method, url, body, organisation, fingerprints} = request;
+    const {requestId} = head;
+    this.startMs = clock.nowMs();
+    this.pendingTokens = head.promptTokens;
+    const headers = wire.targetHeaders(head, {
+      deadlineMs: deadlineAtMs - this.startMs,
+      targetId: target.entry.id,
+      organisation: organisation?.name,
+      lastEventId,
+    });
+    this.exchange = new Exchange(
+      pool.connections(target),
+      wire,
+      {method, path: url, headers, body, requestId},
+      handler,
+    );
+    this.watched = crashWatch.started(target.entry, fingerprints);
+  }
+
+  /**
+   * Records the head of the response, with what the target reports about itself.
+   *
+   * @param head - Head as received.
+   */
+  recordHead(head: ResponseHead): void {
+    this.head = head;
+    const {target} = this;
+    const nowMs = this.parts.clock.nowMs();
+    if (head.coldMs) {
+      target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + head.coldMs);
+    }
+    if (head.load) target.recordTargetLoad(head.load, nowMs);
+  }
+
+  /** Records that the target has processed the prompt. */
+  recordPromptRead(): void {
+    if (this.pendingTokens === 0) return;
+    this.parts.pool.recordPromptRead(this.target, this.pendingTokens);
+    this.pendingTokens = 0;
+  }
+
+  /**
+   * Logs that no complete response came.
+   *
+   * @param failure - How the exchange ended.
+   * @param reason - Details of the failure.
+   */
+  logFailure(failure: ExchangeFailure, reason: string): void {
+    const {head, route, fingerprints} = this.request;
+    this.parts.decisions.log('exchangeFailed', {
+      request: head.requestId,
+      target: this.target.entry.id,
+      failure,
+      reason,
+      route: route.name,
+      fingerprints,
+      beside: this.target.localRequests - 1,
+    });
+  }
+
+  /**
+   * Checks whether a failure is one with which the connection of a crashed target ends.
+   *
+   * @param failure - How the exchange ended.
+   */
+  isBroken(failure: ExchangeFailure): boolean {
+    return this.exchange.mayHaveArrived && brokenFailures.has(failure);
+  }
+
+  /**
+   * Releases the slot.
+   *
+   * @param outcome - How the attempt ended at the target.
+   * @param end - How it ended for the detection of crashes.
+   */
+  release(outcome: Outcome, end: AttemptEnd = attemptEnds.other): void {
+    const {crashWatch, dispatcher, pool} = this.parts;
+    crashWatch.ended(this.watched, end);
+    pool.release(this.target, outcome, this.pendingTokens);
+    dispatcher.serve(this.request.service);
+  }
+}
--- a/src/version/deployment/route-table.ts
+++ b/src/version/deployment/route-table.ts
@@ -1,3 +1,4 @@
+import type {Quota} from '../../process/limits/quota-buckets.js';
 import type {
   Configuration,
   Organisation,
@@ -56,6 +57,21 @@
     return this.byKey.get(key);
   }
 
+  /**
+   * Finds the quota of an organisation.
+   *
+   * @param name - Name of the organisation.
+   * @returns The quota, or `undefined` if there is no limit.
+   */
+  quotaOf(name: string): Quota | undefined {
+    const organisation = this.configuration.organisations.find(
+      ({name: known}) => known === name,
+    );
+    return organisation && organisation.ratePerSecond > 0
+      ? {rate: organisation.ratePerSecond, burst: organisation.burst}
+      : undefined;
+  }
+
   /**
    * Finds a service by its name.
    *
--- a/src/wiring/peer-services.ts
+++ b/src/wiring/peer-services.ts
@@ -24,7 +24,7 @@
 import type {Metrics} from '../process/metrics.js';
 import type {Settings} from '../process/settings.js';
 import type {RandomSource} from '../request/backoff.js';
-import {CrashEvidence} from '../request/crash-evidence.js';
+import {CrashEvidence} from '../process/crashes/crash-evidence.js';
 import {
   claimAppendsPerSecond,
   LocalClaimSubmitter,
--- a/test/connection/peer/crash-gossip.test.ts
+++ b/test/connection/peer/crash-gossip.test.ts
@@ -8,7 +8,7 @@
   type ReceivedMessage,
 } from '../../../src/process/membership/peer-transport.js';
 import {Subject} from '../../../src/process/subject.js';
-import {CrashEvidence} from '../../../src/request/crash-evidence.js';
+import {CrashEvidence} from '../../../src/process/crashes/crash-evidence.js';
 import {ManualClock} from '../../../stand-ins/manual-clock.js';
 
 /** Hosts in a row; each is linked with the hosts next to it. */
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -23,6 +23,7 @@
 /** Hosts that exchange gossip on loopback addresses, and targets that end under certain requests. */
 class CrashingFleet {
   readonly clock = new ManualClock();
+  readonly store = new MemoryStore();
   readonly targets: FakeTarget[] = [];
   /** Ids of the targets that ended, in order. */
   readonly ended: string[] = [];
@@ -35,7 +36,7 @@
     {hosts, targets}: {hosts: number; targets: number},
   ): Promise<CrashingFleet> {
     const fleet = new CrashingFleet();
-    const store = new MemoryStore();
+    const {store} = fleet;
     store.put(feeds.orders, {kind: 'configuration', configuration});
     for (let i = 0; i < targets; i++) {
       const target = await fleet.startTarget(`i-${i}`);
@@ -89,6 +90,14 @@
     return response;
   }
 
+  /** Removes the entries of the targets that ended, as the store does when they are no longer renewed. */
+  async removeEnded(): Promise<void> {
+    for (const id of this.ended) {
+      this.store.put(feeds.targets, {kind: 'target', id});
+    }
+    await this.advance(2000);
+  }
+
   private async startTarget(id: string): Promise<FakeTarget> {
     const target = await startRawTarget((socket, request, text) => {
       if (text.includes(deadly)) {
@@ -121,6 +130,7 @@
   assert.equal(last?.status, 503);
   assert.match(last?.body ?? '', /crashesTargets/);
   assert.ok(Number(last?.headers['retry-after']) > 0);
+  await fleet.removeEnded();
   for (const body of ['sound', 'other']) {
     assert.equal((await fleet.send('/safe/order', {body})).status, 200);
   }
@@ -139,6 +149,7 @@
     await fleet.advance(500);
   }
   assert.equal(fleet.ended.length, 3, `ended: ${fleet.ended.join(', ')}`);
+  await fleet.removeEnded();
   for (let i = 10; i < 16; i++) {
     const {status} = await fleet.send('/plain/chat', {
       headers: headers(`aa:60,bb:100,${i}:7`),
--- a/test/gateway/message-time.test.ts
+++ b/test/gateway/message-time.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {emptyReport} from '../../src/process/crashes/crash-report.js';
 import {
   decodeGossip,
   encodeEcho,
@@ -29,6 +30,7 @@
   },
   targetReports: {},
   used: {},
+  crashReport: emptyReport,
   evidence: new Map(),
   phases: new Map(),
 };
--- a/test/gateway/request-fingerprints.test.ts
+++ b/test/gateway/request-fingerprints.test.ts
@@ -29,7 +29,7 @@
     service: 's',
     organisation: configuration.organisations[0],
     ...rest,
-  }).map(({id: fingerprint}) => fingerprint);
+  });
 }
 
 // Guards against a request that crashes targets and is taken for another one when it comes with a new id.
@@ -61,8 +61,8 @@
   });
   assert.notEqual(whole, other);
   assert.equal(parts.length, 2);
-  assert.notEqual(parts[0], otherParts[0]);
-  assert.equal(parts[1], otherParts[1]);
+  assert.equal(parts[0], otherParts[0]);
+  assert.notEqual(parts[1], otherParts[1]);
 });
 
 // Guards against memory that a caller fills with made-up parts.
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -5,6 +5,7 @@
   type Snapshot,
 } from '../../src/connection/store/shared-store.js';
 import {FailureError} from '../../src/process/errors/catalogue.js';
+import {emptyReport} from '../../src/process/crashes/crash-report.js';
 import {
   gossipIntervalMs,
   minIntervalMs,
@@ -232,6 +233,7 @@
       feedUpdate: from.feed.composeUpdate(),
       targetReports: {},
       used: {},
+      crashReport: emptyReport,
       evidence: new Map(),
       phases: new Map(),
     });
--- a/test/process/crashes/crash-evidence.test.ts
+++ b/test/process/crashes/crash-evidence.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {CrashEvidence} from '../../src/request/crash-evidence.js';
+import {CrashEvidence} from '../../../src/process/crashes/crash-evidence.js';
 
 test('a request that crashes two targets is refused, and requests that ran beside it are cleared', () => {
   const evidence = new CrashEvidence();
--- a/test/request/attempt-fakes.ts
+++ b/test/request/attempt-fakes.ts
@@ -14,7 +14,7 @@
   type AbortReason,
 } from '../../src/request/response-sink.js';
 import {AttemptLoop, type Job} from '../../src/request/attempt-loop.js';
-import {CrashEvidence} from '../../src/request/crash-evidence.js';
+import {CrashEvidence} from '../../src/process/crashes/crash-evidence.js';
 import {Dispatcher, type Grant} from '../../src/request/dispatcher.js';
 import {TokenBucketRetryBudget} from '../../src/request/retry-budget.js';
 import type {
