Break off a response without a length whose target crashed

What callers saw: on the users' new terms an answer may have neither a length nor chunks and end with its connection. A stream whose target crashed between two events, or before the first one, was delivered as a complete success.

Cause: the end of the connection was taken for the end of the response unless it was a reset.

Change: before such a response is taken for complete, CrashWatch finds out whether its target still listens, as it does for a broken exchange.

--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -33,7 +33,7 @@
   readonly clock: Clock;
   readonly evidence: CrashEvidence;
   readonly probe: TargetProbe;
-  /** Whether new requests may be sent to a target; one that is about to leave ends without a crash. */
+  /** Whether new requests may be sent to a target. */
   readonly isInService: (entry: TargetEntry) => boolean;
   /** Time at which another host was heard last, in milliseconds; `undefined` if no other host is live. */
   readonly lastHeardMs: () => number | undefined;
@@ -54,7 +54,7 @@
  */
 export class CrashWatch {
   private attempts = 0;
-  private readonly checks = new Map<string, (() => void)[]>();
+  private readonly checks = new Map<string, ((crashed: boolean) => void)[]>();
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: CrashWatchParts) {}
@@ -112,14 +112,14 @@
   }
 
   /**
-   * Finds out whether the target of a broken attempt crashed, so that the attempt is not retried if its request is now
-   * known to crash targets.
+   * Finds out whether the target of an attempt whose connection ended has crashed, so that the attempt is not retried
+   * if its request is now known to crash targets.
    *
    * @param entry - Target of the attempt.
-   * @param onChecked - Called once, when it is known or after a short time.
+   * @param onChecked - Called once, when it is known or after a short time; `false` means that no crash was seen.
    */
-  check(entry: TargetEntry, onChecked: () => void): void {
-    const {clock, evidence, probe} = this.parts;
+  check(entry: TargetEntry, onChecked: (crashed: boolean) => void): void {
+    const {clock, evidence, isInService, probe} = this.parts;
     const target = incarnationOf(entry);
     const waiting = this.checks.get(target);
     if (waiting) {
@@ -128,22 +128,23 @@
     }
     const callbacks = [onChecked];
     this.checks.set(target, callbacks);
-    const finish = () => {
-      for (const callback of callbacks.splice(0)) callback();
+    const finish = (crashed: boolean) => {
+      for (const callback of callbacks.splice(0)) callback(crashed);
     };
-    const cancel = clock.after(maxCheckMs, finish);
+    const cancel = clock.after(maxCheckMs, () => finish(false));
     void probe.probe(entry.address).then(result => {
       cancel();
       this.checks.delete(target);
-      if (result === probeResults.refused) this.recordCrash(entry);
+      // A target that is about to leave ends without a crash.
+      const crashed = result === probeResults.refused && isInService(entry);
+      if (crashed) this.recordCrash(entry);
       evidence.dismissBroken(target);
-      finish();
+      finish(crashed);
     });
   }
 
   private recordCrash(entry: TargetEntry): void {
-    const {clock, evidence, isInService, lastHeardMs, onCrash} = this.parts;
-    if (!isInService(entry)) return;
+    const {clock, evidence, lastHeardMs, onCrash} = this.parts;
     const target = incarnationOf(entry);
     const nowMs = clock.nowMs();
     const suspects = evidence.recordTargetCrash(target, nowMs);
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -23,7 +23,11 @@
   type AdmittedRequest,
   type GatewayRequestParts,
 } from './admitted-request.js';
-import {sampleEarlyTokens, recordResponse} from './response-sampling.js';
+import {
+  recordDelivery,
+  recordResponse,
+  sampleEarlyTokens,
+} from './response-sampling.js';
 import {ResponseRelay} from './response-relay.js';
 import type {Ticket} from './dispatcher.js';
 import {maxWaitMs, computeRetryAfterMs} from './wait-policy.js';
@@ -215,24 +219,32 @@
     if (!this.relay.isComplete(head.framed)) {
       return this.onFailure(exchangeFailures.cutOff, 'ended within an event');
     }
+    if (!head.framed && !attempt.endChecked) {
+      return this.checkOpenEnd(attempt);
+    }
     this.attempts.ran();
     const failed = head.status >= 500;
-    this.recordResponse(attempt, failed);
+    recordResponse(this.parts, this.request, this.relay, attempt, failed);
     if (failed) this.release(outcomes.failed);
     else this.release(outcomes.answered, attemptEnds.completed);
     if (this.isRetryable() && failed && this.retry('failed', attempt.target)) {
       return;
     }
     this.relay.end();
-    this.parts.metrics.answered({
-      firstMs:
-        (this.relay.firstAtMs ?? this.parts.clock.nowMs()) -
-        this.request.arrivedMs,
-      totalMs: this.parts.clock.nowMs() - this.request.arrivedMs,
-    });
+    recordDelivery(this.parts, this.request, this.relay);
     this.finish();
   }
 
+  /** Tells the end of a response without a length from that of its target, which closes the connection in order, too. */
+  private checkOpenEnd(attempt: TargetAttempt): void {
+    attempt.endChecked = true;
+    this.parts.crashWatch.check(attempt.target.entry, crashed => {
+      if (this.attempt !== attempt) return;
+      if (crashed) this.onFailure(exchangeFailures.cutOff, 'target crashed');
+      else this.onEnd();
+    });
+  }
+
   private onFailure(failure: ExchangeFailure, reason: string): void {
     const {attempt} = this;
     if (!attempt) return;
@@ -244,7 +256,7 @@
       this.attempts.ran();
     }
     attempt.logFailure(failure, reason);
-    this.recordResponse(attempt, true);
+    recordResponse(this.parts, this.request, this.relay, attempt, true);
     const isBroken = attempt.isBroken(failure);
     this.release(
       failureOutcome(mayHaveArrived, stalled),
@@ -310,14 +322,6 @@
     return true;
   }
 
-  private recordResponse(
-    {target, startMs}: TargetAttempt,
-    failed: boolean,
-  ): void {
-    const {parts, relay, request} = this;
-    recordResponse(parts, request, relay, target, startMs, failed);
-  }
-
   private release(outcome: Outcome, end: AttemptEnd = attemptEnds.other): void {
     const {attempt} = this;
     if (!attempt) return;
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -115,8 +115,9 @@
    * @returns Whether the response is complete.
    */
   isComplete(framed: boolean): boolean {
-    // An unframed stream that ends within an event was cut short.
-    return framed || !this.splitter || this.splitter.flush().length === 0;
+    // An unframed stream that ends within an event, or before the first one, was cut short.
+    if (framed || !this.splitter) return true;
+    return this.splitter.flush().length === 0 && this.splitter.events > 0;
   }
 
   /** Sends what is buffered and ends the response. */
--- a/src/request/gateway/response-sampling.ts
+++ b/src/request/gateway/response-sampling.ts
@@ -2,6 +2,7 @@
 import {requestKinds} from '../../version/deployment/types.js';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
 import type {ResponseRelay} from './response-relay.js';
+import type {TargetAttempt} from './target-attempt.js';
 
 /** Events after which the token time of a target without samples is estimated from an open stream. */
 const minEarlyEvents = 6;
@@ -35,16 +36,14 @@
  * @param parts - Statistics to update.
  * @param request - Request of the attempt.
  * @param relay - Response with its event times.
- * @param target - Target of the attempt.
- * @param startMs - Time at which the attempt was sent, on the process's clock, in milliseconds.
+ * @param attempt - Target and start of the attempt.
  * @param failed - Whether the attempt failed.
  */
 export function recordResponse(
   {clock, canaryEvaluator, stats}: GatewayRequestParts,
   request: AdmittedRequest,
   relay: ResponseRelay,
-  target: PooledTarget,
-  startMs: number,
+  {target, startMs}: TargetAttempt,
   failed: boolean,
 ): void {
   const {route, service, tokensPerEvent} = request;
@@ -67,3 +66,22 @@
     target.sampleTokenMs((slotMs - firstMs) / tokens);
   }
 }
+
+/**
+ * Records a response that was delivered completely.
+ *
+ * @param parts - Clock and metrics.
+ * @param request - Request with the time of its arrival.
+ * @param relay - Response with its event times.
+ */
+export function recordDelivery(
+  {clock, metrics}: GatewayRequestParts,
+  {arrivedMs}: AdmittedRequest,
+  {firstAtMs}: ResponseRelay,
+): void {
+  const nowMs = clock.nowMs();
+  metrics.answered({
+    firstMs: (firstAtMs ?? nowMs) - arrivedMs,
+    totalMs: nowMs - arrivedMs,
+  });
+}
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -35,6 +35,8 @@
   head?: ResponseHead;
   /** Whether the stall was already recorded as a failure of the target. */
   stalled = false;
+  /** Whether it was checked that a response without a length did not end because its target crashed. */
+  endChecked = false;
   private readonly watched: WatchedAttempt;
   /** Prompt tokens that the target has not processed yet. */
   private pendingTokens: number;
