Count a crash less against a request whose target had long responded

Cause: each crash counted the same, although a stream that had run for seconds says little: a request that crashes targets does so when they begin to run it, and the longer a run, the more likely it is beside a crash.

Change: a crash more than 1 s after the first part of the response counts half.

--- a/src/process/crashes/blame-rule.ts
+++ b/src/process/crashes/blame-rule.ts
@@ -45,7 +45,7 @@
  * crashes by the ages in messages.
  */
 const orderToleranceMs = 20;
-/** Number of crashes in a row from which a fingerprint is refused. */
+/** Sum of the weights of crashes in a row from which a fingerprint is refused. */
 const crashesToBlame = 3;
 
 /**
@@ -77,7 +77,7 @@
         const rank = Math.min(...records.map(record => record.rank ?? 0));
         const settledMs = rank > 0 ? nowMs - this.settleMs : nowMs;
         const settled = unexplained.filter(({atMs}) => atMs <= settledMs);
-        if (countInSequence(settled) < crashesToBlame) {
+        if (weightInSequence(settled) < crashesToBlame) {
           candidates.delete(fingerprint);
           continue;
         }
@@ -100,16 +100,16 @@
   }
 }
 
-/** Counts the crashes of which each run started after the crash counted before. */
-function countInSequence(records: readonly CrashRecord[]): number {
-  let count = 0;
+/** Sums the weights of the crashes of which each run started after the crash counted before. */
+function weightInSequence(records: readonly CrashRecord[]): number {
+  let sum = 0;
   let lastMs = -Infinity;
-  for (const {atMs, startedMs} of [...records].sort(
+  for (const {atMs, startedMs, weight = 1} of [...records].sort(
     (a, b) => a.atMs - b.atMs,
   )) {
     if ((startedMs ?? atMs) < lastMs - orderToleranceMs) continue;
-    count++;
+    sum += weight;
     lastMs = atMs;
   }
-  return count;
+  return sum;
 }
--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -1,5 +1,5 @@
 import {CrashCountRule, type BlameRule} from './blame-rule.js';
-
+import {RunningAttempts} from './running-attempts.js';
 import type {
   ClearedFingerprint,
   CrashEvidenceExport,
@@ -25,13 +25,6 @@
 /** Time after a reported crash from which a response of the same run disproves it, in milliseconds; clocks differ less. */
 const disproofMs = 500;
 
-interface RunningAttempt {
-  readonly fingerprints: readonly string[];
-  readonly startedMs?: number;
-  /** Time at which the connection broke; the attempt stays a suspect for `suspicionMs`. */
-  brokenAtMs?: number;
-}
-
 interface Verdict {
   readonly blocked: ReadonlySet<string>;
   /** Time until which it does not change without new evidence, in milliseconds. */
@@ -44,7 +37,7 @@
  * when evidence expires.
  */
 export class CrashEvidence {
-  private readonly running = new Map<string, Map<string, RunningAttempt>>();
+  private readonly running: RunningAttempts;
   private readonly crashes = new Map<string, CrashRecord[]>();
   private readonly cleared = new Map<string, ClearedFingerprint>();
   /** Latest completion of each fingerprint on this host, which may be later than a crash that is reported afterwards. */
@@ -54,7 +47,6 @@
   private verdict: Verdict | undefined;
   private readonly rule: BlameRule;
   private readonly expiryMs: number;
-  private readonly suspicionMs: number;
   private readonly maxFingerprints: number;
 
   /**
@@ -62,7 +54,7 @@
    */
   constructor(options: CrashEvidenceOptions = {}) {
     this.expiryMs = options.expiryMs ?? 600_000;
-    this.suspicionMs = options.suspicionMs ?? 2000;
+    this.running = new RunningAttempts(options.suspicionMs ?? 2000);
     this.maxFingerprints = options.maxFingerprints ?? 10_000;
     this.rule = options.rule ?? new CrashCountRule(maxCrashes);
   }
@@ -81,12 +73,18 @@
     fingerprints: readonly string[],
     startedMs?: number,
   ): void {
-    let attempts = this.running.get(target);
-    if (!attempts) {
-      attempts = new Map();
-      this.running.set(target, attempts);
-    }
-    attempts.set(attemptId, {fingerprints, startedMs});
+    this.running.add(target, attemptId, {fingerprints, startedMs});
+  }
+
+  /**
+   * Records that a target began to respond to an attempt.
+   *
+   * @param target - Name of the target.
+   * @param attemptId - Id of the attempt.
+   * @param nowMs - Current time in milliseconds.
+   */
+  responded(target: string, attemptId: string, nowMs: number): void {
+    this.running.responded(target, attemptId, nowMs);
   }
 
   /**
@@ -103,17 +101,11 @@
     outcome: 'completed' | 'broken' | 'other',
     nowMs: number,
   ): void {
-    const attempts = this.running.get(target);
-    const run = attempts?.get(attemptId);
-    if (!attempts || !run) return;
     if (outcome === 'broken') {
-      run.brokenAtMs = nowMs;
-      this.dropOldSuspects(attempts, nowMs);
-      return;
+      return this.running.broke(target, attemptId, nowMs);
     }
-    attempts.delete(attemptId);
-    if (attempts.size === 0) this.running.delete(target);
-    if (outcome !== 'completed') return;
+    const run = this.running.remove(target, attemptId);
+    if (!run || outcome !== 'completed') return;
     for (const fingerprint of run.fingerprints) {
       // Re-inserting keeps the latest completions when the map is full.
       this.completions.delete(fingerprint);
@@ -148,12 +140,7 @@
    * @param target - Name of the target.
    */
   dismissBroken(target: string): void {
-    const attempts = this.running.get(target);
-    if (!attempts) return;
-    for (const [id, {brokenAtMs}] of attempts) {
-      if (brokenAtMs !== undefined) attempts.delete(id);
-    }
-    if (attempts.size === 0) this.running.delete(target);
+    this.running.dismissBroken(target);
   }
 
   /**
@@ -174,22 +161,16 @@
    * @returns Number of requests that may have caused the crash.
    */
   recordTargetCrash(target: string, nowMs: number): number {
-    const attempts = this.running.get(target);
-    if (!attempts) return 0;
-    this.running.delete(target);
-    const suspects = [...attempts.values()].filter(
-      run =>
-        run.brokenAtMs === undefined ||
-        nowMs - run.brokenAtMs <= this.suspicionMs,
-    );
-    // Of several runs with one fingerprint the last one counts.
-    for (const {fingerprints, startedMs, brokenAtMs} of suspects.reverse()) {
+    const suspects = this.running.takeSuspects(target, nowMs);
+    // Of several runs with one fingerprint, the first in this order counts.
+    for (const {fingerprints, startedMs, brokenAtMs, weight} of suspects) {
       fingerprints.forEach((fingerprint, rank) =>
         this.add({
           fingerprint,
           target,
           atMs: startedMs === undefined ? nowMs : (brokenAtMs ?? nowMs),
           startedMs,
+          weight,
           rank,
           suspects: suspects.length,
           isLocal: true,
@@ -363,15 +344,4 @@
       map.delete(key);
     }
   }
-
-  private dropOldSuspects(
-    attempts: Map<string, RunningAttempt>,
-    nowMs: number,
-  ): void {
-    for (const [id, {brokenAtMs}] of attempts) {
-      if (brokenAtMs !== undefined && nowMs - brokenAtMs > this.suspicionMs) {
-        attempts.delete(id);
-      }
-    }
-  }
 }
--- a/src/process/crashes/crash-record.ts
+++ b/src/process/crashes/crash-record.ts
@@ -7,6 +7,8 @@
   readonly atMs: number;
   /** Time at which the run began, in milliseconds; absent if unknown. */
   readonly startedMs?: number;
+  /** How strongly the crash counts against the fingerprint, up to 1; absent for 1. */
+  readonly weight?: number;
   /** Position among the fingerprints of its request, the most specific first; absent for 0. */
   readonly rank?: number;
   /** Number of requests that may have caused the crash, at least 1. */
--- a/src/process/crashes/crash-report.ts
+++ b/src/process/crashes/crash-report.ts
@@ -10,6 +10,7 @@
   readonly fingerprint: string;
   readonly target: string;
   readonly rank: number;
+  readonly weight: number;
   readonly ageMs: number;
   readonly startedAgeMs: number;
 }
@@ -97,6 +98,7 @@
         fingerprint: record.fingerprint,
         target: record.target,
         rank: record.rank ?? 0,
+        weight: record.weight ?? 1,
         ageMs: nowMs - record.atMs,
         startedAgeMs: nowMs - (record.startedMs ?? record.atMs),
       })),
@@ -133,10 +135,11 @@
 ): CrashEvidenceExport {
   return {
     records: crashes.map(
-      ({fingerprint, target, rank, ageMs, startedAgeMs}) => ({
+      ({fingerprint, target, rank, weight, ageMs, startedAgeMs}) => ({
         fingerprint,
         target,
         rank,
+        weight,
         atMs: composedAtMs - ageMs,
         startedMs: composedAtMs - startedAgeMs,
         suspects: 1,
--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -95,6 +95,16 @@
     return {id, entry, startedMs};
   }
 
+  /**
+   * Records that the target of an attempt began to respond.
+   *
+   * @param attempt - Attempt from {@link started}.
+   */
+  responded({id, entry}: WatchedAttempt): void {
+    const {clock, evidence} = this.parts;
+    evidence.responded(incarnationOf(entry), id, clock.nowMs());
+  }
+
   /**
    * Records the end of an attempt.
    *
--- a/src/process/fleet/crash-codec.ts
+++ b/src/process/fleet/crash-codec.ts
@@ -17,12 +17,13 @@
 }: CrashReport): unknown[] | undefined {
   if (crashes.length === 0 && cleared.length === 0) return undefined;
   return [
-    crashes.map(({fingerprint, target, rank, ageMs, startedAgeMs}) => [
+    crashes.map(({fingerprint, target, rank, weight, ageMs, startedAgeMs}) => [
       fingerprint,
       target,
       rank,
       Math.round(ageMs),
       Math.round(startedAgeMs),
+      weight,
     ]),
     cleared.map(({fingerprint, ageMs}) => [fingerprint, Math.round(ageMs)]),
   ];
@@ -38,10 +39,11 @@
     ? (value as unknown[])
     : [];
   const crashes = rowsOf(crashRows).flatMap(row => {
-    const [fingerprint, target, rank, ageMs, startedAgeMs] = row;
+    const [fingerprint, target, rank, ageMs, startedAgeMs, weight] = row;
     if (!isName(fingerprint) || !isName(target) || !isAge(rank)) return [];
     if (!isAge(ageMs) || !isAge(startedAgeMs)) return [];
-    return {fingerprint, target, rank, ageMs, startedAgeMs};
+    if (!isAge(weight) || weight > 1) return [];
+    return {fingerprint, target, rank, weight, ageMs, startedAgeMs};
   });
   const cleared = rowsOf(clearedRows).flatMap(([fingerprint, ageMs]) =>
     isName(fingerprint) && isAge(ageMs) ? {fingerprint, ageMs} : [],
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -90,8 +90,9 @@
     if (head.load) target.recordTargetLoad(head.load, nowMs);
   }
 
-  /** Records that the target has processed the prompt. */
+  /** Records that the target has processed the prompt and begun to respond. */
   recordPromptRead(): void {
+    this.parts.crashWatch.responded(this.watched);
     if (this.pendingTokens === 0) return;
     this.parts.pool.recordPromptRead(this.target, this.pendingTokens);
     this.pendingTokens = 0;
--- a/test/process/crashes/blame-rule.test.ts
+++ b/test/process/crashes/blame-rule.test.ts
@@ -97,6 +97,24 @@
   ]);
 });
 
+// Guards against refusing a long stream that three waves of crashes met: each of its targets had responded for seconds.
+test('crashes of targets that had responded for a while count less', () => {
+  const late = (count: number) => {
+    const crashes = crashesOf(
+      ...Array.from({length: count}, (_, i) => [
+        run(i * 5000, i * 5000 + 4000, 'r'),
+      ]),
+    );
+    const records = (crashes.get('r') ?? []).map(record => ({
+      ...record,
+      weight: 0.5,
+    }));
+    return new BestExplanationRule().blocked(new Map([['r', records]]), 60_000);
+  };
+  assert.equal(late(5).size, 0);
+  assert.equal(late(6).size, 1);
+});
+
 // Guards against two crashing requests of which the second is taken for a bystander of the first.
 test('two requests that crash targets independently are both blamed', () => {
   const crash = (i: number, request: string) => [
--- a/test/process/crashes/crash-evidence.test.ts
+++ b/test/process/crashes/crash-evidence.test.ts
@@ -75,3 +75,17 @@
   }
   assert.equal(evidence.export(100).records.length, 10);
 });
+
+// Guards against blaming long streams, which are beside a crash more often than short ones.
+test('a crash counts less against a request to which its target had responded for a while', () => {
+  const evidence = new CrashEvidence();
+  evidence.started('t1', 'early', ['early'], 0);
+  evidence.started('t1', 'late', ['late'], 0);
+  evidence.responded('t1', 'early', 4800);
+  evidence.responded('t1', 'late', 200);
+  evidence.recordTargetCrash('t1', 5000);
+  const weights = evidence
+    .export(5000)
+    .records.map(({fingerprint, weight}) => [fingerprint, weight]);
+  assert.deepEqual(Object.fromEntries(weights), {early: 1, late: 0.5});
+});
