--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -35,6 +35,8 @@
   head?: ResponseHead;
   /** Whether the stall was already recorded as a failure of the target. */
   stalled = false;
+  /** Whether it was checked that a response without a length did not end because its target crashed. */
+  endChecked = false;
   private readonly watched: WatchedAttempt;
   /** Prompt tokens that the target has not processed yet. */
   private pendingTokens: number;
@@ -88,8 +90,9 @@
     if (head.load) target.recordTargetLoad(head.load, nowMs);
   }
 
-  /** Records that the target has processed the prompt. */
+  /** Records that the target has processed the prompt and begun to respond. */
   recordPromptRead(): void {
+    this.parts.crashWatch.responded(this.watched);
     if (this.pendingTokens === 0) return;
     this.parts.pool.recordPromptRead(this.target, this.pendingTokens);
     this.pendingTokens = 0;
