Log requests that are sent by an old view of the targets

The users report again that requests reach targets that had said they leave (DRAIN, grown deployments). The log could not tell a view that aged while a connection was opened from a slow read that was taken for an outage of the store. Event 7116 states at the send how old the view is, the age of the newest view that another host reported, and whether the store counts as unanswered.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -141,6 +141,7 @@
     coldLimiter,
     canaryRouter,
     isViewCurrent: () => feed.targetsView.isCurrent,
+    onSend: ({id}) => feed.targetsView.logUse(id),
     host,
     hosts: () => hosts,
     random,
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -53,6 +53,11 @@
     level: 'info',
     message: 'view of the targets is recent enough again',
   },
+  sentByOldView: {
+    id: 7116,
+    level: 'warn',
+    message: 'request sent although the view of the targets is too old',
+  },
   registrationFailed: {
     id: 7107,
     level: 'warn',
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -1,11 +1,12 @@
 import {TargetConnectionPool} from '../../connection/gateway/target-connections.js';
 import type {SlotRequest} from '../../request/gateway/dispatcher.js';
 import type {DeploymentState} from '../../version/deployment/deployment-state.js';
+import type {TargetEntry} from '../../version/deployment/types.js';
 import type {RouteTable} from '../../version/deployment/route-table.js';
 import type {CanaryRouter} from '../../version/deployment/canary-router.js';
 import type {Clock} from '../clock.js';
 import type {ColdTargetLimiter} from '../limits/cold-target-limiter.js';
-import {gossipIntervalMs} from '../fleet/gossip-interval.js';
+import {areUpdatesLate} from '../fleet/gossip-interval.js';
 import type {TargetReport} from '../fleet/gossip-message.js';
 import type {Logger} from '../logger.js';
 import {chooseTarget} from './choose-target.js';
@@ -32,6 +33,8 @@
   readonly canaryRouter: CanaryRouter;
   /** Whether the deployment state is recent enough to choose targets from it. */
   readonly isViewCurrent: () => boolean;
+  /** Called when a request is about to be sent to a target. */
+  readonly onSend: (entry: TargetEntry) => void;
   readonly host: string;
   /** Names of all hosts that may be running, including this one. */
   readonly hosts: () => readonly string[];
@@ -42,11 +45,6 @@
   readonly onConnect: () => void;
 }
 
-/**
- * Gossip interval from which the reports of other hosts arrive too late to choose among all targets, in
- * milliseconds: several requests arrive at a target in this time.
- */
-const lateUpdateMs = 300;
 /** Number of random targets that are candidates besides those with a local slot, per request. */
 const sampledTargets = 8;
 /**
@@ -244,6 +242,16 @@
     target.localPendingTokens = Math.max(0, target.localPendingTokens - tokens);
   }
 
+  /**
+   * Checks, once the connection is open, whether a request may still be sent to the target that was chosen for it.
+   *
+   * @param target - Target whose slot was taken.
+   */
+  maySend({entry}: PooledTarget): boolean {
+    this.parts.onSend(entry);
+    return this.parts.state.allows(entry);
+  }
+
   /**
    * Looks up the connection pool of a target.
    *
@@ -369,7 +377,7 @@
 
   /** Whether the reports of other hosts arrive too late to choose among all targets. */
   private get updatesAreLate(): boolean {
-    return gossipIntervalMs(this.parts.hosts().length - 1) >= lateUpdateMs;
+    return areUpdatesLate(this.parts.hosts().length - 1);
   }
 
   private remoteSlotMs(target: PooledTarget): number {
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -162,7 +162,7 @@
   }
 
   private send(target: PooledTarget): void {
-    const {pool, state} = this.parts;
+    const {pool} = this.parts;
     this.ticket = undefined;
     if (this.failIfBlocked()) {
       const {promptTokens} = this.request.head;
@@ -178,7 +178,7 @@
         lastEventId: this.relay.lastEventId,
       },
       {
-        maySend: () => state.allows(target.entry) && !this.blocked,
+        maySend: () => pool.maySend(target) && !this.blocked,
         onHead: response => this.onHead(response),
         onData: chunk => this.onData(chunk),
         onEnd: () => this.onEnd(),
--- a/src/version/deployment/targets-view.ts
+++ b/src/version/deployment/targets-view.ts
@@ -64,6 +64,25 @@
     });
   }
 
+  /**
+   * Logs that a request is sent by a view that is too old: because it aged while the connection was opened, or because the
+   * store counts as away.
+   *
+   * @param target - Id of the target.
+   */
+  logUse(target: string): void {
+    const {boundMs, logger, outage} = this.parts;
+    const {ageMs} = this;
+    if (ageMs <= boundMs * usableShare) return;
+    const newestReportedMs = this.parts.clock.nowMs() - this.newestReportedMs;
+    logger.event('sentByOldView', {
+      target,
+      ageMs: Math.round(ageMs),
+      newestReportedAgeMs: Math.round(newestReportedMs),
+      storeUnanswered: outage.isUnanswered(feeds.targets),
+    });
+  }
+
   /** Whether the view is recent enough for new requests. */
   get isCurrent(): boolean {
     const {boundMs, clock, logger, outage, schedule} = this.parts;
