--- /dev/null
+++ b/test/gateway/view-at-send.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PlatformWireFormat} from '../../platform/wire-format.js';
+import {TcpTargetProbe} from '../../src/connection/gateway/target-probe.js';
+import {GatewayServer} from '../../src/connection/gateway/gateway-server.js';
+import {SystemClock} from '../../src/process/clock.js';
+import {createCrashControl} from '../../src/process/crashes/crash-control.js';
+import {DecisionLog} from '../../src/process/decision-log.js';
+import {GatewayMetrics} from '../../src/process/gateway-metrics.js';
+import {ColdTargetLimiter} from '../../src/process/limits/cold-target-limiter.js';
+import {QuotaBuckets} from '../../src/process/limits/quota-buckets.js';
+import {ServiceRetryBudget} from '../../src/process/limits/service-retry-budget.js';
+import {Logger} from '../../src/process/logger.js';
+import {TargetPool} from '../../src/process/pool/target-pool.js';
+import {Dispatcher} from '../../src/request/gateway/dispatcher.js';
+import {GatewayHandler} from '../../src/request/gateway/gateway-handler.js';
+import {RouteStats} from '../../src/request/gateway/route-stats.js';
+import {CanaryEvaluator} from '../../src/version/deployment/canary-evaluator.js';
+import {CanaryRouter} from '../../src/version/deployment/canary-router.js';
+import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
+import {RouteTable} from '../../src/version/deployment/route-table.js';
+import {
+  configuration,
+  freePort,
+  sendRequest,
+  startHttpTarget,
+  targetChange,
+} from './gateway-fakes.js';
+
+const bounds = {
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  retrySlack: 100,
+  coldOver: 1.5,
+  coldSlack: 5,
+  quotaWindowMs: 8000,
+  quotaOver: 0.1,
+  quotaSlack: 100,
+};
+
+/** Creates a handler of requests with one host and one target. */
+function createHandler(
+  address: string,
+  isViewCurrent: () => boolean,
+): GatewayHandler {
+  const clock = new SystemClock();
+  const logger = Logger.create('silent');
+  const metrics = new GatewayMetrics();
+  const state = new DeploymentState();
+  const routes = () => new RouteTable(configuration);
+  const canaryRouter = new CanaryRouter(0.1);
+  const pool = new TargetPool({
+    clock,
+    logger,
+    state,
+    routes,
+    coldLimiter: new ColdTargetLimiter('h1', bounds),
+    canaryRouter,
+    isViewCurrent,
+    onSend: () => {},
+    host: 'h1',
+    hosts: () => ['h1'],
+    random: Math.random,
+    zone: 'z',
+    regions: new Map(),
+    onConnect: () => {},
+  });
+  state.apply([{offset: 0, change: targetChange('i-0', address)}], 0);
+  pool.refresh();
+  const crashes = createCrashControl({
+    clock,
+    logger,
+    metrics,
+    probe: new TcpTargetProbe(),
+    isInService: entry => state.allows(entry),
+    lastHeardMs: () => undefined,
+    onChange: () => {},
+  });
+  return new GatewayHandler({
+    clock,
+    random: Math.random,
+    wire: new PlatformWireFormat(),
+    dispatcher: new Dispatcher(pool, clock),
+    pool,
+    state,
+    quotas: new QuotaBuckets(0, 1, true, bounds),
+    retryBudget: new ServiceRetryBudget(bounds, () => 1),
+    canaryRouter,
+    canaryEvaluator: new CanaryEvaluator(),
+    stats: new RouteStats(),
+    metrics,
+    decisions: new DecisionLog(logger, () => clock.nowMs()),
+    crashWatch: crashes.watch,
+    routes,
+    isDraining: () => false,
+  });
+}
+
+// Guards against requests to a target that said it leaves: the view of the targets was recent enough when the target was
+// chosen, and too old once the connection to it was open.
+test('a request is not sent if the view of the targets became too old while the connection was opened', async t => {
+  const checksBeforeSend: number[] = [];
+  let checks = 0;
+  const target = await startHttpTarget((_req, res) => {
+    checksBeforeSend.push(checks);
+    res.end('ran');
+  });
+  // The view is recent at the first check, by which the target is chosen, then old for three, then recent again.
+  const handler = createHandler(
+    target.address,
+    () => ++checks === 1 || checks > 4,
+  );
+  const port = await freePort();
+  const server = new GatewayServer({address: '127.0.0.1', port}, (req, res) =>
+    handler.handle(req, res),
+  );
+  await server.listen();
+  t.after(() => {
+    server.closeAll();
+    target.close();
+  });
+  const response = await sendRequest(port, '/plain/a');
+  assert.equal(response.status, 200);
+  assert.equal(checksBeforeSend.length, 1);
+  assert.ok(checksBeforeSend[0] > 4, 'sent while the view was too old');
+});
