Withhold a request if the view of the targets became too old before its send

What callers saw: requests reached a target that had said it leaves (DRAIN, grown deployments).

Cause: the age of the view was checked only when a target was chosen, at 0.9 of drainMs at most. Opening a connection may take 600 ms, 0.2 of drainMs on the grown sites.

Change: TargetPool.maySend asks for the age again when the connection is open. A request that this host withholds is no failure of the target: it neither suspends nor excludes it, counts neither for the version nor for the retry budget or the quota, and has its own retry reason, withheld. Before, it counted as unreachable, so one old view would have suspended all targets. A resumable stream whose next target got nothing may go on elsewhere, as it may after a target that failed.

--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -3,7 +3,8 @@
 import type {RefusalName} from '../request/gateway/refusal-reasons.js';
 
 /** Why a request is retried. */
-export type GatewayRetryReason = ExchangeFailure | 'failed' | 'refused';
+export type GatewayRetryReason =
+  ExchangeFailure | 'failed' | 'refused' | 'withheld';
 
 import {
   createLatencyHistogram,
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -12,7 +12,7 @@
 import {chooseTarget} from './choose-target.js';
 import {LoadReports} from './load-reports.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
-import {SlotShares} from './slot-shares.js';
+import {remotePenaltyMs, SlotShares} from './slot-shares.js';
 import {SessionAffinity} from './session-affinity.js';
 
 /** Share of a target's connection limit that all hosts together use. */
@@ -47,11 +47,6 @@
 
 /** Number of random targets that are candidates besides those with a local slot, per request. */
 const sampledTargets = 8;
-/**
- * Cost of a slot that belongs to another host, in milliseconds of estimated time, because that host may
- * send a request there too.
- */
-const remotePenaltyMs = 60;
 
 interface Member {
   readonly target: PooledTarget;
@@ -243,13 +238,16 @@
   }
 
   /**
-   * Checks, once the connection is open, whether a request may still be sent to the target that was chosen for it.
+   * Checks, once the connection is open, whether a request may still be sent: the view of the targets may have changed,
+   * or become too old, since the target was chosen.
    *
    * @param target - Target whose slot was taken.
    */
   maySend({entry}: PooledTarget): boolean {
-    this.parts.onSend(entry);
-    return this.parts.state.allows(entry);
+    const {isViewCurrent, onSend, state} = this.parts;
+    if (!isViewCurrent() || !state.allows(entry)) return false;
+    onSend(entry);
+    return true;
   }
 
   /**
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -12,6 +12,7 @@
 import {requestKinds} from '../../version/deployment/types.js';
 import type {Dispatcher, SlotRequest} from './dispatcher.js';
 import type {RouteStats} from './route-stats.js';
+import {maxWaitMs} from './wait-policy.js';
 import type {CallerHead, WireFormat} from './wire-format.js';
 
 /** Dependencies that all requests of a host share. */
@@ -166,3 +167,28 @@
     regions: route.regions,
   };
 }
+
+/**
+ * Builds the request for a slot for which the request may wait.
+ *
+ * @param parts - Clock and statistics.
+ * @param request - Request to place.
+ * @param use - Excluded targets and canary assignment of this attempt.
+ * @returns The slot request, with its wait limit.
+ */
+export function toWaitingRequest(
+  {clock, stats}: GatewayRequestParts,
+  request: AdmittedRequest,
+  use: Pick<SlotRequest, 'exclude' | 'trial'>,
+): SlotRequest {
+  const {route} = request;
+  const nowMs = clock.nowMs();
+  const waitLimitMs = maxWaitMs({
+    objectiveMs: route.objectiveMs,
+    remainingMs: computeDeadlineAtMs(request) - nowMs,
+    responseMs: stats.firstMs(route.name),
+    isRetry: priorWaitMs(request) > 0,
+    stream: route.kind === requestKinds.stream,
+  });
+  return toSlotRequest(request, stats, {...use, untilMs: nowMs + waitLimitMs});
+}
--- a/src/request/gateway/attempt-tracker.ts
+++ b/src/request/gateway/attempt-tracker.ts
@@ -1,3 +1,4 @@
+import type {ExchangeFailure} from '../../connection/gateway/exchange.js';
 import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
 import {outcomes, type Outcome} from '../../process/pool/pooled-target.js';
 import type {ServiceRetryBudget} from '../../process/limits/service-retry-budget.js';
@@ -5,6 +6,11 @@
 
 /** Maximum number of times that one request is sent, including attempts that a target refused. */
 const maxAttempts = 3;
+/** Retries of requests that reached no target; they cost neither the retry budget nor the quota. */
+const freeRetries: ReadonlySet<GatewayRetryReason> = new Set([
+  'not-sent',
+  'withheld',
+]);
 /** Minimum time to the deadline for another attempt, in milliseconds. */
 const minRemainingMs = 50;
 /** Multiple of the objective after which a target without a response counts as stalled. */
@@ -58,7 +64,7 @@
   }
 
   /**
-   * Takes a retry from the budget and excludes the target of the failed attempt.
+   * Takes a retry from the budget and excludes the target of the failed attempt, unless this host withheld the request.
    *
    * @param why - Why the request is retried.
    * @param target - Id of the target that refused or failed the request.
@@ -66,11 +72,16 @@
    * @returns Whether the request may be retried.
    */
   takeRetry(why: GatewayRetryReason, target: string, nowMs: number): boolean {
+    const isWithheld = why === 'withheld';
+    if (isWithheld) this.count--;
     if (!this.allows(this.runs, nowMs)) return false;
-    // A request that reached no target is not a retry for the budget.
-    const isFree = why === 'not-sent';
-    if (!isFree && !this.share.take(this.request.service, nowMs)) return false;
-    this.excludedTargets.add(target);
+    if (
+      !freeRetries.has(why) &&
+      !this.share.take(this.request.service, nowMs)
+    ) {
+      return false;
+    }
+    if (!isWithheld) this.excludedTargets.add(target);
     return true;
   }
 
@@ -96,16 +107,50 @@
     : Math.max(minStallTimeoutMs, objectiveMs * stallObjectiveFactor);
 }
 
+/** A failed attempt, as far as its outcome at the target depends on it. */
+export interface FailedAttempt {
+  /** Whether the target may have received the request. */
+  readonly mayHaveArrived: boolean;
+  /** Whether this host ended the attempt because the target stalled, which was recorded then. */
+  readonly stalled: boolean;
+  /** Whether this host did not send the request although its connection was open. */
+  readonly withheld: boolean;
+}
+
 /**
  * Maps a failed attempt to its outcome at the target.
  *
- * @param mayHaveArrived - Whether the target may have received the request.
- * @param stalled - Whether this host ended the attempt because the target stalled, which was recorded then.
+ * @param attempt - The attempt.
  */
-export function failureOutcome(
-  mayHaveArrived: boolean,
-  stalled: boolean,
-): Outcome {
+export function failureOutcome({
+  mayHaveArrived,
+  stalled,
+  withheld,
+}: FailedAttempt): Outcome {
+  if (withheld) return outcomes.cancelled;
   if (!mayHaveArrived) return outcomes.unreachable;
   return stalled ? outcomes.cancelled : outcomes.failed;
 }
+
+/**
+ * Finds the reason for which a failed attempt is retried.
+ *
+ * @param failure - How its exchange ended.
+ * @param attempt - The attempt.
+ */
+export function retryReason(
+  failure: ExchangeFailure,
+  {mayHaveArrived, withheld}: FailedAttempt,
+): GatewayRetryReason {
+  if (mayHaveArrived) return failure;
+  return withheld ? 'withheld' : 'not-sent';
+}
+
+/**
+ * Checks whether a retry is free because the request reached no target.
+ *
+ * @param why - Why the request is retried.
+ */
+export function isFreeRetry(why: GatewayRetryReason): boolean {
+  return freeRetries.has(why);
+}
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -19,6 +19,7 @@
   retryQuotaReserve,
   priorWaitMs,
   toSlotRequest,
+  toWaitingRequest,
   quotaUnits,
   type AdmittedRequest,
   type GatewayRequestParts,
@@ -30,11 +31,17 @@
 } from './response-sampling.js';
 import {ResponseRelay} from './response-relay.js';
 import type {Ticket} from './dispatcher.js';
-import {maxWaitMs, computeRetryAfterMs} from './wait-policy.js';
+import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {refuseRequest} from './refuse-request.js';
 import {TargetAttempt} from './target-attempt.js';
-import {Attempts, failureOutcome, stallTimeoutMs} from './attempt-tracker.js';
+import {
+  Attempts,
+  failureOutcome,
+  isFreeRetry,
+  retryReason,
+  stallTimeoutMs,
+} from './attempt-tracker.js';
 import type {ResponseHead} from './wire-format.js';
 
 /** Serves one admitted request until its response ends. */
@@ -136,23 +143,11 @@
 
   private requestSlot(): void {
     if (this.failIfBlocked()) return;
-    const {clock, dispatcher, stats} = this.parts;
-    const {route} = this.request;
-    const nowMs = clock.nowMs();
-    const stream = route.kind === requestKinds.stream;
-    const waitLimitMs = maxWaitMs({
-      objectiveMs: route.objectiveMs,
-      remainingMs: this.deadlineAtMs - nowMs,
-      responseMs: stats.firstMs(route.name),
-      isRetry: priorWaitMs(this.request) > 0,
-      stream,
-    });
-    const slotRequest = toSlotRequest(this.request, stats, {
-      untilMs: nowMs + waitLimitMs,
+    const slotRequest = toWaitingRequest(this.parts, this.request, {
       exclude: this.attempts.excluded,
       trial: this.trial,
     });
-    this.ticket = dispatcher.requestSlot(
+    this.ticket = this.parts.dispatcher.requestSlot(
       slotRequest,
       target => this.send(target),
       () => this.onNoSlot(),
@@ -248,24 +243,28 @@
   private onFailure(failure: ExchangeFailure, reason: string): void {
     const {attempt} = this;
     if (!attempt) return;
-    const {target, exchange} = attempt;
-    const mayHaveArrived = exchange.mayHaveArrived;
+    const {target, exchange, withheld} = attempt;
+    const {mayHaveArrived} = exchange;
     const stalled = failure === exchangeFailures.aborted && attempt.stalled;
     if (mayHaveArrived) {
       this.mayHaveRun = true;
       this.attempts.ran();
     }
     attempt.logFailure(failure, reason);
-    recordResponse(this.parts, this.request, this.relay, attempt, true);
+    // A request that this host withheld says nothing about the target or its version.
+    if (!withheld) {
+      recordResponse(this.parts, this.request, this.relay, attempt, true);
+    }
     const isBroken = attempt.isBroken(failure);
     this.release(
-      failureOutcome(mayHaveArrived, stalled),
+      failureOutcome({mayHaveArrived, stalled, withheld}),
       isBroken ? attemptEnds.broken : attemptEnds.other,
     );
-    const canRetry = mayHaveArrived ? this.isRetryable() : !this.relay.started;
+    const isUnsent = !mayHaveArrived && !this.relay.started;
+    const canRetry = isUnsent || this.isRetryable();
+    const why = retryReason(failure, {mayHaveArrived, stalled, withheld});
     const proceed = () => {
       if (this.done || this.failIfBlocked()) return;
-      const why = mayHaveArrived ? failure : 'not-sent';
       if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
     };
     if (isBroken) this.parts.crashWatch.check(target.entry, proceed);
@@ -312,7 +311,7 @@
     if (!this.attempts.takeRetry(why, id, clock.nowMs())) return false;
     const {organisation, head} = this.request;
     // Each run is charged to the quota; an attempt that did not run was charged already.
-    if (organisation && why !== 'refused' && why !== 'not-sent') {
+    if (organisation && why !== 'refused' && !isFreeRetry(why)) {
       this.parts.quotas.charge(organisation.name, this.units);
     }
     this.relay.restart();
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -35,6 +35,8 @@
   head?: ResponseHead;
   /** Whether the stall was already recorded as a failure of the target. */
   stalled = false;
+  /** Whether the request was not sent although the connection was open, because it was no longer allowed. */
+  withheld = false;
   /** Whether it was checked that a response without a length did not end because its target crashed. */
   endChecked = false;
   private readonly watched: WatchedAttempt;
@@ -70,7 +72,13 @@
       pool.connections(target),
       wire,
       {method, path: url, headers, body, requestId},
-      handler,
+      {
+        ...handler,
+        maySend: () => {
+          this.withheld = !handler.maySend();
+          return !this.withheld;
+        },
+      },
     );
     this.watched = crashWatch.started(target.entry, fingerprints);
   }
