--- a/src/version/deployment/targets-view.ts
+++ b/src/version/deployment/targets-view.ts
@@ -9,6 +9,8 @@
  * change must be known. The rest is for sending the request: a new connection and a slow event loop.
  */
 const usableShare = 0.9;
+/** Minimum time between two log lines about requests that are sent by an old view, in milliseconds. */
+const useLogIntervalMs = 1000;
 
 /** Dependencies of a {@link TargetsView}. */
 export interface TargetsViewParts {
@@ -30,6 +32,7 @@
   /** Monotonic time of the newest view that another host reported, in milliseconds. */
   private newestReportedMs = -Infinity;
   private holding = false;
+  private useLoggedMs = -Infinity;
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: TargetsViewParts) {}
@@ -65,16 +68,19 @@
   }
 
   /**
-   * Logs that a request is sent by a view that is too old: because it aged while the connection was opened, or because the
-   * store counts as away.
+   * Logs that a request is sent by a view that is too old, because the store counts as away. One line a second at most: an
+   * outage concerns every request.
    *
    * @param target - Id of the target.
    */
   logUse(target: string): void {
-    const {boundMs, logger, outage} = this.parts;
+    const {boundMs, clock, logger, outage} = this.parts;
     const {ageMs} = this;
     if (ageMs <= boundMs * usableShare) return;
-    const newestReportedMs = this.parts.clock.nowMs() - this.newestReportedMs;
+    const nowMs = clock.nowMs();
+    if (nowMs - this.useLoggedMs < useLogIntervalMs) return;
+    this.useLoggedMs = nowMs;
+    const newestReportedMs = nowMs - this.newestReportedMs;
     logger.event('sentByOldView', {
       target,
       ageMs: Math.round(ageMs),
