Name the event, gauge and callback of refused content by what they report

Crash suspects read like requests that still run, but event 7206 and the gauge list what is refused. The event is blockedContentChanged, the gauge guavaseam_gateway_blocked_fingerprints, the callback of a host's own crashes onLocalCrash. Behaviour is unchanged.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -173,7 +173,7 @@
     probe: new TcpTargetProbe(),
     isInService: entry => state.allows(entry),
     lastHeardMs: () => peers.lastHeardMs(clock.nowMs()),
-    onChange: () => gossip.sendSoon(),
+    onLocalCrash: () => gossip.sendSoon(),
   });
   const handler = new GatewayHandler({
     clock,
--- a/src/process/crashes/crash-control.ts
+++ b/src/process/crashes/crash-control.ts
@@ -18,7 +18,7 @@
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   /** Called when this host saw a crash, which the other hosts should know soon. */
-  readonly onChange: () => void;
+  readonly onLocalCrash: () => void;
 }
 
 /** Refuses requests that crash targets, with the evidence of all hosts. */
@@ -38,7 +38,7 @@
  * @param parts - Dependencies.
  */
 export function createCrashControl(parts: CrashControlParts): CrashControl {
-  const {clock, logger, metrics, onChange} = parts;
+  const {clock, logger, metrics, onLocalCrash} = parts;
   const evidence = new CrashEvidence({
     maxFingerprints,
     suspicionMs,
@@ -51,7 +51,7 @@
     const text = blocked.join(' ');
     if (text === logged) return;
     logged = text;
-    logger.event('crashSuspectsChanged', {blocked});
+    logger.event('blockedContentChanged', {blocked});
   };
   const watch = new CrashWatch({
     ...parts,
@@ -60,7 +60,7 @@
       metrics.targetCrashed();
       logger.event('targetCrashed', {target, suspects});
       logBlocked();
-      onChange();
+      onLocalCrash();
     },
   });
   return {
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -96,7 +96,7 @@
     level: 'warn',
     message: 'target does not respond to a request',
   },
-  crashSuspectsChanged: {
+  blockedContentChanged: {
     id: 7206,
     level: 'warn',
     message: 'requests and prompt parts that are refused because targets crash',
--- a/src/process/gateway-gauges.ts
+++ b/src/process/gateway-gauges.ts
@@ -52,7 +52,7 @@
     () => values.targetsViewAgeMs() / 1000,
   );
   metrics.gauge(
-    'guavaseam_gateway_crash_suspects',
+    'guavaseam_gateway_blocked_fingerprints',
     'Requests and prompt parts that are refused because targets crashed under them',
     values.blockedFingerprints,
   );
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -74,7 +74,7 @@
     probe: new TcpTargetProbe(),
     isInService: entry => state.allows(entry),
     lastHeardMs: () => undefined,
-    onChange: () => {},
+    onLocalCrash: () => {},
   });
   return new GatewayHandler({
     clock,
--- a/test/process/crashes/simulated-crashes.ts
+++ b/test/process/crashes/simulated-crashes.ts
@@ -215,7 +215,7 @@
           ({entry: known, leaving}) => known === entry && !leaving,
         ),
       lastHeardMs: () => host.heardMs,
-      onChange: () =>
+      onLocalCrash: () =>
         this.clock.after(this.random() * minIntervalMs, () =>
           this.gossip(host),
         ),
