Do not blame requests for crashes that several targets seem to share

Cause: hosts inside and outside the zone hear others on their side, so their reports stood. A cut connection that was idle is reset when it is used and the next one is refused, so a retried request seemed to end one target after the other, milliseconds apart. Class: the host's view of its own connections taken for the state of the targets.

Change: a crash within 250 ms of those of three other targets that the fingerprint does not explain is no evidence. Crashes in great number are judged less often (10 µs a crash between two verdicts): a cut can seem to cause 16,000 of them.

--- a/src/process/crashes/blame-rule.ts
+++ b/src/process/crashes/blame-rule.ts
@@ -45,13 +45,20 @@
  * crashes by the ages in messages.
  */
 const orderToleranceMs = 20;
+/**
+ * Targets that seem to crash within this time of each other may have one cause, in milliseconds: a cut, a rack, a switch.
+ */
+const commonCauseMs = 250;
+/** Number of other targets that crashed at about the same time from which a crash is no evidence. */
+const targetsOfCommonCause = 3;
 /** Sum of the weights of crashes in a row from which a fingerprint is refused. */
 const crashesToBlame = 3;
 
 /**
  * Refuses the fingerprints that explain crashes best. Runs that overlapped count as one crash, because one cause may
  * have ended their targets together: a fingerprint is suspected again only by a run that started after the crash
- * before. What a refused fingerprint explains is no evidence against others, so that of several under the same
+ * before. A crash together with those of several targets that the fingerprint does not explain is no evidence, because
+ * a cut between hosts and targets looks like that. What a refused fingerprint explains is no evidence against others, so that of several under the same
  * crashes only the most specific one is refused.
  */
 export class BestExplanationRule extends BlameRule {
@@ -68,6 +75,11 @@
     const candidates = new Map(
       [...crashes].filter(([, records]) => records.length >= crashesToBlame),
     );
+    if (candidates.size === 0) return blocked;
+    const all = [...crashes.values()].flat().sort((a, b) => a.atMs - b.atMs);
+    for (const [fingerprint, records] of candidates) {
+      candidates.set(fingerprint, withoutCommonCauses(records, all));
+    }
     for (;;) {
       let best: {fingerprint: string; count: number; rank: number} | undefined;
       for (const [fingerprint, records] of candidates) {
@@ -113,3 +125,37 @@
   }
   return sum;
 }
+
+/**
+ * Leaves out the crashes around which several other targets crashed.
+ *
+ * @param records - Crashes of one fingerprint.
+ * @param all - Crashes of all fingerprints, in order of time.
+ */
+function withoutCommonCauses(
+  records: readonly CrashRecord[],
+  all: readonly CrashRecord[],
+): CrashRecord[] {
+  const own = new Set(records.map(({target}) => target));
+  return records.filter(({atMs}) => {
+    const others = new Set<string>();
+    for (let i = firstAfter(all, atMs - commonCauseMs); i < all.length; i++) {
+      if (all[i].atMs > atMs + commonCauseMs) break;
+      if (!own.has(all[i].target)) others.add(all[i].target);
+      if (others.size >= targetsOfCommonCause) return false;
+    }
+    return true;
+  });
+}
+
+/** Finds the first crash at or after a time by binary search. */
+function firstAfter(all: readonly CrashRecord[], timeMs: number): number {
+  let low = 0;
+  let high = all.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (all[middle].atMs < timeMs) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -25,8 +25,16 @@
 /** Time after a reported crash from which a response of the same run disproves it, in milliseconds; clocks differ less. */
 const disproofMs = 500;
 
+/**
+ * Minimum time between two verdicts for each crash in the evidence, in milliseconds. Without it, the 16,000 crashes that a
+ * cut between many hosts and targets can seem to cause would be judged anew for each message.
+ */
+const verdictIntervalMs = 0.01;
+
 interface Verdict {
   readonly blocked: ReadonlySet<string>;
+  /** Time until which it is kept although the evidence changed, in milliseconds. */
+  readonly keepUntilMs: number;
   /** Time until which it does not change without new evidence, in milliseconds. */
   readonly untilMs: number;
 }
@@ -45,6 +53,8 @@
   /** Latest response of a target that disproves its crash, by target. */
   private readonly disproofs = new Map<string, number>();
   private verdict: Verdict | undefined;
+  /** Whether the evidence changed since the verdict. */
+  private isStale = false;
   private readonly rule: BlameRule;
   private readonly expiryMs: number;
   private readonly maxFingerprints: number;
@@ -212,18 +222,23 @@
    * @param nowMs - Current time in milliseconds.
    */
   blocked(nowMs: number): ReadonlySet<string> {
-    if (!this.verdict || nowMs >= this.verdict.untilMs) {
-      const records = this.unexpired(nowMs);
-      const {settleMs} = this.rule;
-      const changesMs = records.map(
-        ({atMs}) => atMs + (nowMs - atMs < settleMs ? settleMs : this.expiryMs),
-      );
-      this.verdict = {
-        blocked: this.rule.blocked(this.crashes, nowMs),
-        untilMs: Math.min(...changesMs),
-      };
+    const {verdict} = this;
+    if (
+      verdict &&
+      nowMs < (this.isStale ? verdict.keepUntilMs : verdict.untilMs)
+    ) {
+      return verdict.blocked;
     }
-    return this.verdict.blocked;
+    const records = this.unexpired(nowMs);
+    const {settleMs} = this.rule;
+    const changesMs = records.map(
+      ({atMs}) => atMs + (nowMs - atMs < settleMs ? settleMs : this.expiryMs),
+    );
+    const blocked = this.rule.blocked(this.crashes, nowMs);
+    const keepUntilMs = nowMs + records.length * verdictIntervalMs;
+    this.verdict = {blocked, keepUntilMs, untilMs: Math.min(...changesMs)};
+    this.isStale = false;
+    return blocked;
   }
 
   /**
@@ -324,7 +339,7 @@
   }
 
   private keep(fingerprint: string, records: CrashRecord[]): void {
-    this.verdict = undefined;
+    this.isStale = true;
     if (records.length > 0) this.crashes.set(fingerprint, records);
     else this.crashes.delete(fingerprint);
   }
--- a/test/process/crashes/crash-control.test.ts
+++ b/test/process/crashes/crash-control.test.ts
@@ -143,6 +143,24 @@
   }
 });
 
+// Guards against blame by hosts that hear each other but are cut off from the targets of other zones: connections that were
+// idle are reset when they are used, so that each retry seems to crash another target.
+test('a cut between two halves of a deployment convicts nobody', async () => {
+  for (const seed of seeds) {
+    const sim = new CrashSimulation({hosts: 12, targets: 40, seed});
+    const traffic = () => sim.send({...soundRequest(sim.random), maxRuns: 3});
+    for (let cut = 0; cut < 2; cut++) {
+      await sim.run(2000, traffic);
+      sim.setSplit(true);
+      await sim.run(2000, traffic);
+      sim.setSplit(false);
+    }
+    await sim.run(3000, traffic);
+    const blocked = new Set(sim.hosts.flatMap(h => [...h.crashes.blocked]));
+    assert.equal(blocked.size, 0, `seed ${seed}: ${[...blocked].join(' ')}`);
+  }
+});
+
 // Guards against taking the planned end of a target for a crash.
 test('the requests that a leaving target breaks are no suspects', async () => {
   const sim = new CrashSimulation({hosts: 2, targets: 8, seed: 1});
--- a/test/process/crashes/simulated-crashes.ts
+++ b/test/process/crashes/simulated-crashes.ts
@@ -27,6 +27,8 @@
 
 /** Step of the simulation, in milliseconds. */
 const stepMs = 10;
+/** Time from sending a request on a connection across a cut to its reset, in milliseconds. */
+const resetMs = 3;
 /** Time from a crash to the start of the next incarnation, in milliseconds. */
 const restartMs = 3000;
 
@@ -86,6 +88,7 @@
   /** Numbers of sound requests that were sent and refused. */
   readonly sound = {sent: 0, refused: 0, completed: 0};
   largestReport = 0;
+  private isSplit = false;
 
   constructor(private readonly options: SimulationOptions) {
     this.random = createRandom(options.seed);
@@ -127,6 +130,26 @@
     });
   }
 
+  /**
+   * Cuts the hosts and targets with odd numbers off from the others, or heals the cut. Connections across it are
+   * reset when they are used, and new ones are refused; messages across it are lost.
+   */
+  setSplit(isSplit: boolean): void {
+    this.isSplit = isSplit;
+    for (const {entry, running} of this.targets) {
+      for (const run of [...running]) {
+        if (!this.isSeparated(run.host, entry)) continue;
+        running.delete(run);
+        this.breakRun(run, entry);
+      }
+    }
+  }
+
+  /** Whether a cut lies between a host and a target. */
+  isSeparated({index}: SimulatedHost, {id}: {readonly id: string}): boolean {
+    return this.isSplit && index % 2 !== Number(id.slice(2)) % 2;
+  }
+
   /** Breaks the connections of a host; while it is cut off, those that it opens are refused. */
   cutOff(host: SimulatedHost): void {
     host.cutOff = true;
@@ -169,6 +192,12 @@
     const attempt = watch.started(target.entry, request.fingerprints);
     const run: Run = {host, attempt, request, runs};
     target.running.add(run);
+    if (this.isSeparated(host, target.entry)) {
+      this.clock.after(resetMs, () => {
+        if (target.running.delete(run)) this.breakRun(run, target.entry);
+      });
+      return;
+    }
     if (request.deadly) this.deadlyRunsMs.push(this.clock.nowMs());
     this.clock.after(request.workMs, () => {
       if (!target.running.has(run)) return;
@@ -233,6 +262,7 @@
       if (to === from || this.random() < lossRate) continue;
       this.clock.after(this.random() * maxDelayMs, () => {
         if (from.cutOff || to.cutOff) return;
+        if (this.isSplit && from.index % 2 !== to.index % 2) return;
         to.heardMs = this.clock.nowMs();
         const report = decodeCrashReport(JSON.parse(bytes));
         to.crashes.merge(report, composedAtMs);
@@ -269,7 +299,8 @@
   }
 
   override async probe(address: string): Promise<ProbeResult> {
-    if (this.host.cutOff) return probeResults.refused;
+    const isSeparated = this.simulation.isSeparated(this.host, {id: address});
+    if (this.host.cutOff || isSeparated) return probeResults.refused;
     const target = this.simulation.targets.find(
       ({entry}) => entry.address === address,
     );
