Do not take a reset connection for a crash

Cause: a reset connection whose target then refuses the next one counted as a crash.

Change: only a connection that ends in order starts the check of its target. Requests whose connection was reset stay suspects if another one of the same target shows that it crashed.

Result: the new test fails without the change (the request is refused after three targets) and passes with it.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -59,6 +59,8 @@
   private readonly connection: TargetConnection;
   private head: ResponseHead | undefined;
   private sent = false;
+  /** Whether the connection was reset; a process that ends closes its connections in order. */
+  wasReset = false;
   private done = false;
   /** Bytes that the connection had received when the head or the last part of the body arrived. */
   private progressBytes = 0;
@@ -210,6 +212,7 @@
 
   private onError(err: Error): void {
     if (this.done) return;
+    this.wasReset = (err as NodeJS.ErrnoException).code === 'ECONNRESET';
     if (!this.sent) this.fail(exchangeFailures.notSent, err.message);
     else if (this.head) this.fail(exchangeFailures.cutOff, err.message);
     else this.fail(exchangeFailures.noAnswer, err.message);
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -267,7 +267,8 @@
       if (this.done || this.failIfBlocked()) return;
       if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
     };
-    if (isBroken) this.parts.crashWatch.check(target.entry, proceed);
+    if (isBroken && !exchange.wasReset)
+      this.parts.crashWatch.check(target.entry, proceed);
     else proceed();
   }
 
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -27,6 +27,8 @@
   readonly targets: FakeTarget[] = [];
   /** Ids of the targets that ended, in order. */
   readonly ended: string[] = [];
+  /** Whether a target that ends resets the connection of the request. */
+  resets = false;
   private readonly ports: number[] = [];
   private next = 0;
 
@@ -102,6 +104,7 @@
     const target = await startRawTarget((socket, request, text) => {
       if (text.includes(deadly)) {
         this.ended.push(id);
+        if (this.resets) socket.resetAndDestroy();
         target.close();
         return;
       }
@@ -136,6 +139,21 @@
   }
 });
 
+// Guards against blaming a request for connections that a cut between hosts and targets resets.
+test('a request whose connections are reset, and whose targets then refuse connections, is not refused', async t => {
+  const fleet = await CrashingFleet.start(t, {hosts: 3, targets: 9});
+  fleet.resets = true;
+  for (let i = 0; i < 4; i++) {
+    await fleet.send('/safe/order', {body: deadly});
+    await fleet.advance(500);
+  }
+  assert.ok(fleet.ended.length > 3, `ended: ${fleet.ended.join(', ')}`);
+  await fleet.removeEnded();
+  fleet.resets = false;
+  const last = await fleet.send('/safe/order', {body: deadly});
+  assert.doesNotMatch(last.body, /crashesTargets/);
+});
+
 // Guards against a prompt part that ends targets in requests of which no two are alike, and against refusing sound
 // requests that share all other parts with them.
 test('a prompt part under which targets ended is refused by all hosts, and its neighbours are served', async t => {
