Judge crash evidence at once unless there is much of it

Since the limit on the rate of verdicts, one that was made in the same millisecond was kept although the evidence had changed. The limit now applies beyond 500 crashes only. The test passes.

--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -26,10 +26,12 @@
 const disproofMs = 500;
 
 /**
- * Minimum time between two verdicts for each crash in the evidence, in milliseconds. Without it, the 16,000 crashes that a
+ * Minimum time between two verdicts for each crash beyond {@link promptVerdictCrashes}, in milliseconds. Without it, the 16,000 crashes that a
  * cut between many hosts and targets can seem to cause would be judged anew for each message.
  */
 const verdictIntervalMs = 0.01;
+/** Number of crashes up to which each change of the evidence is judged at once. */
+const promptVerdictCrashes = 500;
 
 interface Verdict {
   readonly blocked: ReadonlySet<string>;
@@ -235,7 +237,8 @@
       ({atMs}) => atMs + (nowMs - atMs < settleMs ? settleMs : this.expiryMs),
     );
     const blocked = this.rule.blocked(this.crashes, nowMs);
-    const keepUntilMs = nowMs + records.length * verdictIntervalMs;
+    const excess = Math.max(0, records.length - promptVerdictCrashes);
+    const keepUntilMs = nowMs + excess * verdictIntervalMs;
     this.verdict = {blocked, keepUntilMs, untilMs: Math.min(...changesMs)};
     this.isStale = false;
     return blocked;
