Judge a crash by its target's incarnation, without a limit on verdicts

Verdicts were limited in rate because each run in a cut seemed to crash its target again; a response could disprove a crash, by code that no test ran; and all crashes were sorted for each verdict to find those of one moment.

Change: BestExplanationRule dates a crash by the first report of its target, ignores runs that started over 0.5 s after it, and compares targets, not single reports. The rate limit, the disproof by responses and the binary search are removed. How an attempt ends for the evidence is defined once (attemptEnds). Two tests of the rule are new.

--- a/src/process/crashes/blame-rule.ts
+++ b/src/process/crashes/blame-rule.ts
@@ -4,7 +4,7 @@
 export abstract class BlameRule {
   /** Number of crashes that are kept for each fingerprint. */
   abstract readonly crashesKept: number;
-  /** Age up to which a crash may be judged differently later without new evidence, in milliseconds. */
+  /** Age up to which the same crash may count later although it does not count now, in milliseconds. */
   abstract readonly settleMs: number;
 
   /**
@@ -45,21 +45,21 @@
  * crashes by the ages in messages.
  */
 const orderToleranceMs = 20;
-/**
- * Targets that seem to crash within this time of each other may have one cause, in milliseconds: a cut, a rack, a switch.
- */
+/** Time within which crashes of several targets may have one cause, in milliseconds: a cut, a rack, a switch. */
 const commonCauseMs = 250;
 /** Number of other targets that crashed at about the same time from which a crash is no evidence. */
 const targetsOfCommonCause = 3;
+/** Time after a target's crash from which a run on it shows that it had not crashed, in milliseconds; clocks differ less. */
+const contradictionMs = 500;
 /** Sum of the weights of crashes in a row from which a fingerprint is refused. */
 const crashesToBlame = 3;
 
 /**
  * Refuses the fingerprints that explain crashes best. Runs that overlapped count as one crash, because one cause may
  * have ended their targets together: a fingerprint is suspected again only by a run that started after the crash
- * before. A crash together with those of several targets that the fingerprint does not explain is no evidence, because
- * a cut between hosts and targets looks like that. What a refused fingerprint explains is no evidence against others, so that of several under the same
- * crashes only the most specific one is refused.
+ * before. A crash together with those of several targets that the fingerprint does not explain is no evidence. What a
+ * refused fingerprint explains is no evidence against others, so that of several under the same crashes only the most
+ * specific one is refused.
  */
 export class BestExplanationRule extends BlameRule {
   override readonly crashesKept = 8;
@@ -76,9 +76,9 @@
       [...crashes].filter(([, records]) => records.length >= crashesToBlame),
     );
     if (candidates.size === 0) return blocked;
-    const all = [...crashes.values()].flat().sort((a, b) => a.atMs - b.atMs);
+    const crashedMs = firstCrashes(crashes);
     for (const [fingerprint, records] of candidates) {
-      candidates.set(fingerprint, withoutCommonCauses(records, all));
+      candidates.set(fingerprint, attributable(records, crashedMs));
     }
     for (;;) {
       let best: {fingerprint: string; count: number; rank: number} | undefined;
@@ -126,36 +126,40 @@
   return sum;
 }
 
+/** Finds when each target crashed: a target that is named with its incarnation crashes only once. */
+function firstCrashes(
+  crashes: ReadonlyMap<string, readonly CrashRecord[]>,
+): Map<string, number> {
+  const crashedMs = new Map<string, number>();
+  for (const records of crashes.values()) {
+    for (const {target, atMs} of records) {
+      crashedMs.set(target, Math.min(atMs, crashedMs.get(target) ?? Infinity));
+    }
+  }
+  return crashedMs;
+}
+
 /**
- * Leaves out the crashes around which several other targets crashed.
+ * Leaves out the crashes around which several other targets crashed, and those of targets that had crashed before the
+ * run began.
  *
  * @param records - Crashes of one fingerprint.
- * @param all - Crashes of all fingerprints, in order of time.
+ * @param crashedMs - Times of the crashes of all targets, in milliseconds.
  */
-function withoutCommonCauses(
+function attributable(
   records: readonly CrashRecord[],
-  all: readonly CrashRecord[],
+  crashedMs: ReadonlyMap<string, number>,
 ): CrashRecord[] {
   const own = new Set(records.map(({target}) => target));
-  return records.filter(({atMs}) => {
-    const others = new Set<string>();
-    for (let i = firstAfter(all, atMs - commonCauseMs); i < all.length; i++) {
-      if (all[i].atMs > atMs + commonCauseMs) break;
-      if (!own.has(all[i].target)) others.add(all[i].target);
-      if (others.size >= targetsOfCommonCause) return false;
-    }
-    return true;
+  const others = [...crashedMs].filter(([target]) => !own.has(target));
+  return records.filter(({target, atMs, startedMs = atMs}) => {
+    const crashMs = crashedMs.get(target) ?? atMs;
+    const beside = others.filter(
+      ([, otherMs]) => Math.abs(otherMs - crashMs) <= commonCauseMs,
+    );
+    return (
+      beside.length < targetsOfCommonCause &&
+      startedMs <= crashMs + contradictionMs
+    );
   });
 }
-
-/** Finds the first crash at or after a time by binary search. */
-function firstAfter(all: readonly CrashRecord[], timeMs: number): number {
-  let low = 0;
-  let high = all.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (all[middle].atMs < timeMs) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -1,5 +1,9 @@
 import {CrashCountRule, type BlameRule} from './blame-rule.js';
-import {RunningAttempts} from './running-attempts.js';
+import {
+  attemptEnds,
+  RunningAttempts,
+  type AttemptEnd,
+} from './running-attempts.js';
 import type {
   ClearedFingerprint,
   CrashEvidenceExport,
@@ -22,21 +26,9 @@
 export const maxCrashes = 2;
 /** Reports of a target's crash that are at most this far apart are about the same one, in milliseconds. */
 const sameCrashMs = 2000;
-/** Time after a reported crash from which a response of the same run disproves it, in milliseconds; clocks differ less. */
-const disproofMs = 500;
-
-/**
- * Minimum time between two verdicts for each crash beyond {@link promptVerdictCrashes}, in milliseconds. Without it, the 16,000 crashes that a
- * cut between many hosts and targets can seem to cause would be judged anew for each message.
- */
-const verdictIntervalMs = 0.01;
-/** Number of crashes up to which each change of the evidence is judged at once. */
-const promptVerdictCrashes = 500;
 
 interface Verdict {
   readonly blocked: ReadonlySet<string>;
-  /** Time until which it is kept although the evidence changed, in milliseconds. */
-  readonly keepUntilMs: number;
   /** Time until which it does not change without new evidence, in milliseconds. */
   readonly untilMs: number;
 }
@@ -52,11 +44,7 @@
   private readonly cleared = new Map<string, ClearedFingerprint>();
   /** Latest completion of each fingerprint on this host, which may be later than a crash that is reported afterwards. */
   private readonly completions = new Map<string, number>();
-  /** Latest response of a target that disproves its crash, by target. */
-  private readonly disproofs = new Map<string, number>();
   private verdict: Verdict | undefined;
-  /** Whether the evidence changed since the verdict. */
-  private isStale = false;
   private readonly rule: BlameRule;
   private readonly expiryMs: number;
   private readonly maxFingerprints: number;
@@ -110,14 +98,14 @@
   ended(
     target: string,
     attemptId: string,
-    outcome: 'completed' | 'broken' | 'other',
+    outcome: AttemptEnd,
     nowMs: number,
   ): void {
-    if (outcome === 'broken') {
+    if (outcome === attemptEnds.broken) {
       return this.running.broke(target, attemptId, nowMs);
     }
     const run = this.running.remove(target, attemptId);
-    if (!run || outcome !== 'completed') return;
+    if (!run || outcome !== attemptEnds.completed) return;
     for (const fingerprint of run.fingerprints) {
       // Re-inserting keeps the latest completions when the map is full.
       this.completions.delete(fingerprint);
@@ -127,25 +115,6 @@
     this.limit(this.completions);
   }
 
-  /**
-   * Records a response of a target. If the run started before a reported crash of that target, the target did not
-   * crash: the host that reported it was cut off.
-   *
-   * @param target - Name of the target.
-   * @param startedMs - Time at which the run began, in milliseconds.
-   * @param nowMs - Current time in milliseconds.
-   */
-  recordResponse(target: string, startedMs: number, nowMs: number): void {
-    const disproved = this.drop(
-      record =>
-        record.target === target &&
-        startedMs < record.atMs &&
-        nowMs > record.atMs + disproofMs,
-    );
-    if (disproved) this.disproofs.set(target, nowMs);
-    this.limit(this.disproofs);
-  }
-
   /**
    * Drops the broken attempts of a target that did not crash.
    *
@@ -161,7 +130,12 @@
    * @param target - Name of the target.
    */
   withdrawTargetCrash(target: string): void {
-    this.drop(record => record.target === target && record.isLocal === true);
+    for (const [fingerprint, records] of this.crashes) {
+      const kept = records.filter(
+        record => record.target !== target || !record.isLocal,
+      );
+      if (kept.length < records.length) this.keep(fingerprint, kept);
+    }
   }
 
   /**
@@ -224,24 +198,18 @@
    * @param nowMs - Current time in milliseconds.
    */
   blocked(nowMs: number): ReadonlySet<string> {
-    const {verdict} = this;
-    if (
-      verdict &&
-      nowMs < (this.isStale ? verdict.keepUntilMs : verdict.untilMs)
-    ) {
-      return verdict.blocked;
+    if (!this.verdict || nowMs >= this.verdict.untilMs) {
+      const records = this.unexpired(nowMs);
+      const {settleMs} = this.rule;
+      const changesMs = records.map(({atMs}) =>
+        nowMs - atMs < settleMs ? atMs + settleMs : atMs + this.expiryMs,
+      );
+      this.verdict = {
+        blocked: this.rule.blocked(this.crashes, nowMs),
+        untilMs: Math.min(...changesMs),
+      };
     }
-    const records = this.unexpired(nowMs);
-    const {settleMs} = this.rule;
-    const changesMs = records.map(
-      ({atMs}) => atMs + (nowMs - atMs < settleMs ? settleMs : this.expiryMs),
-    );
-    const blocked = this.rule.blocked(this.crashes, nowMs);
-    const excess = Math.max(0, records.length - promptVerdictCrashes);
-    const keepUntilMs = nowMs + excess * verdictIntervalMs;
-    this.verdict = {blocked, keepUntilMs, untilMs: Math.min(...changesMs)};
-    this.isStale = false;
-    return blocked;
+    return this.verdict.blocked;
   }
 
   /**
@@ -292,10 +260,9 @@
   private add(record: CrashRecord): void {
     const {fingerprint, target, atMs} = record;
     const completedMs = this.completions.get(fingerprint) ?? -Infinity;
-    // Clears it anew, so that a host which still reports the crash learns of the completion.
+    // Clears it again, so that a host which still reports the crash learns of the completion.
     if (atMs <= completedMs) return this.clear(fingerprint, completedMs);
     if (atMs <= this.clearedAtMs(fingerprint)) return;
-    if (atMs + disproofMs < (this.disproofs.get(target) ?? -Infinity)) return;
     const known = this.crashes.get(fingerprint) ?? [];
     const duplicate = known.some(
       other =>
@@ -318,18 +285,6 @@
     this.limit(this.crashes);
   }
 
-  /** Drops crashes and returns whether there were any. */
-  private drop(isDropped: (record: CrashRecord) => boolean): boolean {
-    let dropped = false;
-    for (const [fingerprint, records] of this.crashes) {
-      const kept = records.filter(record => !isDropped(record));
-      if (kept.length === records.length) continue;
-      dropped = true;
-      this.keep(fingerprint, kept);
-    }
-    return dropped;
-  }
-
   private clear(fingerprint: string, atMs: number): void {
     this.keep(fingerprint, []);
     this.cleared.delete(fingerprint);
@@ -342,7 +297,7 @@
   }
 
   private keep(fingerprint: string, records: CrashRecord[]): void {
-    this.isStale = true;
+    this.verdict = undefined;
     if (records.length > 0) this.crashes.set(fingerprint, records);
     else this.crashes.delete(fingerprint);
   }
--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -5,6 +5,7 @@
 import type {TargetEntry} from '../../version/deployment/types.js';
 import type {Clock} from '../clock.js';
 import type {CrashEvidence} from './crash-evidence.js';
+import type {AttemptEnd} from './running-attempts.js';
 
 /** Longest time for which a broken attempt waits to learn whether its target crashed, in milliseconds. */
 const maxCheckMs = 100;
@@ -15,19 +16,6 @@
  */
 const confirmMs = 500;
 
-/** How an attempt ended, as far as crashes are concerned. */
-export const attemptEnds = {
-  /** The target responded completely and without an error. */
-  completed: 'completed',
-  /** The target closed the connection before its response was complete. */
-  broken: 'broken',
-  /** Anything else, for example not sent or cancelled. */
-  other: 'other',
-} as const;
-
-/** One of {@link attemptEnds}. */
-export type AttemptEnd = (typeof attemptEnds)[keyof typeof attemptEnds];
-
 /** Dependencies of a {@link CrashWatch}. */
 export interface CrashWatchParts {
   readonly clock: Clock;
@@ -45,7 +33,6 @@
 export interface WatchedAttempt {
   readonly id: string;
   readonly entry: TargetEntry;
-  readonly startedMs: number;
 }
 
 /**
@@ -84,15 +71,10 @@
    * @returns The attempt, for {@link ended}.
    */
   started(entry: TargetEntry, fingerprints: readonly string[]): WatchedAttempt {
-    const startedMs = this.parts.clock.nowMs();
+    const {clock, evidence} = this.parts;
     const id = String(this.attempts++);
-    this.parts.evidence.started(
-      incarnationOf(entry),
-      id,
-      fingerprints,
-      startedMs,
-    );
-    return {id, entry, startedMs};
+    evidence.started(incarnationOf(entry), id, fingerprints, clock.nowMs());
+    return {id, entry};
   }
 
   /**
@@ -111,14 +93,9 @@
    * @param attempt - Attempt from {@link started}.
    * @param end - How it ended.
    */
-  ended({id, entry, startedMs}: WatchedAttempt, end: AttemptEnd): void {
+  ended({id, entry}: WatchedAttempt, end: AttemptEnd): void {
     const {clock, evidence} = this.parts;
-    const nowMs = clock.nowMs();
-    const target = incarnationOf(entry);
-    evidence.ended(target, id, end, nowMs);
-    if (end === attemptEnds.completed) {
-      evidence.recordResponse(target, startedMs, nowMs);
-    }
+    evidence.ended(incarnationOf(entry), id, end, clock.nowMs());
   }
 
   /**
--- a/src/process/crashes/running-attempts.ts
+++ b/src/process/crashes/running-attempts.ts
@@ -1,3 +1,16 @@
+/** How an attempt ended, as far as crashes are concerned. */
+export const attemptEnds = {
+  /** The target responded completely and without an error. */
+  completed: 'completed',
+  /** The target closed the connection before its response was complete. */
+  broken: 'broken',
+  /** Anything else, for example not sent or cancelled. */
+  other: 'other',
+} as const;
+
+/** One of {@link attemptEnds}. */
+export type AttemptEnd = (typeof attemptEnds)[keyof typeof attemptEnds];
+
 /**
  * Time for which a target may have responded before its crash counts less against the request, in milliseconds. A request
  * that crashes targets does so when they begin to run it; a long one is more often beside a crash.
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -6,7 +6,7 @@
 import {
   attemptEnds,
   type AttemptEnd,
-} from '../../process/crashes/crash-watch.js';
+} from '../../process/crashes/running-attempts.js';
 import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
 import {
   outcomes,
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -4,11 +4,11 @@
   type ExchangeFailure,
   type ExchangeHandler,
 } from '../../connection/gateway/exchange.js';
+import type {WatchedAttempt} from '../../process/crashes/crash-watch.js';
 import {
   attemptEnds,
   type AttemptEnd,
-  type WatchedAttempt,
-} from '../../process/crashes/crash-watch.js';
+} from '../../process/crashes/running-attempts.js';
 import type {Outcome, PooledTarget} from '../../process/pool/pooled-target.js';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
 import type {ResponseHead} from './wire-format.js';
--- a/test/process/crashes/blame-rule.test.ts
+++ b/test/process/crashes/blame-rule.test.ts
@@ -49,6 +49,24 @@
   assert.deepEqual(blockedBy(...wave(1000), ...wave(6000)), []);
 });
 
+// Guards against blaming a request that was retried from one to the next of many targets which are ended together, each
+// some milliseconds after the one before.
+test('crashes one after the other are no evidence while several other targets crash, too', () => {
+  const ended = [100, 110, 120].map(atMs => [run(atMs - 8, atMs, 'retried')]);
+  const others = [95, 105, 115].map((atMs, i) => [run(0, atMs, `r${i}`)]);
+  assert.deepEqual(blockedBy(...ended, ...others.slice(1)), ['retried']);
+  assert.deepEqual(blockedBy(...ended, ...others), []);
+});
+
+// Guards against blaming a request for targets that another host had reported as crashed before: they had not.
+test('a run on a target that had crashed before shows that it had not', () => {
+  const crashes = [1000, 2000, 3000].map(atMs => [
+    run(atMs - 50, atMs, 'late'),
+    run(atMs - 990, atMs - 900, `r${atMs}`),
+  ]);
+  assert.deepEqual(blockedBy(...crashes), []);
+});
+
 // Guards against requests that end several targets within one attempt of the caller, before any host has answered.
 test('crashes one after the other convict although only milliseconds lie between them', () => {
   assert.deepEqual(
--- a/test/process/crashes/simulated-crashes.ts
+++ b/test/process/crashes/simulated-crashes.ts
@@ -7,10 +7,8 @@
   createCrashControl,
   type CrashControl,
 } from '../../../src/process/crashes/crash-control.js';
-import {
-  attemptEnds,
-  type WatchedAttempt,
-} from '../../../src/process/crashes/crash-watch.js';
+import type {WatchedAttempt} from '../../../src/process/crashes/crash-watch.js';
+import {attemptEnds} from '../../../src/process/crashes/running-attempts.js';
 import {
   decodeCrashReport,
   encodeCrashReport,
