Let an attempt say how its failure counts

Cause: GatewayRequest combined what one attempt knows (arrived, stalled, withheld, reset) and passed it to functions of the tracker of all attempts, and a reset connection was sorted out at the call of the crash check, after it had been recorded as broken. A response without a length that was reset still started that check.

Change: outcome, retry reason and whether a failure may be a crash are methods of TargetAttempt; a reset is no broken attempt at all, with a length or without. GatewayRequestParts no longer holds the deployment state, which only the pool asks.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -59,8 +59,7 @@
   private readonly connection: TargetConnection;
   private head: ResponseHead | undefined;
   private sent = false;
-  /** Whether the connection was reset; a process that ends closes its connections in order. */
-  wasReset = false;
+  private reset = false;
   private done = false;
   /** Bytes that the connection had received when the head or the last part of the body arrived. */
   private progressBytes = 0;
@@ -85,6 +84,11 @@
     return this.sent;
   }
 
+  /** Whether the connection was reset; a process that ends closes its connections in order. */
+  get wasReset(): boolean {
+    return this.reset;
+  }
+
   /** Sends the request. */
   start(): void {
     const {method, path, headers, body} = this.request;
@@ -198,8 +202,10 @@
     // A response without a length is complete only if the target closed the connection without a reset.
     this.connection.verifyCleanClose(isClean => {
       if (this.done) return;
-      if (!isClean)
+      if (!isClean) {
+        this.reset = true;
         return this.fail(exchangeFailures.cutOff, 'connection reset');
+      }
       this.connection.close('connection not reusable');
       this.complete();
     });
@@ -212,7 +218,7 @@
 
   private onError(err: Error): void {
     if (this.done) return;
-    this.wasReset = (err as NodeJS.ErrnoException).code === 'ECONNRESET';
+    this.reset = (err as NodeJS.ErrnoException).code === 'ECONNRESET';
     if (!this.sent) this.fail(exchangeFailures.notSent, err.message);
     else if (this.head) this.fail(exchangeFailures.cutOff, err.message);
     else this.fail(exchangeFailures.noAnswer, err.message);
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -181,7 +181,6 @@
     wire,
     dispatcher,
     pool,
-    state,
     quotas,
     retryBudget,
     canaryRouter,
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -4,7 +4,6 @@
 import type {GatewayMetrics} from '../../process/gateway-metrics.js';
 import type {QuotaBuckets} from '../../process/limits/quota-buckets.js';
 import type {ServiceRetryBudget} from '../../process/limits/service-retry-budget.js';
-import type {DeploymentState} from '../../version/deployment/deployment-state.js';
 import type {TargetPool} from '../../process/pool/target-pool.js';
 import type {CanaryRouter} from '../../version/deployment/canary-router.js';
 import type {CanaryEvaluator} from '../../version/deployment/canary-evaluator.js';
@@ -22,7 +21,6 @@
   readonly wire: WireFormat;
   readonly dispatcher: Dispatcher;
   readonly pool: TargetPool;
-  readonly state: DeploymentState;
   readonly quotas: QuotaBuckets;
   readonly retryBudget: ServiceRetryBudget;
   readonly canaryRouter: CanaryRouter;
--- a/src/request/gateway/attempt-tracker.ts
+++ b/src/request/gateway/attempt-tracker.ts
@@ -1,6 +1,4 @@
-import type {ExchangeFailure} from '../../connection/gateway/exchange.js';
 import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
-import {outcomes, type Outcome} from '../../process/pool/pooled-target.js';
 import type {ServiceRetryBudget} from '../../process/limits/service-retry-budget.js';
 import type {AdmittedRequest} from './admitted-request.js';
 
@@ -72,16 +70,11 @@
    * @returns Whether the request may be retried.
    */
   takeRetry(why: GatewayRetryReason, target: string, nowMs: number): boolean {
-    const isWithheld = why === 'withheld';
-    if (isWithheld) this.count--;
+    if (why === 'withheld') this.count--;
     if (!this.allows(this.runs, nowMs)) return false;
-    if (
-      !freeRetries.has(why) &&
-      !this.share.take(this.request.service, nowMs)
-    ) {
-      return false;
-    }
-    if (!isWithheld) this.excludedTargets.add(target);
+    const isFree = isFreeRetry(why);
+    if (!isFree && !this.share.take(this.request.service, nowMs)) return false;
+    if (why !== 'withheld') this.excludedTargets.add(target);
     return true;
   }
 
@@ -107,45 +100,6 @@
     : Math.max(minStallTimeoutMs, objectiveMs * stallObjectiveFactor);
 }
 
-/** A failed attempt, as far as its outcome at the target depends on it. */
-export interface FailedAttempt {
-  /** Whether the target may have received the request. */
-  readonly mayHaveArrived: boolean;
-  /** Whether this host ended the attempt because the target stalled, which was recorded then. */
-  readonly stalled: boolean;
-  /** Whether this host did not send the request although its connection was open. */
-  readonly withheld: boolean;
-}
-
-/**
- * Maps a failed attempt to its outcome at the target.
- *
- * @param attempt - The attempt.
- */
-export function failureOutcome({
-  mayHaveArrived,
-  stalled,
-  withheld,
-}: FailedAttempt): Outcome {
-  if (withheld) return outcomes.cancelled;
-  if (!mayHaveArrived) return outcomes.unreachable;
-  return stalled ? outcomes.cancelled : outcomes.failed;
-}
-
-/**
- * Finds the reason for which a failed attempt is retried.
- *
- * @param failure - How its exchange ended.
- * @param attempt - The attempt.
- */
-export function retryReason(
-  failure: ExchangeFailure,
-  {mayHaveArrived, withheld}: FailedAttempt,
-): GatewayRetryReason {
-  if (mayHaveArrived) return failure;
-  return withheld ? 'withheld' : 'not-sent';
-}
-
 /**
  * Checks whether a retry is free because the request reached no target.
  *
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -35,13 +35,7 @@
 import type {RefusalName} from './refusal-reasons.js';
 import {refuseRequest} from './refuse-request.js';
 import {TargetAttempt} from './target-attempt.js';
-import {
-  Attempts,
-  failureOutcome,
-  isFreeRetry,
-  retryReason,
-  stallTimeoutMs,
-} from './attempt-tracker.js';
+import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
 import type {ResponseHead} from './wire-format.js';
 
 /** Serves one admitted request until its response ends. */
@@ -243,32 +237,27 @@
   private onFailure(failure: ExchangeFailure, reason: string): void {
     const {attempt} = this;
     if (!attempt) return;
-    const {target, exchange, withheld} = attempt;
-    const {mayHaveArrived} = exchange;
-    const stalled = failure === exchangeFailures.aborted && attempt.stalled;
+    const {target, mayHaveArrived} = attempt;
     if (mayHaveArrived) {
       this.mayHaveRun = true;
       this.attempts.ran();
     }
     attempt.logFailure(failure, reason);
     // A request that this host withheld says nothing about the target or its version.
-    if (!withheld) {
+    if (!attempt.withheld) {
       recordResponse(this.parts, this.request, this.relay, attempt, true);
     }
     const isBroken = attempt.isBroken(failure);
-    this.release(
-      failureOutcome({mayHaveArrived, stalled, withheld}),
-      isBroken ? attemptEnds.broken : attemptEnds.other,
-    );
+    const outcome = attempt.failureOutcome(failure);
+    this.release(outcome, isBroken ? attemptEnds.broken : attemptEnds.other);
     const isUnsent = !mayHaveArrived && !this.relay.started;
     const canRetry = isUnsent || this.isRetryable();
-    const why = retryReason(failure, {mayHaveArrived, stalled, withheld});
+    const why = attempt.retryReason(failure);
     const proceed = () => {
       if (this.done || this.failIfBlocked()) return;
       if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
     };
-    if (isBroken && !exchange.wasReset)
-      this.parts.crashWatch.check(target.entry, proceed);
+    if (isBroken) this.parts.crashWatch.check(target.entry, proceed);
     else proceed();
   }
 
@@ -356,7 +345,7 @@
     this.ticket = undefined;
     const {attempt} = this;
     if (!attempt) return;
-    if (attempt.exchange.mayHaveArrived) this.mayHaveRun = true;
+    if (attempt.mayHaveArrived) this.mayHaveRun = true;
     this.release(outcomes.cancelled);
     attempt.exchange.abort();
   }
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -9,7 +9,12 @@
   attemptEnds,
   type AttemptEnd,
 } from '../../process/crashes/running-attempts.js';
-import type {Outcome, PooledTarget} from '../../process/pool/pooled-target.js';
+import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
+import {
+  outcomes,
+  type Outcome,
+  type PooledTarget,
+} from '../../process/pool/pooled-target.js';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
 import type {ResponseHead} from './wire-format.js';
 
@@ -125,13 +130,42 @@
     });
   }
 
+  /** Whether the target may have run the request. */
+  get mayHaveArrived(): boolean {
+    return this.exchange.mayHaveArrived;
+  }
+
   /**
-   * Checks whether a failure is one with which the connection of a crashed target ends.
+   * Checks whether a failure is one that a crash of the target brings about.
    *
    * @param failure - How the exchange ended.
    */
   isBroken(failure: ExchangeFailure): boolean {
-    return this.exchange.mayHaveArrived && brokenFailures.has(failure);
+    const {mayHaveArrived, wasReset} = this.exchange;
+    return mayHaveArrived && !wasReset && brokenFailures.has(failure);
+  }
+
+  /**
+   * Maps a failure to the outcome of the attempt at the target.
+   *
+   * @param failure - How the exchange ended.
+   */
+  failureOutcome(failure: ExchangeFailure): Outcome {
+    if (this.withheld) return outcomes.cancelled;
+    if (!this.mayHaveArrived) return outcomes.unreachable;
+    // The stall was recorded as a failure when it was found.
+    const wasStalled = failure === exchangeFailures.aborted && this.stalled;
+    return wasStalled ? outcomes.cancelled : outcomes.failed;
+  }
+
+  /**
+   * Finds the reason for which the request is retried.
+   *
+   * @param failure - How the exchange ended.
+   */
+  retryReason(failure: ExchangeFailure): GatewayRetryReason {
+    if (this.mayHaveArrived) return failure;
+    return this.withheld ? 'withheld' : 'not-sent';
   }
 
   /**
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -82,7 +82,6 @@
     wire: new PlatformWireFormat(),
     dispatcher: new Dispatcher(pool, clock),
     pool,
-    state,
     quotas: new QuotaBuckets(0, 1, true, bounds),
     retryBudget: new ServiceRetryBudget(bounds, () => 1),
     canaryRouter,
