--- a/src/process/fleet/gossip-interval.ts
+++ b/src/process/fleet/gossip-interval.ts
@@ -2,11 +2,6 @@
 export const minIntervalMs = 150;
 /** Maximum number of messages that a host sends per second; larger deployments use a longer interval. */
 const maxMessagesPerSecond = 110;
-/**
- * Interval from which the reports of other hosts arrive too late to choose among all targets, in milliseconds: several
- * requests arrive at a target in this time.
- */
-const lateUpdateMs = 300;
 
 /**
  * Computes the gossip interval from the size of the deployment.
@@ -17,12 +12,3 @@
 export function gossipIntervalMs(hosts: number): number {
   return Math.max(minIntervalMs, (hosts / maxMessagesPerSecond) * 1000);
 }
-
-/**
- * Checks whether the reports of other hosts arrive too late to choose among all targets.
- *
- * @param hosts - Number of other hosts.
- */
-export function areUpdatesLate(hosts: number): boolean {
-  return gossipIntervalMs(hosts) >= lateUpdateMs;
-}
--- a/src/process/pool/slot-shares.ts
+++ b/src/process/pool/slot-shares.ts
@@ -1,11 +1,5 @@
 import {rendezvousRank} from '../fleet/rendezvous.js';
 
-/**
- * Cost of a slot that belongs to another host, in milliseconds of estimated time, because that host may
- * send a request there too.
- */
-export const remotePenaltyMs = 60;
-
 /**
  * Assigns the slots of targets to hosts, so that hosts whose gossip arrives late do not all send to the
  * same recently idle target. Each slot of a target belongs to one host, chosen by rendezvous hashing,
--- /dev/null
+++ b/src/process/pool/target-candidates.ts
@@ -0,0 +1,160 @@
+import type {TargetConnectionPool} from '../../connection/gateway/target-connections.js';
+import type {SlotRequest} from '../../request/gateway/dispatcher.js';
+import type {CanaryRouter} from '../../version/deployment/canary-router.js';
+import type {DeploymentState} from '../../version/deployment/deployment-state.js';
+import type {RouteTable} from '../../version/deployment/route-table.js';
+import {gossipIntervalMs} from '../fleet/gossip-interval.js';
+import type {ColdTargetLimiter} from '../limits/cold-target-limiter.js';
+import type {PooledTarget} from './pooled-target.js';
+import type {SlotShares} from './slot-shares.js';
+
+/** Share of a target's connection limit that all hosts together use. */
+const connectionShare = 0.85;
+/**
+ * Gossip interval from which the reports of other hosts arrive too late to choose among all targets, in
+ * milliseconds: several requests arrive at a target in this time.
+ */
+const lateUpdateMs = 300;
+/** Number of random targets that are candidates besides those with a local slot, per request. */
+const sampledTargets = 8;
+/**
+ * Cost of a slot that belongs to another host, in milliseconds of estimated time, because that host may
+ * send a request there too.
+ */
+const remotePenaltyMs = 60;
+
+/** What decides which targets a request may use. */
+export interface CandidateParts {
+  readonly state: DeploymentState;
+  readonly routes: () => RouteTable | undefined;
+  readonly coldLimiter: ColdTargetLimiter;
+  readonly canaryRouter: CanaryRouter;
+  /** Whether the deployment state is recent enough to choose targets from it. */
+  readonly isViewCurrent: () => boolean;
+  /** Names of all hosts that may be running, including this one. */
+  readonly hosts: () => readonly string[];
+  /** Random number in [0, 1). */
+  readonly random: () => number;
+  readonly regions: ReadonlyMap<string, string>;
+}
+
+/** A target of the pool and its connections. */
+export interface PoolMember {
+  readonly target: PooledTarget;
+  readonly connections: TargetConnectionPool;
+}
+
+/** Finds the targets that a request may use. */
+export class TargetCandidates {
+  /**
+   * @param parts - Dependencies.
+   * @param shares - This host's shares of the slots.
+   */
+  constructor(
+    private readonly parts: CandidateParts,
+    private readonly shares: SlotShares,
+  ) {}
+
+  /**
+   * Lists the targets with a free slot that a request may use.
+   *
+   * @param members - Targets of the request's service.
+   * @param request - Request to place.
+   * @param trial - Whether targets of a canary are listed instead of the others.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  *usable(
+    members: readonly PoolMember[],
+    request: SlotRequest,
+    trial: boolean,
+    nowMs: number,
+  ): Generator<PooledTarget> {
+    const {state, routes, canaryRouter, regions, hosts, coldLimiter} =
+      this.parts;
+    if (!this.parts.isViewCurrent()) return;
+    const config = routes()?.service(request.service);
+    const known = hosts();
+    const limit = config?.maxConnections
+      ? Math.max(
+          1,
+          Math.floor((config.maxConnections * connectionShare) / known.length),
+        )
+      : Infinity;
+    for (const {target, connections} of this.sample(members)) {
+      const {entry} = target;
+      if (entry.draining || state.evacuatedZones.has(entry.zone)) continue;
+      if (request.exclude.has(entry.id)) continue;
+      if (target.loadAt(nowMs) >= target.slots) continue;
+      if (target.suspendedUntilMs > nowMs) continue;
+      if (connections.idleSize === 0 && connections.size >= limit) continue;
+      if (!canaryRouter.allows(request.service, entry.version, trial)) {
+        continue;
+      }
+      const region = regions.get(entry.zone) ?? '';
+      if (request.regions.length > 0 && !request.regions.includes(region)) {
+        continue;
+      }
+      const coldPerSecond = config?.coldPerSecond ?? 0;
+      if (
+        this.isCold(target, nowMs) &&
+        !coldLimiter.admits(entry.id, coldPerSecond, known, nowMs)
+      ) {
+        continue;
+      }
+      yield target;
+    }
+  }
+
+  /**
+   * Computes the cost of using a target whose free slots belong to other hosts.
+   *
+   * @param target - Target to use.
+   * @returns Estimated time in milliseconds; 0 while gossip is timely.
+   */
+  remoteSlotMs(target: PooledTarget): number {
+    return this.updatesAreLate && !this.hasLocalSlot(target)
+      ? remotePenaltyMs
+      : 0;
+  }
+
+  /**
+   * Checks whether a target is cold and its rate is limited.
+   *
+   * @param target - Target to check.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  isCold(target: PooledTarget, nowMs: number): boolean {
+    const {service} = target.entry;
+    const limit = this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
+    return limit > 0 && target.coldUntilMs > nowMs;
+  }
+
+  /**
+   * Lists the targets to consider for one request: all of them while gossip is timely, or else those with
+   * a local slot and a random sample of the others.
+   */
+  private *sample(members: readonly PoolMember[]): Generator<PoolMember> {
+    const {random} = this.parts;
+    if (!this.updatesAreLate) {
+      yield* members;
+      return;
+    }
+    for (const member of members) {
+      if (this.hasLocalSlot(member.target)) yield member;
+    }
+    for (let i = 0; i < sampledTargets && members.length > 0; i++) {
+      const member = members[Math.floor(random() * members.length)];
+      if (!this.hasLocalSlot(member.target)) yield member;
+    }
+  }
+
+  /** Whether the reports of other hosts arrive too late to choose among all targets. */
+  private get updatesAreLate(): boolean {
+    return gossipIntervalMs(this.parts.hosts().length - 1) >= lateUpdateMs;
+  }
+
+  /** Whether this host's share of a target's slots has room for one more request. */
+  private hasLocalSlot(target: PooledTarget): boolean {
+    return this.shares.of(target.entry.id, target.slots) > target.localRequests;
+  }
+}
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -1,22 +1,20 @@
 import {TargetConnectionPool} from '../../connection/gateway/target-connections.js';
 import type {SlotRequest} from '../../request/gateway/dispatcher.js';
-import type {DeploymentState} from '../../version/deployment/deployment-state.js';
 import type {TargetEntry} from '../../version/deployment/types.js';
-import type {RouteTable} from '../../version/deployment/route-table.js';
-import type {CanaryRouter} from '../../version/deployment/canary-router.js';
 import type {Clock} from '../clock.js';
-import type {ColdTargetLimiter} from '../limits/cold-target-limiter.js';
-import {areUpdatesLate} from '../fleet/gossip-interval.js';
 import type {TargetReport} from '../fleet/gossip-message.js';
 import type {Logger} from '../logger.js';
 import {chooseTarget} from './choose-target.js';
 import {LoadReports} from './load-reports.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
-import {remotePenaltyMs, SlotShares} from './slot-shares.js';
+import {SlotShares} from './slot-shares.js';
+import {
+  TargetCandidates,
+  type CandidateParts,
+  type PoolMember,
+} from './target-candidates.js';
 import {SessionAffinity} from './session-affinity.js';
 
-/** Share of a target's connection limit that all hosts together use. */
-const connectionShare = 0.85;
 /**
  * Time for which an unreachable target counts as cold, in milliseconds, because it may have restarted.
  * A new entry of the target in the store ends it earlier.
@@ -24,46 +22,29 @@
 const assumedColdMs = 2500;
 
 /** Dependencies of the pool. */
-export interface TargetPoolParts {
+export interface TargetPoolParts extends CandidateParts {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly state: DeploymentState;
-  readonly routes: () => RouteTable | undefined;
-  readonly coldLimiter: ColdTargetLimiter;
-  readonly canaryRouter: CanaryRouter;
-  /** Whether the deployment state is recent enough to choose targets from it. */
-  readonly isViewCurrent: () => boolean;
   /** Called when a request is about to be sent to a target. */
   readonly onSend: (entry: TargetEntry) => void;
   readonly host: string;
-  /** Names of all hosts that may be running, including this one. */
-  readonly hosts: () => readonly string[];
-  /** Random number in [0, 1). */
-  readonly random: () => number;
   readonly zone: string;
-  readonly regions: ReadonlyMap<string, string>;
   readonly onConnect: () => void;
 }
 
-/** Number of random targets that are candidates besides those with a local slot, per request. */
-const sampledTargets = 8;
-
-interface Member {
-  readonly target: PooledTarget;
-  readonly connections: TargetConnectionPool;
-}
-
 /** Targets of all services, with their slots and connections. */
 export class TargetPool {
-  private readonly members = new Map<string, Member>();
-  private readonly byService = new Map<string, Member[]>();
+  private readonly members = new Map<string, PoolMember>();
+  private readonly byService = new Map<string, PoolMember[]>();
   private readonly sessions = new SessionAffinity();
   private readonly loadReports = new LoadReports();
   private readonly shares: SlotShares;
+  private readonly candidates: TargetCandidates;
 
   /** @param parts - Dependencies of the pool. */
   constructor(private readonly parts: TargetPoolParts) {
     this.shares = new SlotShares(parts.host);
+    this.candidates = new TargetCandidates(parts, this.shares);
   }
 
   /**
@@ -172,7 +153,7 @@
           : this.sessions.get(request.session),
       zone: this.parts.zone,
       nowMs,
-      penaltyMs: (target: PooledTarget) => this.remoteSlotMs(target),
+      penaltyMs: (target: PooledTarget) => this.candidates.remoteSlotMs(target),
     };
     // A canary request does not wait for the new version; the old one can serve it as well.
     const target =
@@ -181,7 +162,7 @@
         : undefined) ??
       chooseTarget(this.usable(request, false, nowMs), demand);
     if (!target) return undefined;
-    if (this.isCold(target, nowMs))
+    if (this.candidates.isCold(target, nowMs))
       this.parts.coldLimiter.take(target.entry.id);
     target.localRequests++;
     target.localPendingTokens += request.promptTokens;
@@ -317,81 +298,7 @@
     trial: boolean,
     nowMs: number,
   ): Generator<PooledTarget> {
-    const {state, routes, canaryRouter, regions, hosts, coldLimiter} =
-      this.parts;
-    if (!this.parts.isViewCurrent()) return;
-    const config = routes()?.service(request.service);
-    const known = hosts();
-    const limit = config?.maxConnections
-      ? Math.max(
-          1,
-          Math.floor((config.maxConnections * connectionShare) / known.length),
-        )
-      : Infinity;
-    for (const {target, connections} of this.candidates(request.service)) {
-      const {entry} = target;
-      if (entry.draining || state.evacuatedZones.has(entry.zone)) continue;
-      if (request.exclude.has(entry.id)) continue;
-      if (target.loadAt(nowMs) >= target.slots) continue;
-      if (target.suspendedUntilMs > nowMs) continue;
-      if (connections.idleSize === 0 && connections.size >= limit) continue;
-      if (!canaryRouter.allows(request.service, entry.version, trial)) {
-        continue;
-      }
-      const region = regions.get(entry.zone) ?? '';
-      if (request.regions.length > 0 && !request.regions.includes(region)) {
-        continue;
-      }
-      const coldPerSecond = config?.coldPerSecond ?? 0;
-      if (
-        this.isCold(target, nowMs) &&
-        !coldLimiter.admits(entry.id, coldPerSecond, known, nowMs)
-      ) {
-        continue;
-      }
-      yield target;
-    }
-  }
-
-  /**
-   * Lists the candidate targets for one request: all of them while gossip is timely, or else those with
-   * a local slot and a random sample of the others.
-   */
-  private *candidates(service: string): Generator<Member> {
-    const members = this.byService.get(service) ?? [];
-    const {random} = this.parts;
-    if (!this.updatesAreLate) {
-      yield* members;
-      return;
-    }
-    for (const member of members) {
-      if (this.hasLocalSlot(member.target)) yield member;
-    }
-    for (let i = 0; i < sampledTargets && members.length > 0; i++) {
-      const member = members[Math.floor(random() * members.length)];
-      if (!this.hasLocalSlot(member.target)) yield member;
-    }
-  }
-
-  /** Whether the reports of other hosts arrive too late to choose among all targets. */
-  private get updatesAreLate(): boolean {
-    return areUpdatesLate(this.parts.hosts().length - 1);
-  }
-
-  private remoteSlotMs(target: PooledTarget): number {
-    return this.updatesAreLate && !this.hasLocalSlot(target)
-      ? remotePenaltyMs
-      : 0;
-  }
-
-  /** Whether this host's share of a target's slots has room for one more request. */
-  private hasLocalSlot(target: PooledTarget): boolean {
-    return this.shares.of(target.entry.id, target.slots) > target.localRequests;
-  }
-
-  private isCold(target: PooledTarget, nowMs: number): boolean {
-    const {service} = target.entry;
-    const limit = this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
-    return limit > 0 && target.coldUntilMs > nowMs;
+    const members = this.byService.get(request.service) ?? [];
+    yield* this.candidates.usable(members, request, trial, nowMs);
   }
 }
