Split the search for the best explanation from the rule

Cause: the nested loop of BestExplanationRule found the best fingerprint, dropped candidates and collected verdicts at once.

Change: findBest does the first and changes nothing. Behaviour is the same but for the rank, which now comes from the crashes that count.

--- a/src/process/crashes/blame-rule.ts
+++ b/src/process/crashes/blame-rule.ts
@@ -81,35 +81,36 @@
       candidates.set(fingerprint, attributable(records, crashedMs));
     }
     for (;;) {
-      let best: {fingerprint: string; count: number; rank: number} | undefined;
-      for (const [fingerprint, records] of candidates) {
-        const unexplained = records.filter(
-          ({target}) => !explained.has(target),
-        );
-        const rank = Math.min(...records.map(record => record.rank ?? 0));
-        const settledMs = rank > 0 ? nowMs - this.settleMs : nowMs;
-        const settled = unexplained.filter(({atMs}) => atMs <= settledMs);
-        if (weightInSequence(settled) < crashesToBlame) {
-          candidates.delete(fingerprint);
-          continue;
-        }
-        const count = new Set(unexplained.map(({target}) => target)).size;
-        if (
-          !best ||
-          count > best.count ||
-          (count === best.count && rank < best.rank)
-        ) {
-          best = {fingerprint, count, rank};
-        }
-      }
-      if (!best) return blocked;
-      blocked.add(best.fingerprint);
-      for (const {target} of candidates.get(best.fingerprint) ?? []) {
-        explained.add(target);
-      }
-      candidates.delete(best.fingerprint);
+      const best = this.findBest(candidates, explained, nowMs);
+      if (best === undefined) return blocked;
+      blocked.add(best);
+      for (const {target} of candidates.get(best) ?? []) explained.add(target);
+      candidates.delete(best);
     }
   }
+
+  /** Finds the fingerprint that explains most of the unexplained crashes, and of equal ones the most specific. */
+  private findBest(
+    candidates: ReadonlyMap<string, readonly CrashRecord[]>,
+    explained: ReadonlySet<string>,
+    nowMs: number,
+  ): string | undefined {
+    let best: {fingerprint: string; count: number; rank: number} | undefined;
+    for (const [fingerprint, records] of candidates) {
+      const unexplained = records.filter(({target}) => !explained.has(target));
+      const rank = Math.min(...unexplained.map(record => record.rank ?? 0));
+      const settledMs = rank > 0 ? nowMs - this.settleMs : nowMs;
+      const settled = unexplained.filter(({atMs}) => atMs <= settledMs);
+      if (weightInSequence(settled) < crashesToBlame) continue;
+      const count = new Set(unexplained.map(({target}) => target)).size;
+      const isBetter =
+        !best ||
+        count > best.count ||
+        (count === best.count && rank < best.rank);
+      if (isBetter) best = {fingerprint, count, rank};
+    }
+    return best?.fingerprint;
+  }
 }
 
 /** Sums the weights of the crashes of which each run started after the crash counted before. */
--- a/src/process/crashes/crash-control.ts
+++ b/src/process/crashes/crash-control.ts
@@ -74,7 +74,7 @@
     },
     merge(report, composedAtMs) {
       const nowMs = clock.nowMs();
-      // A message that does not tell when it was composed is dated by its arrival.
+      // A message without the time of its composition is dated by its arrival.
       const atMs = Number.isFinite(composedAtMs) ? composedAtMs : nowMs;
       evidence.merge(toEvidence(report, atMs));
     },
--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -36,7 +36,7 @@
 }
 
 /**
- * Tells crashes of targets from lost responses and cut connections, and attributes them to the requests of this host
+ * Distinguishes crashes of targets from lost responses and cut connections, and attributes them to the requests of this host
  * that ran there. A target has crashed if it closed the connection of a request and nothing listens at its address.
  */
 export class CrashWatch {
--- a/src/process/crashes/running-attempts.ts
+++ b/src/process/crashes/running-attempts.ts
@@ -40,7 +40,10 @@
 export class RunningAttempts {
   private readonly byTarget = new Map<string, Map<string, RunningAttempt>>();
 
-  /** @param suspicionMs - Time from a broken attempt to the crash of its target within which it is suspected, in milliseconds. */
+  /**
+   * @param suspicionMs - Time from a broken attempt to the crash of its target within which it is suspected, in
+   *   milliseconds.
+   */
   constructor(private readonly suspicionMs: number) {}
 
   /**
