--- a/src/connection/peer/peer-link.ts
+++ b/src/connection/peer/peer-link.ts
@@ -6,7 +6,7 @@
 } from '../../process/membership/messages.js';
 import {protocolVersion, type Incoming} from './peer-codec.js';
 
-/** Why a link was refused or given up. */
+/** Why a link was refused or closed. */
 export type LinkRefusal =
   'fleet' | 'protocol' | 'identity' | 'hello' | 'garbage' | 'rate' | 'mute';
 
--- a/src/connection/peer/peer-links.ts
+++ b/src/connection/peer/peer-links.ts
@@ -20,7 +20,7 @@
 import type {PeerServer} from './peer-server.js';
 
 const housekeepingMs = 1000;
-/** A link that has been mute for this long after a message was sent is opened anew. */
+/** A link that has been silent for this long after a message was sent is reopened. */
 const muteMs = 5000;
 /** Links that are not to be kept are closed after this time without a message. */
 const idleMs = 30_000;
@@ -66,7 +66,7 @@
     super();
     this.refusals = parts.metrics.counter(
       'guavaseam_link_refusals_total',
-      'Links refused or given up because of the other end, by reason',
+      'Links refused or closed because of the other end, by reason',
       ['reason'],
     );
     this.openings = parts.metrics.counter(
--- a/src/demo/tally.ts
+++ b/src/demo/tally.ts
@@ -12,7 +12,7 @@
   readonly answerSha256: string | undefined;
 }
 
-/** What became of a request, judged by the callers' side and the targets' records. */
+/** What became of a request, according to the callers and the targets' records. */
 export type Verdict = 'whole' | 'refused' | 'lost';
 
 /** Counted result of a run. */
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -33,7 +33,7 @@
     level: 'warn',
     message: 'state could not be copied from another host',
   },
-  newsMissed: {
+  targetsDiffer: {
     id: 7112,
     level: 'info',
     message: 'known targets differ from those of a host that has read further',
@@ -116,7 +116,7 @@
     level: 'info',
     message: 'request retried on another target',
   },
-  answerBrokenOff: {
+  responseAborted: {
     id: 7304,
     level: 'warn',
     message: 'response aborted after a part was delivered',
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -224,7 +224,7 @@
     this.finish();
   }
 
-  /** Tells the end of a response without a length from that of its target, which closes the connection in order, too. */
+  /** Distinguishes the end of a response without a length from that of its target, which also closes the connection. */
   private checkOpenEnd(attempt: TargetAttempt): void {
     attempt.endChecked = true;
     this.parts.crashWatch.check(attempt.target.entry, crashed => {
@@ -352,7 +352,7 @@
 
   private abortResponse(): void {
     this.parts.metrics.responseAborted();
-    this.parts.decisions.log('answerBrokenOff', {
+    this.parts.decisions.log('responseAborted', {
       request: this.request.head.requestId,
     });
     this.res.destroy();
--- a/src/request/gateway/wait-policy.ts
+++ b/src/request/gateway/wait-policy.ts
@@ -38,7 +38,7 @@
   return Math.max(0, Math.min(latestMs, objectiveMs * waitObjectiveShare));
 }
 
-/** Bounds of the time after which callers are told to retry, in milliseconds. */
+/** Bounds of the time after which callers are asked to retry, in milliseconds. */
 const minRetryAfterMs = 300;
 const maxRetryAfterMs = 4000;
 /** Share of the remaining time up to which callers honour Retry-After. */
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -123,7 +123,7 @@
     }
     const rest = this.splitter.flush();
     const ending = Buffer.concat([...tail, rest]).toString('utf8');
-    // Without framing, the end of a response can't be told from a broken connection.
+    // Without framing, the end of a response looks like a broken connection.
     if (model && !isFramed(response) && !ending.trimEnd().endsWith('[DONE]')) {
       throw new Error('the stream ended without its last event');
     }
--- a/src/version/deployment/peer-target-updates.ts
+++ b/src/version/deployment/peer-target-updates.ts
@@ -82,7 +82,7 @@
     if (nowMs - update.targetsAgeMs <= confirmedMs) return false;
     this.differsSinceMs ??= nowMs;
     if (nowMs - this.differsSinceMs < catchUpMs) return false;
-    this.logger.event('newsMissed', {targets: next, heard: update.targets});
+    this.logger.event('targetsDiffer', {targets: next, heard: update.targets});
     this.differsSinceMs = undefined;
     this.readIsNeeded = true;
     return false;
--- a/src/wiring/peer-services.ts
+++ b/src/wiring/peer-services.ts
@@ -74,7 +74,7 @@
   selfPaused(): void;
 
   /**
-   * Waits until the claims that were given up are released. A claim without its release makes
+   * Waits until the abandoned claims are released. A claim without its release makes
    * resends `outcome-unknown` although the request was not run.
    *
    * @param boundMs - Longest wait, in milliseconds.
--- a/src/wiring/rollouts.ts
+++ b/src/wiring/rollouts.ts
@@ -36,7 +36,7 @@
 import type {ConditionSource} from '../version/status/resource-status.js';
 import type {RecordRoute} from './record-routes.js';
 
-/** Size of weights that the weight store is told, in bytes; configuration does not state it. */
+/** Size of weights as stated to the weight store, in bytes; configuration does not state it. */
 const assumedWeightBytes = 16 * 2 ** 30;
 
 /** Time between announcements of new records, in milliseconds. */
@@ -72,10 +72,10 @@
   status(name: string): RolloutStatus | undefined;
 
   /**
-   * Starts to follow, to judge and to lead.
+   * Starts to follow, to evaluate and to lead.
    *
    * @param node - Receives the caps of versions.
-   * @param onRead - Called regularly, so that peers are told of new records.
+   * @param onRead - Called regularly, so that peers learn of new records.
    */
   start(node: PermitManager, onRead: () => void): void;
 
--- a/test/gateway/open-ended-response.test.ts
+++ b/test/gateway/open-ended-response.test.ts
@@ -1,18 +1,13 @@
 import assert from 'node:assert/strict';
 import type {Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
-import {feeds} from '../../src/connection/store/shared-store.js';
-import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
-  configuration,
-  MemoryStore,
   sendRequest,
-  startGateway,
   startRawTarget,
-  targetChange,
   type FakeTarget,
   type ReceivedResponse,
 } from './gateway-fakes.js';
+import {startWithTargets} from './started-gateway.js';
 
 const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
 
@@ -29,21 +24,8 @@
       () => end(socket, target),
     ),
   );
-  const clock = new ManualClock();
-  const store = new MemoryStore();
-  store.put(feeds.orders, {kind: 'configuration', configuration});
-  store.put(feeds.targets, targetChange('i-0', target.address));
-  const {gateway, settings} = await startGateway(store, {clock});
-  let stopped = false;
-  t.after(async () => {
-    void gateway.stop().then(() => (stopped = true));
-    while (!stopped) {
-      clock.advance(50);
-      await new Promise(resolve => setImmediate(resolve));
-    }
-    target.close();
-  });
-  return sendRequest(settings.callers.port, path);
+  const {port} = await startWithTargets(t, [target]);
+  return sendRequest(port, path);
 }
 
 const endInOrder = (socket: Socket) => socket.end();
--- /dev/null
+++ b/test/gateway/started-gateway.ts
@@ -0,0 +1,42 @@
+import type {TestContext} from 'node:test';
+import {feeds} from '../../src/connection/store/shared-store.js';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
+import {
+  configuration,
+  MemoryStore,
+  startGateway,
+  targetChange,
+  type FakeTarget,
+} from './gateway-fakes.js';
+
+/** Starts a gateway host with targets; both are stopped at the end of the test. */
+export async function startWithTargets(
+  t: TestContext,
+  targets: readonly FakeTarget[],
+) {
+  const clock = new ManualClock();
+  const store = new MemoryStore();
+  store.put(feeds.orders, {kind: 'configuration', configuration});
+  targets.forEach((target, i) =>
+    store.put(feeds.targets, targetChange(`i-${i}`, target.address)),
+  );
+  const {gateway, settings} = await startGateway(store, {clock});
+  t.after(async () => {
+    const stopped = gateway.stop();
+    await advanceClock(clock, 10_000);
+    await stopped;
+    for (const target of targets) target.close();
+  });
+  return {clock, store, gateway, settings, port: settings.callers.port};
+}
+
+/** Advances the clock in steps and runs the callbacks that become due. */
+export async function advanceClock(
+  clock: ManualClock,
+  ms: number,
+): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 50) {
+    clock.advance(50);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
--- a/test/process/crashes/crash-control.test.ts
+++ b/test/process/crashes/crash-control.test.ts
@@ -28,6 +28,20 @@
   };
 }
 
+/** Starts hosts that serve sound requests over a network that loses and delays messages. */
+async function startBusy(hosts: number, seed: number) {
+  const sim = new CrashSimulation({
+    hosts,
+    targets: 13,
+    seed,
+    lossRate: 0.2,
+    maxDelayMs: 200,
+  });
+  const traffic = soundTraffic(sim, 40);
+  await sim.run(2000, traffic);
+  return {sim, traffic};
+}
+
 /** Counts the deadly runs that began later than the bound allows. */
 function runsAfter(
   {deadlyRunsMs, deadlyCrashesMs}: CrashSimulation,
@@ -45,21 +59,13 @@
   // Guards against hosts that each allow a crashing request some more tries.
   test(`a request that crashes targets is refused by all ${hosts} hosts in time, and sound ones are served`, async () => {
     for (const seed of some) {
-      const sim = new CrashSimulation({
-        hosts,
-        targets: 13,
-        seed,
-        lossRate: 0.2,
-        maxDelayMs: 200,
-      });
-      const traffic = soundTraffic(sim, 40);
+      const {sim, traffic} = await startBusy(hosts, seed);
       const poison = {
         fingerprints: ['rpoison', 'pdocument1', common],
         deadly: true,
         workMs: 50,
         maxRuns: 2,
       };
-      await sim.run(2000, traffic);
       for (let i = 0; i < 40; i++) {
         sim.send(poison);
         await sim.run(100 + Math.floor(sim.random() * 800), traffic);
@@ -73,15 +79,7 @@
   // Guards against a prompt part that crashes targets in ever new requests, and against blaming what is beside it.
   test(`a part that crashes targets is refused by all ${hosts} hosts in time, and its neighbours are served`, async () => {
     for (const seed of some) {
-      const sim = new CrashSimulation({
-        hosts,
-        targets: 13,
-        seed,
-        lossRate: 0.2,
-        maxDelayMs: 200,
-      });
-      const traffic = soundTraffic(sim, 40);
-      await sim.run(2000, traffic);
+      const {sim, traffic} = await startBusy(hosts, seed);
       for (let i = 0; i < 60; i++) {
         sim.send({
           fingerprints: [`rdeadly${i}`, 'pdeadly', common],
