Keep fast targets for the long responses that need them

A long response earns up to four times the mean, and its slot is occupied for all of the caller's time.

Cause: every request took the best free slot. Fast engines are full of short responses, so what is free when a long one comes is the slot of a slow engine, which cannot complete it.

Change: completion-fit.ts compares the expected and the long estimate of a response with the time left. While a request can still wait, it passes over targets that are too slow if a faster one exists; requests behind it in its line may use those. Later it accepts targets that are likely to complete it, and if no target can, any.

--- a/src/process/pool/choose-target.ts
+++ b/src/process/pool/choose-target.ts
@@ -64,22 +64,14 @@
     const responseMs = target.responseMs || defaultResponseMs;
     return responseMs * (1 + maxResponseSlowdown * usage) + zoneMs + riskMs;
   }
-  const tokenMs = target.tokenMs || defaultTokenMs;
-  const uncachedTokens =
-    request.cachedAt === target.entry.id ? 0 : request.promptTokens;
-  const readMs = (uncachedTokens * tokenMs) / promptTokensPerOutputToken;
-  // Engines process pending prompts in turns, piece by piece, so earlier ones delay the first event.
-  const firstMs =
-    readMs +
-    (target.pendingPromptTokens * tokenMs) / promptTokensPerOutputToken;
+  const {readMs, firstMs, tokenMs} = estimateTimes(target, request);
   const lateMs = Math.max(
     0,
     firstMs - request.objectiveMs * firstEventObjectiveShare,
   );
-  const loadedTokenMs = tokenMs * (1 + maxTokenSlowdown * usage);
-  const streamMs = request.outputTokens * loadedTokenMs;
+  const streamMs = request.outputTokens * tokenMs;
   // A response that is longer than expected must still meet the deadline, or its work is lost.
-  const longMs = request.longOutputTokens * loadedTokenMs;
+  const longMs = request.longOutputTokens * tokenMs;
   const interferenceMs = interferenceShare * readMs * load;
   const unfinishedMs = Math.max(0, firstMs + longMs - request.remainingMs);
   return (
@@ -93,6 +85,49 @@
   );
 }
 
+/**
+ * Estimates the time from sending a request to an engine until the end of its response.
+ *
+ * @param target - Engine to assess, at its present load.
+ * @param request - Properties of the request.
+ * @param outputTokens - Length of the response, in tokens.
+ * @returns Time in milliseconds.
+ */
+export function estimateCompletionMs(
+  target: PooledTarget,
+  request: PlacementRequest,
+  outputTokens: number,
+): number {
+  const {firstMs, tokenMs} = estimateTimes(target, request);
+  return firstMs + outputTokens * tokenMs;
+}
+
+/** Estimates the times of a request at an engine, all in milliseconds. */
+function estimateTimes(
+  target: PooledTarget,
+  {cachedAt, nowMs, promptTokens}: PlacementRequest,
+): {
+  /** Time to process the prompt. */
+  readonly readMs: number;
+  /** Time to the first event. */
+  readonly firstMs: number;
+  /** Time per output token at the present load. */
+  readonly tokenMs: number;
+} {
+  const idleTokenMs = target.tokenMs || defaultTokenMs;
+  const usage = target.loadAt(nowMs) / target.slots;
+  const uncachedTokens = cachedAt === target.entry.id ? 0 : promptTokens;
+  const readMs = (uncachedTokens * idleTokenMs) / promptTokensPerOutputToken;
+  // Engines process pending prompts in turns, piece by piece, so earlier ones delay the first event.
+  const pendingMs =
+    (target.pendingPromptTokens * idleTokenMs) / promptTokensPerOutputToken;
+  return {
+    readMs,
+    firstMs: readMs + pendingMs,
+    tokenMs: idleTokenMs * (1 + maxTokenSlowdown * usage),
+  };
+}
+
 /**
  * Chooses the target with the lowest cost for a request.
  *
--- a/src/process/pool/rank-queue.ts
+++ b/src/process/pool/rank-queue.ts
@@ -65,9 +65,10 @@
    * Lists the next request of each line, in the order in which they should be served.
    *
    * @param nowMs - Time on the process's clock, in milliseconds.
+   * @param skipped - Requests to pass over.
    * @returns At most one request per line.
    */
-  heads(nowMs: number): T[] {
+  heads(nowMs: number, skipped: ReadonlySet<T> = new Set()): T[] {
     const heads: {
       request: T;
       late: boolean;
@@ -75,9 +76,11 @@
       valuePerMs: number;
     }[] = [];
     for (const {waiting, creditMs} of this.lines.values()) {
-      if (waiting.length === 0) continue;
-      const inTime = waiting.find(({dueAtMs}) => dueAtMs > nowMs);
-      const request = inTime ?? waiting[0];
+      const inTime = waiting.find(
+        item => item.dueAtMs > nowMs && !skipped.has(item),
+      );
+      const request = inTime ?? waiting.find(item => !skipped.has(item));
+      if (!request) continue;
       const costMs = Math.max(1, request.costMs);
       heads.push({
         request,
--- a/src/process/pool/target-candidates.ts
+++ b/src/process/pool/target-candidates.ts
@@ -69,8 +69,7 @@
     trial: boolean,
     nowMs: number,
   ): Generator<PooledTarget> {
-    const {state, routes, canaryRouter, regions, hosts, coldLimiter} =
-      this.parts;
+    const {routes, hosts, coldLimiter} = this.parts;
     if (!this.parts.isViewCurrent()) return;
     const config = routes()?.service(request.service);
     const known = hosts();
@@ -82,18 +81,9 @@
       : Infinity;
     for (const {target, connections} of this.sample(members)) {
       const {entry} = target;
-      if (entry.draining || state.evacuatedZones.has(entry.zone)) continue;
-      if (request.exclude.has(entry.id)) continue;
+      if (!this.isEligible(target, request, trial, nowMs)) continue;
       if (target.loadAt(nowMs) >= target.slots) continue;
-      if (target.suspendedUntilMs > nowMs) continue;
       if (connections.idleSize === 0 && connections.size >= limit) continue;
-      if (!canaryRouter.allows(request.service, entry.version, trial)) {
-        continue;
-      }
-      const region = regions.get(entry.zone) ?? '';
-      if (request.regions.length > 0 && !request.regions.includes(region)) {
-        continue;
-      }
       const coldPerSecond = config?.coldPerSecond ?? 0;
       if (
         this.isCold(target, nowMs) &&
@@ -105,6 +95,38 @@
     }
   }
 
+  /**
+   * Lists the targets that a request may use once they have a free slot.
+   *
+   * @param members - Targets of the request's service.
+   * @param request - Request to place.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  *eligible(
+    members: readonly PoolMember[],
+    request: SlotRequest,
+    nowMs: number,
+  ): Generator<PooledTarget> {
+    for (const {target} of members) {
+      if (this.isEligible(target, request, false, nowMs)) yield target;
+    }
+  }
+
+  /** Checks everything but free slots, connections and the rate of a cold target. */
+  private isEligible(
+    {entry, suspendedUntilMs}: PooledTarget,
+    {exclude, regions, service}: SlotRequest,
+    trial: boolean,
+    nowMs: number,
+  ): boolean {
+    const {state, canaryRouter} = this.parts;
+    if (entry.draining || state.evacuatedZones.has(entry.zone)) return false;
+    if (exclude.has(entry.id) || suspendedUntilMs > nowMs) return false;
+    if (!canaryRouter.allows(service, entry.version, trial)) return false;
+    const region = this.parts.regions.get(entry.zone) ?? '';
+    return regions.length === 0 || regions.includes(region);
+  }
+
   /**
    * Computes the cost of using a target whose free slots belong to other hosts.
    *
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -4,7 +4,13 @@
 import type {Clock} from '../clock.js';
 import type {TargetReport} from '../fleet/gossip-message.js';
 import type {Logger} from '../logger.js';
-import {chooseTarget} from './choose-target.js';
+import {chooseTarget, type PlacementRequest} from './choose-target.js';
+import {
+  completionFit,
+  completionFits,
+  requiredFit,
+  type CompletionFit,
+} from './completion-fit.js';
 import {LoadReports} from './load-reports.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
 import {SlotShares} from './slot-shares.js';
@@ -21,6 +27,23 @@
  */
 const assumedColdMs = 2500;
 
+/**
+ * Time before the end of its wait from which a request accepts slower targets, in milliseconds; long enough for two
+ * checks of the waiting requests.
+ */
+const finalPollsMs = 50;
+
+/** Why a request got no slot. */
+export const noSlots = {
+  /** No target that it may use has a free slot. */
+  full: 'full',
+  /** Only targets that would hardly complete its response in time have one. */
+  tooSlow: 'too-slow',
+} as const;
+
+/** One of {@link noSlots}. */
+export type NoSlot = (typeof noSlots)[keyof typeof noSlots];
+
 /** Dependencies of the pool. */
 export interface TargetPoolParts extends CandidateParts {
   readonly clock: Clock;
@@ -138,30 +161,25 @@
    *
    * @param request - Request to place.
    * @param nowMs - Time on the process's clock, in milliseconds.
-   * @returns The target, or `undefined` if no usable target has a free slot.
+   * @returns The target, or why no slot was taken.
    */
-  takeSlot(request: SlotRequest, nowMs: number): PooledTarget | undefined {
-    const demand = {
-      promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
-      longOutputTokens: request.longOutputTokens,
-      objectiveMs: request.objectiveMs,
-      remainingMs: request.deadlineAtMs - nowMs,
-      cachedAt:
-        request.session === undefined
-          ? undefined
-          : this.sessions.get(request.session),
-      zone: this.parts.zone,
-      nowMs,
-      penaltyMs: (target: PooledTarget) => this.candidates.remoteSlotMs(target),
+  takeSlot(request: SlotRequest, nowMs: number): PooledTarget | NoSlot {
+    const demand = this.demandOf(request, nowMs);
+    const minFit = this.requiredFit(request, demand);
+    let hasFree = false;
+    const fitting = function* (free: Iterable<PooledTarget>) {
+      for (const target of free) {
+        hasFree = true;
+        if (completionFit(target, demand) >= minFit) yield target;
+      }
     };
     // A canary request does not wait for the new version; the old one can serve it as well.
     const target =
       (request.trial
         ? chooseTarget(this.usable(request, true, nowMs), demand)
         : undefined) ??
-      chooseTarget(this.usable(request, false, nowMs), demand);
-    if (!target) return undefined;
+      chooseTarget(fitting(this.usable(request, false, nowMs)), demand);
+    if (!target) return hasFree ? noSlots.tooSlow : noSlots.full;
     if (this.candidates.isCold(target, nowMs))
       this.parts.coldLimiter.take(target.entry.id);
     target.localRequests++;
@@ -172,6 +190,35 @@
     return target;
   }
 
+  private demandOf(request: SlotRequest, nowMs: number): PlacementRequest {
+    const {session} = request;
+    return {
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
+      longOutputTokens: request.longOutputTokens,
+      objectiveMs: request.objectiveMs,
+      remainingMs: request.deadlineAtMs - nowMs,
+      cachedAt: session === undefined ? undefined : this.sessions.get(session),
+      zone: this.parts.zone,
+      nowMs,
+      penaltyMs: (target: PooledTarget) => this.candidates.remoteSlotMs(target),
+    };
+  }
+
+  private requiredFit(
+    request: SlotRequest,
+    demand: PlacementRequest,
+  ): CompletionFit {
+    if (request.outputTokens === 0) return completionFits.unlikely;
+    const {nowMs} = demand;
+    const members = this.byService.get(request.service) ?? [];
+    return requiredFit(
+      this.candidates.eligible(members, request, nowMs),
+      demand,
+      nowMs < request.untilMs - finalPollsMs,
+    );
+  }
+
   /**
    * Checks whether a usable target has a free slot for a request.
    *
