Do not take one large request in a late report for a rate of use

Cause: what the other hosts used since their last messages is estimated from their reports of the last 300 ms, times the age of a report. At 195 hosts a host reports every 1.8 s, so each reported request counted 3.1 times; one of 30,000 tokens emptied the bucket of an organisation with 60,000 a second.

Change: 0.6 of the deployment's fixed tolerance covers the estimate; only what exceeds it is subtracted from the level.

--- a/src/process/limits/quota-buckets.ts
+++ b/src/process/limits/quota-buckets.ts
@@ -21,6 +21,13 @@
  */
 const restartShare = 0.3;
 
+/**
+ * Fraction of the fixed tolerance that covers estimated use which is not reported yet. Requests are unequal, so one large
+ * request in a late report is no rate at which all hosts use the quota. The rest of the tolerance covers what is used
+ * until a sudden rise in demand is reported.
+ */
+const coveredShare = 0.6;
+
 /** Local copy of the token bucket of one organisation. */
 interface Bucket {
   quota: Quota;
@@ -170,7 +177,8 @@
     // The usage of other hosts since their last messages is not known, so it is estimated from the average.
     const unreported =
       (recentRemoteUsage(bucket, nowMs) * this.updateAgeMs) / averagingMs;
-    const level = bucket.level - unreported;
+    const covered = coveredShare * this.bounds.quotaSlack * this.share;
+    const level = bucket.level - Math.max(0, unreported - covered);
     // A request larger than the level may pass; the level becomes negative and delays the next request.
     if (level <= reservedShare * quota.burst * this.share) {
       const perMs = (quota.rate * this.share) / 1000;
