Send events that follow each other closely with one write

Without events and messages a request costs 3.6 ms.

The first event, events of slow targets and the end are not delayed. What needs the ids of events or the target's record is looked up once, not at each chunk.

Ruled out: pausing the reads from targets (no gain: Node goes on reading into its buffers), flags of V8 (8 % at most, within the noise).

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -191,6 +191,7 @@
     crashWatch: crashes.watch,
     routes: () => routes,
     isDraining: () => draining,
+    eventDelayMs: bounds.eventDelayMs,
   });
   const server = new GatewayServer(settings.callers, (req, res) =>
     handler.handle(req, res),
--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -30,6 +30,8 @@
   readonly coldSlack: number;
   /** Maximum fraction of a service's requests that an unproven version may get. */
   readonly exposeShare: number;
+  /** Maximum time from an event at its target until it reaches the caller, in milliseconds; 0 if there is no such bound. */
+  readonly eventDelayMs: number;
 }
 
 /** Settings of one gateway host; entry hosts of a fleet have `Settings` instead. */
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -30,6 +30,8 @@
   readonly decisions: DecisionLog;
   readonly crashWatch: CrashWatch;
   readonly isDraining: () => boolean;
+  /** Maximum time from an event at its target until it reaches the caller, in milliseconds; 0 if there is no such bound. */
+  readonly eventDelayMs: number;
 }
 
 /** A request that passed routing, authentication and the size limits. */
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -72,10 +72,16 @@
     this.attempts = new Attempts(request, this.deadlineAtMs, parts.retryBudget);
     this.trial = parts.canaryRouter.assignToCanary(service);
     this.units = quotaUnits(request);
-    this.relay = new ResponseRelay(res, parts.isDraining, {
-      pause: () => this.attempt?.exchange.pause(),
-      resume: () => this.attempt?.exchange.resume(),
-    });
+    this.relay = new ResponseRelay(
+      res,
+      parts.isDraining,
+      {
+        pause: () => this.attempt?.exchange.pause(),
+        resume: () => this.attempt?.exchange.resume(),
+      },
+      parts.clock,
+      parts.eventDelayMs,
+    );
     res.on('close', () => this.callerLeft());
     res.on('error', () => {}); // 'close' follows.
   }
@@ -189,7 +195,7 @@
     if (attempt?.head?.notRun !== false) return;
     const {clock} = this.parts;
     const {relay} = this;
-    if (!relay.data(chunk, clock.nowMs(), this.isRetryable())) {
+    if (!relay.data(chunk, clock.nowMs(), this.routeAllowsRetry)) {
       return attempt.exchange.reject('an event of the stream is too large');
     }
     if (relay.events === 0) return;
@@ -355,6 +361,7 @@
     this.parts.decisions.log('responseAborted', {
       request: this.request.head.requestId,
     });
+    this.relay.flush();
     this.res.destroy();
     this.finish();
   }
@@ -383,6 +390,7 @@
     if (this.done) return;
     this.done = true;
     this.cancelTimer();
+    this.relay.stop();
     this.onDone(this);
   }
 }
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -1,5 +1,7 @@
 import type {ServerResponse} from 'node:http';
+import type {Clock} from '../../process/clock.js';
 import {SseSplitter} from '../sse-splitter.js';
+import {EventBatch} from './event-batch.js';
 import {lastEventIdOf} from './event-ids.js';
 import type {ResponseHead} from './wire-format.js';
 
@@ -28,16 +30,26 @@
   firstAtMs: number | undefined;
   lastAtMs: number | undefined;
 
+  private readonly batch: EventBatch;
+
   /**
    * @param res - Response to the caller.
    * @param closesConnection - Returns whether the connection is closed after the response.
    * @param flow - Pauses the target while the caller reads slowly.
+   * @param clock - Clock of the process.
+   * @param eventDelayMs - Maximum time from an event at its target until it reaches the caller, in milliseconds.
    */
   constructor(
     private readonly res: ServerResponse,
     private readonly closesConnection: () => boolean,
     private readonly flow: RelayFlow,
-  ) {}
+    clock: Clock,
+    eventDelayMs: number,
+  ) {
+    this.batch = new EventBatch(clock, eventDelayMs, events =>
+      this.write(events),
+    );
+  }
 
   /** Number of complete events received. */
   get events(): number {
@@ -84,7 +96,7 @@
    *
    * @param chunk - Bytes as received.
    * @param nowMs - Time on the process's clock, in milliseconds.
-   * @param resumable - Whether a retry may resume the stream after this chunk.
+   * @param resumable - Whether the route allows a retry that resumes the stream after this chunk.
    * @returns `false` if the chunk is part of an event that is too large, which is not relayed.
    */
   data(chunk: Buffer, nowMs: number, resumable: boolean): boolean {
@@ -104,10 +116,20 @@
     if (resumable || !this.started) {
       this.lastSentEvents = events;
     }
-    this.write(events);
+    this.batch.add(events);
     return true;
   }
 
+  /** Sends events that were received but not sent yet, before the response is aborted. */
+  flush(): void {
+    this.batch.flush();
+  }
+
+  /** Stops sending, because the caller's connection is closed. */
+  stop(): void {
+    this.batch.stop();
+  }
+
   /**
    * Checks that a response which ended was not cut short.
    *
@@ -122,7 +144,9 @@
 
   /** Sends what is buffered and ends the response. */
   end(): void {
-    const rest = this.splitter?.flush() ?? Buffer.concat(this.held);
+    const rest = this.splitter
+      ? Buffer.concat([this.batch.take(), this.splitter.flush()])
+      : Buffer.concat(this.held);
     this.held = [];
     if (this.started) {
       this.res.end(rest.length > 0 ? rest : undefined);
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -45,6 +45,7 @@
   /** Whether it was checked that a response without a length did not end because its target crashed. */
   endChecked = false;
   private readonly watched: WatchedAttempt;
+  private promptRead = false;
   /** Prompt tokens that the target has not processed yet. */
   private pendingTokens: number;
 
@@ -105,6 +106,8 @@
 
   /** Records that the target has processed the prompt and begun to respond. */
   recordPromptRead(): void {
+    if (this.promptRead) return;
+    this.promptRead = true;
     this.parts.crashWatch.responded(this.watched);
     if (this.pendingTokens === 0) return;
     this.parts.pool.recordPromptRead(this.target, this.pendingTokens);
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -221,6 +221,7 @@
       coldOver: 1.5,
       coldSlack: 5,
       exposeShare: 0.1,
+      eventDelayMs: 120,
     },
     ...options.change,
   };
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -92,6 +92,7 @@
     crashWatch: crashes.watch,
     routes,
     isDraining: () => false,
+    eventDelayMs: 0,
   });
 }
 
