--- a/src/request/gateway/event-batch.ts
+++ b/src/request/gateway/event-batch.ts
@@ -5,6 +5,7 @@
  * host that is short of processor time, and for the network.
  */
 const gatherShare = 0.3;
+
 /**
  * Limits the writes for one stream: events that follow the last write closely are gathered and sent with one write. Fast
  * targets send an event every 10 to 20 ms, and each write costs a host more than relaying the event does otherwise.
