Log the request rate that a target states in its responses

Nothing decoded Server-Limit, so the logs could not tell three hypotheses apart: the limit is ignored; it is known, but hosts that do not know of each other exceed it together; it is kept, and retries or probes come on top.

The limit is decoded, kept for each incarnation of a target, and logged when it changes (7207). Event 7208 states how many requests a host has sent to a limited target in each period of 4 s, so that the sum over hosts can be compared with the limit. No request is placed differently.

--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -101,6 +101,16 @@
     level: 'warn',
     message: 'requests and prompt parts that are refused because targets crash',
   },
+  targetLimitChanged: {
+    id: 7207,
+    level: 'info',
+    message: 'request rate that a target accepts changed',
+  },
+  targetLimitUse: {
+    id: 7208,
+    level: 'info',
+    message: 'requests of this host to a target that states a limit',
+  },
   gatewayRefused: {
     id: 7301,
     level: 'info',
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -20,6 +20,7 @@
   type PoolMember,
 } from './target-candidates.js';
 import {SessionAffinity} from './session-affinity.js';
+import {TargetStatements, type TargetStatement} from './target-statements.js';
 
 /**
  * Time for which an unreachable target counts as cold, in milliseconds, because it may have restarted.
@@ -63,10 +64,12 @@
   private readonly loadReports = new LoadReports();
   private readonly shares: SlotShares;
   private readonly candidates: TargetCandidates;
+  private readonly statements: TargetStatements;
 
   /** @param parts - Dependencies of the pool. */
   constructor(private readonly parts: TargetPoolParts) {
     this.shares = new SlotShares(parts.host);
+    this.statements = new TargetStatements(parts.logger);
     this.candidates = new TargetCandidates(parts, this.shares);
   }
 
@@ -122,6 +125,7 @@
       connections.closeIdle();
       coldLimiter.forget(id);
       this.loadReports.forget(id);
+      this.statements.forget(id);
       this.shares.forget(id);
       logger.event('targetGone', {target: id, replaced});
     }
@@ -182,6 +186,7 @@
     if (!target) return hasFree ? noSlots.tooSlow : noSlots.full;
     if (this.candidates.isCold(target, nowMs))
       this.parts.coldLimiter.take(target.entry.id);
+    this.statements.sent(target.entry.id, nowMs);
     target.localRequests++;
     target.localPendingTokens += request.promptTokens;
     if (request.session !== undefined) {
@@ -255,6 +260,22 @@
     }
   }
 
+  /**
+   * Records what a target says of itself in a response.
+   *
+   * @param target - Target of the request.
+   * @param stated - Content of the response.
+   * @param sentAtMs - Time on the process's clock at which the request was sent, in milliseconds.
+   */
+  recordStatement(
+    {entry: {id, bornMs}}: PooledTarget,
+    stated: TargetStatement,
+    sentAtMs: number,
+  ): void {
+    const nowMs = this.parts.clock.nowMs();
+    this.statements.record(id, bornMs, stated, sentAtMs, nowMs);
+  }
+
   /**
    * Records that a target has processed a prompt.
    *
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -102,6 +102,7 @@
       target.coldUntilMs = Math.max(target.coldUntilMs, nowMs + head.coldMs);
     }
     if (head.load) target.recordTargetLoad(head.load, nowMs);
+    this.parts.pool.recordStatement(target, head, this.startMs);
   }
 
   /** Records that the target has processed the prompt and begun to respond. */
--- a/src/request/gateway/wire-format.ts
+++ b/src/request/gateway/wire-format.ts
@@ -65,6 +65,8 @@
   readonly load?: TargetLoad;
   /** Time for which the target stays cold, in milliseconds. */
   readonly coldMs?: number;
+  /** Requests per second that the target accepts from all hosts together; absent if it states no limit. */
+  readonly limitPerSecond?: number;
   /** Headers to relay to the caller. */
   readonly relayed: Readonly<Record<string, string | string[]>>;
 }
