Keep the request rate that a target states, over all hosts together

Ruled out: hosts that each keep the limit and exceed it together, retries, health checks and probes.

Change: the statement is kept for each incarnation of a target. Gossip carries the limits and their ends with the age of the response, for hosts that send nothing to the target and for those that have just started. The time to come back takes the rates into account.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -19,11 +19,11 @@
 import {declareGauges} from './process/gateway-gauges.js';
 import {GatewayMetrics} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
-import {ColdTargetLimiter} from './process/limits/cold-target-limiter.js';
 import {QuotaBuckets} from './process/limits/quota-buckets.js';
 import {createRandom} from './process/random.js';
 import {ServiceRetryBudget} from './process/limits/service-retry-budget.js';
 import {Logger} from './process/logger.js';
+import {TargetLimits} from './process/pool/target-limits.js';
 import {TargetPool} from './process/pool/target-pool.js';
 import {subscribe} from './process/subject.js';
 import {Dispatcher} from './request/gateway/dispatcher.js';
@@ -132,13 +132,12 @@
     bounds,
   );
   const retryBudget = new ServiceRetryBudget(bounds, () => hosts.length);
-  const coldLimiter = new ColdTargetLimiter(host, bounds);
   const pool = new TargetPool({
     clock,
     logger,
     state,
     routes: () => routes,
-    coldLimiter,
+    limits: new TargetLimits(host, bounds),
     canaryRouter,
     isViewCurrent: () => feed.targetsView.isCurrent,
     onSend: ({id}) => feed.targetsView.logUse(id),
@@ -214,6 +213,7 @@
       storeReachable: feed.outage.durationMs === 0,
       feedUpdate: feed.composeUpdate(),
       targetReports: pool.takeReports(peers.hasRecentlyStarted(clock.nowMs())),
+      statements: pool.reportStatements(),
       used: Object.fromEntries(quotas.totals),
       levels:
         quotas.settled && peers.hasRecentlyStarted(clock.nowMs())
@@ -313,6 +313,7 @@
       const {host: from, incarnation: start, used, evidence, phases} = message;
       feed.receiveUpdate(message.feedUpdate, from, composedAtMs);
       pool.applyReports(from, message.targetReports);
+      pool.applyStatements(from, message.statements, composedAtMs);
       if (message.levels)
         quotas.adoptLevels(message.levels, quotaOf, clock.nowMs());
       quotas.recordPeerUsage(from, start, used, quotaOf, clock.nowMs());
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -7,7 +7,9 @@
   TargetUpdate,
 } from '../../version/deployment/feed-update.js';
 import {emptyReport, type CrashReport} from '../crashes/crash-report.js';
+import type {StatementReport} from '../pool/target-statements.js';
 import {decodeCrashReport, encodeCrashReport} from './crash-codec.js';
+import {decodeStatements, encodeStatements} from './statement-codec.js';
 import {
   canaryPhases,
   type CanaryPhase,
@@ -60,6 +62,8 @@
   readonly feedUpdate: FeedUpdate;
   /** Reports by id of the target. */
   readonly targetReports: Readonly<Record<string, TargetReport>>;
+  /** What targets say of themselves in their responses. */
+  readonly statements: readonly StatementReport[];
   /** Quota units that the host has used since its start, by organisation. */
   readonly used: Readonly<Record<string, number>>;
   /** Levels of the quota buckets by organisation; only sent while another host has just started. */
@@ -122,6 +126,7 @@
     ],
     c: update.changes.length > 0 ? update.changes.map(encodeChange) : undefined,
     l: reports,
+    x: encodeStatements(message.statements),
     u: message.used,
     q: message.levels,
     k: encodeCrashReport(message.crashReport),
@@ -166,7 +171,7 @@
     return undefined;
   }
   if (typeof value !== 'object' || value === null) return undefined;
-  const {h, a, z, i, n, m, r, b, s, o, t, c, l, u, q, e, p, k} =
+  const {h, a, z, i, n, m, r, b, s, o, t, c, l, u, q, e, p, k, x} =
     value as Record<string, unknown>;
   if (typeof h !== 'string' || typeof a !== 'string' || typeof z !== 'string') {
     return undefined;
@@ -185,6 +190,7 @@
     storeReachable: s === 1,
     feedUpdate: update,
     targetReports: decodeReports(l),
+    statements: decodeStatements(x),
     used: decodeNumbers(u),
     levels: q === undefined ? undefined : decodeNumbers(q),
     crashReport: k === undefined ? emptyReport : decodeCrashReport(k),
--- /dev/null
+++ b/src/process/fleet/statement-codec.ts
@@ -0,0 +1,39 @@
+import {roundAgeMs} from '../../version/deployment/feed-update.js';
+import type {StatementReport} from '../pool/target-statements.js';
+
+/**
+ * Encodes what targets say of themselves.
+ *
+ * @param reports - Reports of this host.
+ * @returns One row each; `undefined` without reports.
+ */
+export function encodeStatements(
+  reports: readonly StatementReport[],
+): unknown[] | undefined {
+  if (reports.length === 0) return undefined;
+  return reports.map(({target, bornMs, limitPerSecond, ageMs}) => [
+    target,
+    bornMs,
+    roundAgeMs(ageMs),
+    limitPerSecond ?? null,
+  ]);
+}
+
+/**
+ * Decodes what {@link encodeStatements} returns. Malformed rows are skipped.
+ *
+ * @param rows - Decoded JSON.
+ */
+export function decodeStatements(rows: unknown): StatementReport[] {
+  if (!Array.isArray(rows)) return [];
+  return (rows as unknown[]).flatMap(row => decodeStatement(row) ?? []);
+}
+
+function decodeStatement(row: unknown): StatementReport | undefined {
+  if (!Array.isArray(row)) return undefined;
+  const [target, bornMs, ageMs, limit] = row as unknown[];
+  if (typeof target !== 'string') return undefined;
+  if (typeof bornMs !== 'number' || typeof ageMs !== 'number') return undefined;
+  const limitPerSecond = typeof limit === 'number' ? limit : undefined;
+  return {target, bornMs, limitPerSecond, ageMs};
+}
--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -28,6 +28,12 @@
   readonly coldOver: number;
   /** Requests per second to a cold target that are allowed in addition. */
   readonly coldSlack: number;
+  /** Factor by which the requests to a target may exceed the rate that it states, over all hosts. */
+  readonly statedOver: number;
+  /** Requests per period to such a target that are allowed in addition. */
+  readonly statedSlack: number;
+  /** Period over which the requests to such a target are counted, in milliseconds. */
+  readonly statedWindowMs: number;
   /** Maximum fraction of a service's requests that an unproven version may get. */
   readonly exposeShare: number;
   /** Maximum time from an event at its target until it reaches the caller, in milliseconds; 0 if there is no such bound. */
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -1,5 +1,6 @@
 import type {TargetReport} from '../fleet/gossip-message.js';
 import type {ReportedLoad} from './load-reports.js';
+import type {TargetStatement} from './target-statements.js';
 import type {TargetEntry} from '../../version/deployment/types.js';
 
 /** Weight of a new sample in the moving averages of a target. */
@@ -58,10 +59,12 @@
   /**
    * @param entry - Current entry of the target in the store.
    * @param reported - Reports of other hosts; kept up to date by the owner.
+   * @param stated - What the target says of itself; kept up to date by the owner.
    */
   constructor(
     public entry: TargetEntry,
     readonly reported: Readonly<ReportedLoad>,
+    readonly stated: TargetStatement = {},
   ) {}
 
   /** Number of requests that the target runs concurrently. */
--- a/src/process/pool/target-candidates.ts
+++ b/src/process/pool/target-candidates.ts
@@ -4,9 +4,9 @@
 import type {DeploymentState} from '../../version/deployment/deployment-state.js';
 import type {RouteTable} from '../../version/deployment/route-table.js';
 import {gossipIntervalMs} from '../fleet/gossip-interval.js';
-import type {ColdTargetLimiter} from '../limits/cold-target-limiter.js';
 import type {PooledTarget} from './pooled-target.js';
 import type {SlotShares} from './slot-shares.js';
+import type {TargetLimits} from './target-limits.js';
 
 /** Share of a target's connection limit that all hosts together use. */
 const connectionShare = 0.85;
@@ -27,7 +27,7 @@
 export interface CandidateParts {
   readonly state: DeploymentState;
   readonly routes: () => RouteTable | undefined;
-  readonly coldLimiter: ColdTargetLimiter;
+  readonly limits: TargetLimits;
   readonly canaryRouter: CanaryRouter;
   /** Whether the deployment state is recent enough to choose targets from it. */
   readonly isViewCurrent: () => boolean;
@@ -69,7 +69,7 @@
     trial: boolean,
     nowMs: number,
   ): Generator<PooledTarget> {
-    const {routes, hosts, coldLimiter} = this.parts;
+    const {routes, hosts, limits} = this.parts;
     if (!this.parts.isViewCurrent()) return;
     const config = routes()?.service(request.service);
     const known = hosts();
@@ -80,17 +80,11 @@
         )
       : Infinity;
     for (const {target, connections} of this.sample(members)) {
-      const {entry} = target;
       if (!this.isEligible(target, request, trial, nowMs)) continue;
       if (target.loadAt(nowMs) >= target.slots) continue;
       if (connections.idleSize === 0 && connections.size >= limit) continue;
-      const coldPerSecond = config?.coldPerSecond ?? 0;
-      if (
-        this.isCold(target, nowMs) &&
-        !coldLimiter.admits(entry.id, coldPerSecond, known, nowMs)
-      ) {
-        continue;
-      }
+      const coldPerSecond = this.coldPerSecond(target, nowMs);
+      if (!limits.admits(target, coldPerSecond, known, nowMs)) continue;
       yield target;
     }
   }
@@ -140,15 +134,20 @@
   }
 
   /**
-   * Checks whether a target is cold and its rate is limited.
+   * Counts a request to a target against the rates that bind it.
    *
-   * @param target - Target to check.
+   * @param target - Target that {@link usable} listed.
    * @param nowMs - Time on the process's clock, in milliseconds.
    */
-  isCold(target: PooledTarget, nowMs: number): boolean {
+  take(target: PooledTarget, nowMs: number): void {
+    this.parts.limits.take(target, this.coldPerSecond(target, nowMs));
+  }
+
+  /** Maximum rate of all hosts together to a target that is cold, per second; 0 if it is not cold or has no limit. */
+  private coldPerSecond(target: PooledTarget, nowMs: number): number {
+    if (target.coldUntilMs <= nowMs) return 0;
     const {service} = target.entry;
-    const limit = this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
-    return limit > 0 && target.coldUntilMs > nowMs;
+    return this.parts.routes()?.service(service)?.coldPerSecond ?? 0;
   }
 
   /**
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -20,7 +20,11 @@
   type PoolMember,
 } from './target-candidates.js';
 import {SessionAffinity} from './session-affinity.js';
-import {TargetStatements, type TargetStatement} from './target-statements.js';
+import {
+  TargetStatements,
+  type StatementReport,
+  type TargetStatement,
+} from './target-statements.js';
 
 /**
  * Time for which an unreachable target counts as cold, in milliseconds, because it may have restarted.
@@ -112,7 +116,7 @@
 
   /** Adds, updates and removes targets according to the deployment state. */
   refresh(): void {
-    const {state, clock, coldLimiter, logger} = this.parts;
+    const {state, clock, limits, logger} = this.parts;
     const nowMs = clock.nowMs();
     for (const [id, {target, connections}] of this.members) {
       const known = state.targets.get(id);
@@ -123,7 +127,7 @@
       if (known && !replaced) continue;
       this.members.delete(id);
       connections.closeIdle();
-      coldLimiter.forget(id);
+      limits.forget(id);
       this.loadReports.forget(id);
       this.statements.forget(id);
       this.shares.forget(id);
@@ -135,7 +139,11 @@
       if (!member) {
         const {onConnect} = this.parts;
         member = {
-          target: new PooledTarget(entry, this.loadReports.of(id)),
+          target: new PooledTarget(
+            entry,
+            this.loadReports.of(id),
+            this.statements.of(id, entry.bornMs),
+          ),
           connections: new TargetConnectionPool(entry.address, onConnect),
         };
         this.members.set(id, member);
@@ -184,8 +192,7 @@
         : undefined) ??
       chooseTarget(fitting(this.usable(request, false, nowMs)), demand);
     if (!target) return hasFree ? noSlots.tooSlow : noSlots.full;
-    if (this.candidates.isCold(target, nowMs))
-      this.parts.coldLimiter.take(target.entry.id);
+    this.candidates.take(target, nowMs);
     this.statements.sent(target.entry.id, nowMs);
     target.localRequests++;
     target.localPendingTokens += request.promptTokens;
@@ -276,6 +283,26 @@
     this.statements.record(id, bornMs, stated, sentAtMs, nowMs);
   }
 
+  /** Lists what targets say of themselves, for gossip. */
+  reportStatements(): StatementReport[] {
+    return this.statements.report(this.parts.clock.nowMs());
+  }
+
+  /**
+   * Applies what another host reports about statements of targets.
+   *
+   * @param from - Name of the host.
+   * @param reports - Its reports.
+   * @param composedAtMs - Time on the process's clock before which they were not composed, in milliseconds.
+   */
+  applyStatements(
+    from: string,
+    reports: readonly StatementReport[],
+    composedAtMs: number,
+  ): void {
+    this.statements.merge(reports, from, composedAtMs);
+  }
+
   /**
    * Records that a target has processed a prompt.
    *
@@ -315,17 +342,24 @@
   }
 
   /**
-   * Computes the share of a service's slots that this host has if all hosts have equal shares.
+   * Computes the share of a service's slots that this host has if all hosts have equal shares. Of a target that states
+   * a limit, only as many slots count as requests at that rate occupy.
    *
    * @param service - Name of the service.
+   * @param costMs - Mean time for which a request occupies a slot, in milliseconds.
    * @returns Number of slots, possibly fractional.
    */
-  localSlotShare(service: string): number {
+  localSlotShare(service: string, costMs: number): number {
     let slots = 0;
+    let occupied = 0;
     for (const {target} of this.byService.get(service) ?? []) {
-      if (!target.entry.draining) slots += target.slots;
+      if (target.entry.draining) continue;
+      const {limitPerSecond = Infinity} = target.stated;
+      slots += target.slots;
+      occupied += Math.min(target.slots, (limitPerSecond * costMs) / 1000);
     }
-    return slots / Math.max(1, this.parts.hosts().length);
+    const share = Math.max(1, slots / Math.max(1, this.parts.hosts().length));
+    return slots > 0 ? (share * occupied) / slots : share;
   }
 
   /**
--- a/src/process/pool/target-statements.ts
+++ b/src/process/pool/target-statements.ts
@@ -9,6 +9,20 @@
   readonly limitPerSecond?: number;
 }
 
+/** What a target says of itself, as hosts report it to each other. */
+export interface StatementReport extends TargetStatement {
+  readonly target: string;
+  /** Unix time at which the target started, in milliseconds; identifies its incarnation. */
+  readonly bornMs: number;
+  /** Time since the response that states the limit, or that ended it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Maximum number of reports in one message; longer lists are sent in turns. */
+const maxReports = 16;
+/** Time for which the end of a limit is reported, in milliseconds; long enough for some messages of each host. */
+const endReportedMs = 6000;
+
 /** Latest statement of one incarnation of a target. */
 class StatementRecord implements TargetStatement {
   limitPerSecond?: number;
@@ -25,19 +39,26 @@
 /** Keeps what targets say of themselves in their responses. */
 export class TargetStatements {
   private readonly records = new Map<string, StatementRecord>();
+  /** Number of reports that were sent in earlier messages, for the turns of a long list. */
+  private reported = 0;
 
   /** @param logger - Logger of the process. */
   constructor(private readonly logger: Logger) {}
 
   /**
-   * Looks up what an incarnation of a target says.
+   * Looks up what an incarnation of a target says; from then on, statements of other incarnations are ignored.
    *
    * @param id - Id of the target.
    * @param bornMs - Unix time at which it started, in milliseconds.
    * @returns Live object that later responses update.
    */
   of(id: string, bornMs: number): TargetStatement {
-    return this.recordOf(id, bornMs);
+    let record = this.records.get(id);
+    if (record?.bornMs !== bornMs) {
+      record = new StatementRecord(bornMs);
+      this.records.set(id, record);
+    }
+    return record;
   }
 
   /**
@@ -57,18 +78,58 @@
     sentAtMs: number,
     nowMs: number,
   ): void {
-    const record = this.recordOf(id, bornMs);
+    const record = this.records.get(id);
+    // A late response of an earlier incarnation says nothing about the present one.
+    if (record?.bornMs !== bornMs) return;
     const {limitPerSecond} = stated;
     const ends =
       limitPerSecond === undefined &&
       record.limitPerSecond !== undefined &&
       sentAtMs > record.limitAtMs;
     if (limitPerSecond === undefined && !ends) return;
-    const changed = record.limitPerSecond !== limitPerSecond;
-    record.limitPerSecond = limitPerSecond;
-    record.limitAtMs = nowMs;
-    if (changed)
-      this.logger.event('targetLimitChanged', {target: id, limitPerSecond});
+    this.setLimit(record, id, limitPerSecond, nowMs, 'response');
+  }
+
+  /**
+   * Lists what the other hosts should know.
+   *
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  report(nowMs: number): StatementReport[] {
+    const all: StatementReport[] = [];
+    for (const [target, {bornMs, limitAtMs, limitPerSecond}] of this.records) {
+      const ageMs = nowMs - limitAtMs;
+      if (limitPerSecond === undefined && ageMs > endReportedMs) continue;
+      all.push({target, bornMs, limitPerSecond, ageMs});
+    }
+    if (all.length <= maxReports) return all;
+    const first = this.reported % all.length;
+    this.reported = first + maxReports;
+    return [...all.slice(first), ...all.slice(0, first)].slice(0, maxReports);
+  }
+
+  /**
+   * Applies the reports of another host. For each target, the newest response counts.
+   *
+   * @param reports - Reports of the other host.
+   * @param from - Name of the other host.
+   * @param composedAtMs - Monotonic time before which the reports were not composed, in milliseconds.
+   */
+  merge(
+    reports: readonly StatementReport[],
+    from: string,
+    composedAtMs: number,
+  ): void {
+    for (const {target, bornMs, limitPerSecond, ageMs} of reports) {
+      const record = this.records.get(target);
+      if (record?.bornMs !== bornMs) continue;
+      const atMs = composedAtMs - ageMs;
+      // A limit of unknown age is better than none: after its start, a host cannot date the messages of others yet.
+      const isFirst =
+        record.limitAtMs === -Infinity && limitPerSecond !== undefined;
+      if (atMs <= record.limitAtMs && !isFirst) continue;
+      this.setLimit(record, target, limitPerSecond, atMs, from);
+    }
   }
 
   /**
@@ -105,12 +166,16 @@
     this.records.delete(id);
   }
 
-  private recordOf(id: string, bornMs: number): StatementRecord {
-    let record = this.records.get(id);
-    if (record?.bornMs !== bornMs) {
-      record = new StatementRecord(bornMs);
-      this.records.set(id, record);
-    }
-    return record;
+  private setLimit(
+    record: StatementRecord,
+    target: string,
+    limitPerSecond: number | undefined,
+    atMs: number,
+    by: string,
+  ): void {
+    record.limitAtMs = atMs;
+    if (record.limitPerSecond === limitPerSecond) return;
+    record.limitPerSecond = limitPerSecond;
+    this.logger.event('targetLimitChanged', {target, limitPerSecond, by});
   }
 }
--- a/src/request/gateway/dispatcher.ts
+++ b/src/request/gateway/dispatcher.ts
@@ -73,9 +73,12 @@
    * @returns Time in milliseconds.
    */
   backlogMs(service: string): number {
+    const queue = this.queues.get(service);
+    if (!queue || queue.size === 0) return 0;
     let costMs = 0;
-    for (const {costMs: ms} of this.queues.get(service) ?? []) costMs += ms;
-    return costMs / Math.max(1, this.pool.localSlotShare(service));
+    for (const {costMs: ms} of queue) costMs += ms;
+    const slots = this.pool.localSlotShare(service, costMs / queue.size);
+    return costMs / slots;
   }
 
   /**
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -18,7 +18,10 @@
 import {createGatewayHost, type GatewayHost} from '../../src/gateway-wiring.js';
 import type {Clock} from '../../src/process/clock.js';
 import {FailureError} from '../../src/process/errors/catalogue.js';
-import type {GatewaySettings} from '../../src/process/gateway-settings.js';
+import type {
+  Bounds,
+  GatewaySettings,
+} from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
 import type {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
@@ -161,6 +164,26 @@
   },
 };
 
+/** Bounds of a deployment. */
+export const bounds: Bounds = {
+  drainMs: 2000,
+  configMs: 2000,
+  stopMs: 8000,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  retrySlack: 100,
+  quotaWindowMs: 8000,
+  quotaOver: 0.1,
+  quotaSlack: 100,
+  coldOver: 1.5,
+  coldSlack: 5,
+  statedOver: 1.5,
+  statedSlack: 5,
+  statedWindowMs: 4000,
+  exposeShare: 0.1,
+  eventDelayMs: 120,
+};
+
 export function targetChange(id: string, address: string): Change {
   const entry = {
     id,
@@ -208,21 +231,7 @@
     seeds: [],
     firstStart: true,
     store: {address, port: 1},
-    bounds: {
-      drainMs: 2000,
-      configMs: 2000,
-      stopMs: 8000,
-      retryRatio: 0.2,
-      retryWindowMs: 10_000,
-      retrySlack: 100,
-      quotaWindowMs: 8000,
-      quotaOver: 0.1,
-      quotaSlack: 100,
-      coldOver: 1.5,
-      coldSlack: 5,
-      exposeShare: 0.1,
-      eventDelayMs: 120,
-    },
+    bounds,
     ...options.change,
   };
   const gateway = createGatewayHost(settings, {
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {ColdTargetLimiter} from '../../src/process/limits/cold-target-limiter.js';
 import {QuotaBuckets} from '../../src/process/limits/quota-buckets.js';
 import {ServiceRetryBudget} from '../../src/process/limits/service-retry-budget.js';
+import {TargetRateLimiter} from '../../src/process/limits/target-rate-limiter.js';
 
 const seed = 20261204;
 const quota = {rate: 1000, burst: 1000};
@@ -108,15 +108,15 @@
 });
 
 test('all hosts together stay within the rate of a cold target in any second', () => {
-  const bounds = {coldOver: 1.5, coldSlack: 5};
+  const rate = {perSecond: 13, excess: 13 * 0.5 + 5};
   fc.assert(
     fc.property(fc.integer({min: 1, max: 90}), fc.nat(1000), (count, id) => {
       const hosts = Array.from({length: count}, (_, i) => `h${i}`);
-      const limiters = hosts.map(host => new ColdTargetLimiter(host, bounds));
+      const limiters = hosts.map(host => new TargetRateLimiter(host));
       const sent: number[] = [];
       for (let ms = 0; ms < 3000; ms += 20) {
         for (const limiter of limiters) {
-          if (!limiter.admits(`i${id}`, 13, hosts, ms)) continue;
+          if (!limiter.admits(`i${id}`, rate, hosts, ms)) continue;
           limiter.take(`i${id}`);
           sent.push(ms);
         }
--- a/test/gateway/message-time.test.ts
+++ b/test/gateway/message-time.test.ts
@@ -29,6 +29,7 @@
     changes: [],
   },
   targetReports: {},
+  statements: [],
   used: {},
   crashReport: emptyReport,
   evidence: new Map(),
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -232,6 +232,7 @@
       storeReachable: from.feed.outage.durationMs === 0,
       feedUpdate: from.feed.composeUpdate(),
       targetReports: {},
+      statements: [],
       used: {},
       crashReport: emptyReport,
       evidence: new Map(),
--- a/test/gateway/simulated-load.ts
+++ b/test/gateway/simulated-load.ts
@@ -1,4 +1,4 @@
-import {ColdTargetLimiter} from '../../src/process/limits/cold-target-limiter.js';
+import {TargetLimits} from '../../src/process/pool/target-limits.js';
 import {Logger} from '../../src/process/logger.js';
 import {
   outcomes,
@@ -14,7 +14,7 @@
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {RouteTable} from '../../src/version/deployment/route-table.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, targetChange} from './gateway-fakes.js';
+import {bounds, configuration, targetChange} from './gateway-fakes.js';
 
 /** Slots of each simulated engine. */
 const slots = 10;
@@ -36,13 +36,12 @@
     const random = createRandom(seed);
     this.random = random;
     const state = new DeploymentState();
-    const bounds = {coldOver: 1.5, coldSlack: 5};
     this.pool = new TargetPool({
       clock,
       logger: Logger.create('silent'),
       state,
       routes: () => new RouteTable(configuration),
-      coldLimiter: new ColdTargetLimiter('h1', bounds),
+      limits: new TargetLimits('h1', bounds),
       canaryRouter: new CanaryRouter(0.1),
       isViewCurrent: () => true,
       onSend: () => {},
--- a/test/gateway/target-statements.test.ts
+++ b/test/gateway/target-statements.test.ts
@@ -33,6 +33,10 @@
 // Guards against limiting a target for what its previous process stated.
 test('another incarnation of a target starts without statements', () => {
   const statements = new TargetStatements(Logger.create('silent'));
+  const first = statements.of('i', 1);
   statements.record('i', 1, {limitPerSecond: 2}, 0, 100);
-  assert.equal(statements.of('i', 2).limitPerSecond, undefined);
+  assert.equal(first.limitPerSecond, 2);
+  const second = statements.of('i', 2);
+  statements.record('i', 1, {limitPerSecond: 3}, 100, 200);
+  assert.equal(second.limitPerSecond, undefined);
 });
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -7,7 +7,7 @@
 import {createCrashControl} from '../../src/process/crashes/crash-control.js';
 import {DecisionLog} from '../../src/process/decision-log.js';
 import {GatewayMetrics} from '../../src/process/gateway-metrics.js';
-import {ColdTargetLimiter} from '../../src/process/limits/cold-target-limiter.js';
+import {TargetLimits} from '../../src/process/pool/target-limits.js';
 import {QuotaBuckets} from '../../src/process/limits/quota-buckets.js';
 import {ServiceRetryBudget} from '../../src/process/limits/service-retry-budget.js';
 import {Logger} from '../../src/process/logger.js';
@@ -20,6 +20,7 @@
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {RouteTable} from '../../src/version/deployment/route-table.js';
 import {
+  bounds,
   configuration,
   freePort,
   sendRequest,
@@ -27,17 +28,6 @@
   targetChange,
 } from './gateway-fakes.js';
 
-const bounds = {
-  retryRatio: 0.2,
-  retryWindowMs: 10_000,
-  retrySlack: 100,
-  coldOver: 1.5,
-  coldSlack: 5,
-  quotaWindowMs: 8000,
-  quotaOver: 0.1,
-  quotaSlack: 100,
-};
-
 /** Creates a handler of requests with one host and one target. */
 function createHandler(
   address: string,
@@ -54,7 +44,7 @@
     logger,
     state,
     routes,
-    coldLimiter: new ColdTargetLimiter('h1', bounds),
+    limits: new TargetLimits('h1', bounds),
     canaryRouter,
     isViewCurrent,
     onSend: () => {},
