--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -330,8 +330,11 @@
     // Meanwhile a state copy or report of another host may have moved the position past this page.
     if ((this.next.get(feed) ?? 0) > from) return readOutcomes.overtaken;
     if (result.kind === 'truncated') {
-      this.parts.logger.event('feedTruncated', {feed, from});
-      return this.readNewest(feed);
+      const {first} = result;
+      const outcome = await this.readNewest(feed);
+      const next = this.next.get(feed);
+      this.parts.logger.event('feedTruncated', {feed, from, first, next});
+      return outcome;
     }
     if (this.isReadOvertaken(feed, result.next)) return readOutcomes.overtaken;
     const readable = this.readable(feed, result.records);
