Recognize records of a restored store by its era

Cause: a position in a log was a number that only grows, compared between reads, between hosts and in the condition of an append. A store that is restored from a copy gives offsets out again and says so in `Store-Era`, which nothing read. Hosts stayed at offset 4 of a log that ended at 3, read it in a loop (417 lines of event 7103, one call about every 17 ms), and missed version 14, which got offset 3.

Change: a position holds the era in its upper part, so that all comparisons stay right. The client recognizes a read or an append across the change; the reader reads the newest records again. What a host knows beyond the copy is kept until it is written again: evacuations and rollout orders for 10 s, draining and removed targets until they write; lost final statuses are appended again, hosts register again, a rollout goes on when its order is written again. Messages state the version of the configuration, so that a host which starts later copies a newer one than the store holds.

--- a/src/connection/http/http-client.ts
+++ b/src/connection/http/http-client.ts
@@ -33,6 +33,8 @@
 /** A complete response. */
 export interface CallResponse {
   readonly status: number;
+  /** Headers by lower-case name. */
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: Buffer;
 }
 
@@ -71,6 +73,7 @@
     return new Promise((resolve, reject) => {
       const chunks: Buffer[] = [];
       let status = 0;
+      let headers: CallResponse['headers'] = {};
       let abort: ((err: Error) => void) | undefined;
       let done = false;
       const finish = (settle: () => void) => {
@@ -100,14 +103,17 @@
             if (done) controller.abort(new Error('aborted after a timeout'));
             else abort = err => controller.abort(err);
           },
-          onResponseStart(_controller, statusCode) {
+          onResponseStart(_controller, statusCode, received) {
             status = statusCode;
+            headers = received;
           },
           onResponseData(_controller, chunk) {
             chunks.push(chunk);
           },
           onResponseEnd() {
-            finish(() => resolve({status, body: Buffer.concat(chunks)}));
+            finish(() =>
+              resolve({status, headers, body: Buffer.concat(chunks)}),
+            );
           },
           onResponseError(_controller, err) {
             fail({kind: 'broken', reason: err.message});
--- a/src/connection/store/shared-store.ts
+++ b/src/connection/store/shared-store.ts
@@ -15,8 +15,42 @@
 /** One of {@link feeds}. */
 export type Feed = (typeof feeds)[keyof typeof feeds];
 
+/** Number of offsets of one era; a log that keeps some minutes of records does not reach it. */
+const offsetsPerEra = 2 ** 36;
+
+/**
+ * Computes the position of a record. A store that is restored from a copy loses its latest records and gives their
+ * offsets to others; it then starts a new era. Positions of a later era are higher, whatever the offsets, so that they can
+ * be compared between reads and between hosts.
+ *
+ * @param era - Number of times that the store was restored.
+ * @param offset - Offset of the record in the log.
+ */
+export function positionOf(era: number, offset: number): number {
+  return era * offsetsPerEra + offset;
+}
+
+/**
+ * Finds the era of a position.
+ *
+ * @param position - Result of {@link positionOf}.
+ */
+export function eraOf(position: number): number {
+  return Math.floor(position / offsetsPerEra);
+}
+
+/**
+ * Finds the offset of a position within its era.
+ *
+ * @param position - Result of {@link positionOf}.
+ */
+export function offsetOf(position: number): number {
+  return position % offsetsPerEra;
+}
+
 /** A decoded record with its position in the log. */
 export interface FeedRecord {
+  /** Result of {@link positionOf}. */
   readonly offset: number;
   readonly change: Change;
 }
@@ -24,25 +58,27 @@
 /** The newest record of each key of a log. */
 export interface Snapshot {
   readonly records: readonly FeedRecord[];
-  /** Offset from which to continue reading. */
+  /** Position from which to continue reading. */
   readonly next: number;
 }
 
-/** Result of a read from an offset. */
+/** Result of a read from a position. */
 export type ReadResult =
   | {
       readonly kind: 'records';
       readonly records: readonly FeedRecord[];
       readonly next: number;
     }
-  /** The log no longer holds the requested offset; `first` is the oldest one it holds. */
-  | {readonly kind: 'truncated'; readonly first: number};
+  /** The log no longer holds the requested position; `first` is the oldest one it holds. */
+  | {readonly kind: 'truncated'; readonly first: number}
+  /** The requested position is of an earlier era than the store. */
+  | {readonly kind: 'restored'; readonly era: number};
 
 /** Result of a conditional append. */
 export type AppendResult =
   | {readonly kind: 'appended'}
-  /** Another record was appended first; `end` is the offset at which the log ends now. */
-  | {readonly kind: 'conflict'; readonly end: number};
+  /** Another record was appended first, or the store was restored; the log has to be read again. */
+  | {readonly kind: 'conflict'};
 
 /** Durable store that all hosts share. All calls reject with a {@link FailureError} of kind `store-*`. */
 export abstract class SharedStore {
@@ -50,24 +86,24 @@
    * Reads the newest record of each key.
    *
    * @param feed - Log to read.
-   * @returns The records and the offset from which to continue reading.
+   * @returns The records and the position from which to continue reading.
    */
   abstract newest(feed: Feed): Promise<Snapshot>;
 
   /**
-   * Reads records from an offset onwards.
+   * Reads records from a position onwards.
    *
    * @param feed - Log to read.
-   * @param from - Offset of the first record.
+   * @param from - Position of the first record.
    * @param waitMs - Maximum time that the store waits for a record if there is none, in milliseconds.
    */
   abstract read(feed: Feed, from: number, waitMs: number): Promise<ReadResult>;
 
   /**
-   * Appends a rollout status if the `statuses` log still ends at an offset.
+   * Appends a rollout status if the `statuses` log still ends at a position.
    *
    * @param status - Status to append.
-   * @param end - Offset at which the log must end for the append to succeed.
+   * @param end - Position at which the log must end for the append to succeed.
    */
   abstract appendStatus(
     status: RolloutStatus,
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -10,9 +10,9 @@
 import {every, SystemClock, type Clock} from './process/clock.js';
 import {createCrashControl} from './process/crashes/crash-control.js';
 import {DecisionLog} from './process/decision-log.js';
-import {FailureError} from './process/errors/catalogue.js';
 import {gossipIntervalMs} from './process/fleet/gossip-interval.js';
 import {GossipTask} from './process/fleet/gossip-task.js';
+import {HostRegistration} from './process/fleet/host-registration.js';
 import {PeerTable} from './process/fleet/peer-table.js';
 import {PeerStateSync} from './process/fleet/peer-state-sync.js';
 import {rendezvousRank} from './process/fleet/rendezvous.js';
@@ -122,6 +122,16 @@
       else gossip.sendSoon();
     },
     onUnreadable: name => metrics.recordUnreadable(name),
+    onRestored: () => registration.addAgain(),
+  });
+  const registration = new HostRegistration({
+    clock,
+    logger,
+    store,
+    host,
+    ip,
+    zone,
+    random,
   });
   const canaryRouter = new CanaryRouter(bounds.exposeShare);
   const canaryEvaluator = new CanaryEvaluator();
@@ -322,15 +332,6 @@
       rolloutController.receivePhases(phases);
     }),
   ];
-  const register = async () => {
-    try {
-      await store.register(host, {ip, zone});
-    } catch (err) {
-      if (!(err instanceof FailureError)) throw err;
-      logger.event('registrationFailed', {...err.failure});
-      if (!leaving) clock.after(1000, () => void register());
-    }
-  };
   const cancels = [() => {}];
   const wait = (ms: number) =>
     new Promise<void>(resolve => clock.after(ms, resolve));
@@ -345,7 +346,7 @@
         gossip.start(),
       ]);
       // Hosts are read after registering, so that of two concurrent starts the later finds the other.
-      void register().then(() => feed.startHosts());
+      void registration.add().then(() => feed.startHosts());
       peerStateSync?.start();
       handler.start();
       rolloutController.start();
@@ -373,13 +374,7 @@
     leaving = true;
     gossip.send();
     // Without this, others would count this host for some time, but an unreachable store loses nothing.
-    await Promise.race([
-      store.register(host, undefined).catch(err => {
-        if (!(err instanceof FailureError)) throw err;
-        logger.event('registrationFailed', {...err.failure});
-      }),
-      wait(stopMarginMs / 2),
-    ]);
+    await Promise.race([registration.remove(), wait(stopMarginMs / 2)]);
     for (const cancel of cancels) cancel();
     for (const end of subscriptions) end();
     rolloutController.stop();
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -18,6 +18,11 @@
     message:
       'store no longer holds the requested records; reading the newest of each key',
   },
+  storeRestored: {
+    id: 7117,
+    level: 'warn',
+    message: 'store was restored from a copy; reading the log again',
+  },
   recordUnreadable: {
     id: 7104,
     level: 'warn',
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -117,7 +117,12 @@
       message.sentAtMs === undefined ? undefined : Math.floor(message.sentAtMs),
     b: message.leaving ? 1 : 0,
     s: message.storeReachable ? 1 : 0,
-    o: [update.orders, update.ordersAgeMs, update.ordersReadAtMs],
+    o: [
+      update.orders,
+      update.ordersAgeMs,
+      update.ordersReadAtMs,
+      update.configuration,
+    ],
     t: [
       update.targets,
       update.targetsAgeMs,
@@ -232,7 +237,7 @@
   c: unknown,
 ): FeedUpdate | undefined {
   if (!Array.isArray(o) || !Array.isArray(t)) return undefined;
-  const [orders, ordersAgeMs, ordersReadAtMs] = o as unknown[];
+  const [orders, ordersAgeMs, ordersReadAtMs, configuration] = o as unknown[];
   const [targets, targetsAgeMs, digest, targetsReadAtMs] = t as unknown[];
   if (!isNumber(orders) || !isNumber(ordersAgeMs)) return undefined;
   if (!isNumber(targets) || !isNumber(targetsAgeMs) || !isNumber(digest)) {
@@ -244,6 +249,7 @@
     orders,
     ordersAgeMs,
     ordersReadAtMs: isNumber(ordersReadAtMs) ? ordersReadAtMs : 0,
+    configuration: isNumber(configuration) ? configuration : 0,
     targets,
     targetsAgeMs,
     targetsReadAtMs: isNumber(targetsReadAtMs) ? targetsReadAtMs : 0,
--- a/src/process/fleet/peer-state-sync.ts
+++ b/src/process/fleet/peer-state-sync.ts
@@ -27,6 +27,8 @@
 export class PeerStateSync {
   private cancel: Cancel = () => {};
   private fetching = false;
+  /** Newest version of the configuration that other hosts had in force at the last check. */
+  private newestSeen = 0;
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: PeerStateSyncParts) {}
@@ -41,18 +43,34 @@
     this.cancel();
   }
 
+  /**
+   * Checks whether other hosts have had a newer configuration in force since the last check. Usually this host is about to
+   * read it; after the store was restored from a copy, it may not be there.
+   */
+  private lacksVersion(newest: number, version: number): boolean {
+    const isMissing = this.newestSeen > version;
+    this.newestSeen = newest;
+    return isMissing && newest > version;
+  }
+
   private async sync(): Promise<void> {
     const {clock, feed, logger, peerPort, peers, random, state} = this.parts;
-    const isBehind = state.configuration === undefined;
+    const version = state.configuration?.version ?? 0;
+    const heard = peers.heard(clock.nowMs());
+    const newest = Math.max(
+      ...heard.map(({message}) => message?.feedUpdate.configuration ?? 0),
+    );
+    const isBehind = version === 0 || this.lacksVersion(newest, version);
     if (
       this.fetching ||
       (feed.outage.durationMs < outageThresholdMs && !isBehind)
     )
       return;
     const {orders, targets} = feed.offsets;
-    const ahead = peers.heard(clock.nowMs()).filter(({message}) => {
+    const ahead = heard.filter(({message}) => {
       if (!message) return false;
       const {feedUpdate: update} = message;
+      if (update.configuration > version) return true;
       const differs = update.digest !== state.targetsDigest;
       return update.orders > orders || (update.targets > targets && differs);
     });
--- a/src/version/deployment/canary-router.ts
+++ b/src/version/deployment/canary-router.ts
@@ -1,3 +1,4 @@
+import {isRewritten} from './lost-records.js';
 import {rolloutStates, type RolloutOrder, type RolloutState} from './types.js';
 
 /** Fraction of the allowed share that is used; the rest is a margin, because each host counts on its own. */
@@ -19,7 +20,7 @@
 /** Rollout of one service, with the numbers of requests that were assigned during the canary. */
 interface Canary {
   readonly order: RolloutOrder;
-  readonly orderOffset: number;
+  orderOffset: number;
   phase: CanaryPhase;
   requests: number;
   canaryRequests: number;
@@ -36,7 +37,7 @@
   }
 
   /**
-   * Begins the canary of an order, unless it was begun before.
+   * Begins the canary of an order, unless it was begun before. It goes on if the order is only written again.
    *
    * @param order - Rollout order.
    * @param orderOffset - Offset of its record, which identifies the order.
@@ -44,6 +45,13 @@
   begin(order: RolloutOrder, orderOffset: number): void {
     const known = this.canaries.get(order.service);
     if (known?.orderOffset === orderOffset) return;
+    if (
+      known &&
+      isRewritten({...known, offset: known.orderOffset}, order, orderOffset)
+    ) {
+      known.orderOffset = orderOffset;
+      return;
+    }
     const phase = canaryPhases.trial;
     const canary = {order, orderOffset, phase, requests: 0, canaryRequests: 0};
     this.canaries.set(order.service, canary);
--- a/src/version/deployment/deployment-state.ts
+++ b/src/version/deployment/deployment-state.ts
@@ -1,6 +1,11 @@
 import {Subject} from '../../process/subject.js';
 import {hash32} from '../../process/fleet/rendezvous.js';
-import type {FeedRecord} from '../../connection/store/shared-store.js';
+import {
+  feeds,
+  type Feed,
+  type FeedRecord,
+} from '../../connection/store/shared-store.js';
+import {isRewritten, LostRecords} from './lost-records.js';
 import type {
   Change,
   Configuration,
@@ -47,6 +52,7 @@
   private readonly recordedOrders = new Map<string, RecordedOrder>();
   private readonly recordedStatuses = new Map<string, RolloutStatus>();
   private readonly knownHosts = new Map<string, HostEntry>();
+  private readonly lost = new LostRecords();
   private readonly subject = new Subject<ChangeKind>();
   private digest: number | undefined;
 
@@ -78,6 +84,11 @@
     return this.recordedStatuses;
   }
 
+  /** Services whose known status the store lost when it was restored from a copy, so that it has to be appended again. */
+  get lostStatuses(): ReadonlySet<string> {
+    return this.lost.statuses;
+  }
+
   /** Hosts that registered themselves, by name. */
   get hosts(): ReadonlyMap<string, HostEntry> {
     return this.knownHosts;
@@ -142,6 +153,55 @@
     return this.apply([...removals, ...records], nowMs, keepExpiredUntilMs);
   }
 
+  /**
+   * Replaces the state of one log after the store was restored from a copy. What this host knows beyond the copy is kept
+   * until it is written again; see {@link LostRecords}.
+   *
+   * @param kind - Log of the records.
+   * @param records - Newest record of each key.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @param keepExpiredUntilMs - As for {@link apply}.
+   * @returns The records that changed the state, including removals, which have offset 0.
+   */
+  restore(
+    kind: Feed,
+    records: readonly FeedRecord[],
+    nowMs: number,
+    keepExpiredUntilMs: number,
+  ): FeedRecord[] {
+    switch (kind) {
+      case feeds.orders:
+        this.lost.keep(this.removalsOfMissing(kind, records), nowMs);
+        return this.apply(records, nowMs);
+      case feeds.targets: {
+        const removals = this.removalsOfMissing(kind, records).map(change => ({
+          offset: 0,
+          change,
+        }));
+        const current = records.filter(
+          ({change}) =>
+            change.kind !== 'target' ||
+            !change.entry ||
+            !this.lost.isOutdated(
+              change.entry,
+              this.knownTargets.get(change.id),
+            ),
+        );
+        const all = [...removals, ...current];
+        return this.apply(all, nowMs, keepExpiredUntilMs);
+      }
+      case feeds.statuses: {
+        const {recordedStatuses, recordedOrders} = this;
+        return this.apply(
+          this.lost.compareStatuses(records, recordedStatuses, recordedOrders),
+          nowMs,
+        );
+      }
+      case feeds.hosts:
+        return this.apply(records, nowMs);
+    }
+  }
+
   /**
    * Checks whether new requests may be sent to a target: it is known, of the same start, not draining and in
    * no evacuated zone.
@@ -159,16 +219,28 @@
   }
 
   /**
-   * Removes kept targets whose entries expired and were not written again in time.
+   * Removes what is kept although its record expired or was lost, and was not written again in time.
    *
    * @param nowMs - Monotonic time, in milliseconds.
    */
   expire(nowMs: number): void {
     for (const [id, {goneAtMs}] of this.knownTargets) {
       if (goneAtMs === undefined || goneAtMs > nowMs) continue;
-      this.knownTargets.delete(id);
+      this.removeTarget(id, nowMs);
       this.subject.next('target');
     }
+    const due = this.lost.takeDue(nowMs);
+    this.apply(
+      due.map(change => ({offset: 0, change})),
+      nowMs,
+    );
+  }
+
+  private removeTarget(id: string, nowMs: number): boolean {
+    const known = this.knownTargets.get(id);
+    if (!known) return false;
+    this.lost.targetRemoved(known.entry, nowMs);
+    return this.knownTargets.delete(id);
   }
 
   private applyChange(
@@ -177,6 +249,7 @@
     nowMs: number,
     keepExpiredUntilMs: number,
   ): boolean {
+    this.lost.written(change);
     switch (change.kind) {
       case 'configuration': {
         const known = this.currentConfiguration?.version ?? -1;
@@ -219,7 +292,9 @@
     const known = this.recordedOrders.get(service);
     if (!order) return this.recordedOrders.delete(service);
     if (known && offset <= known.offset) return false;
-    this.recordedOrders.set(service, {order, offset, seenAtMs: nowMs});
+    const isSame = known && isRewritten(known, order, offset);
+    const seenAtMs = isSame ? known.seenAtMs : nowMs;
+    this.recordedOrders.set(service, {order, offset, seenAtMs});
     return true;
   }
 
@@ -248,7 +323,7 @@
       this.knownTargets.set(id, {...known, goneAtMs: keepExpiredUntilMs});
       return true;
     }
-    return this.knownTargets.delete(id);
+    return this.removeTarget(id, nowMs);
   }
 
   private removalsOfMissing(
--- a/src/version/deployment/feed-update.ts
+++ b/src/version/deployment/feed-update.ts
@@ -37,6 +37,8 @@
   readonly ordersAgeMs: number;
   /** Wall-clock time of the read on which `ordersAgeMs` is based, by the reader's clock, in milliseconds; 0 for none. */
   readonly ordersReadAtMs: number;
+  /** Version of the configuration in force; 0 if none is known. */
+  readonly configuration: number;
   /** Offset up to which targets are known; -1 if they were not read. */
   readonly targets: number;
   readonly targetsAgeMs: number;
--- a/src/version/deployment/rollout-controller.ts
+++ b/src/version/deployment/rollout-controller.ts
@@ -3,6 +3,7 @@
 import {FailureError} from '../../process/errors/catalogue.js';
 import type {Logger} from '../../process/logger.js';
 import type {DeploymentState, RecordedOrder} from './deployment-state.js';
+import {isRewritten} from './lost-records.js';
 import {nextRolloutStep} from './rollout-step.js';
 import type {StateFeed} from './state-feed.js';
 import {
@@ -11,7 +12,7 @@
   type CanaryPhase,
 } from './canary-router.js';
 import type {CanaryEvaluator} from './canary-evaluator.js';
-import {rolloutStates, type RolloutState} from './types.js';
+import {rolloutStates, type RolloutOrder, type RolloutState} from './types.js';
 
 /** Interval between two updates of all rollouts, in milliseconds. */
 const intervalMs = 200;
@@ -38,7 +39,8 @@
 }
 
 interface OpenRollout {
-  readonly offset: number;
+  readonly order: RolloutOrder;
+  offset: number;
   /** State that has to be recorded, and the monotonic time since which it is due, in milliseconds. */
   due?: {readonly state: RolloutState; readonly sinceMs: number};
   writing: boolean;
@@ -109,10 +111,15 @@
     const {order, offset, seenAtMs} = recordedOrder;
     let rollout = this.open.get(service);
     if (rollout?.offset !== offset) {
-      rollout = {offset, writing: false};
-      this.open.set(service, rollout);
       router.begin(order, offset);
-      this.parts.logger.event('trialBegun', {service, version: order.version});
+      if (rollout && isRewritten(rollout, order, offset)) {
+        rollout.offset = offset;
+      } else {
+        rollout = {order, offset, writing: false};
+        this.open.set(service, rollout);
+        const {version} = order;
+        this.parts.logger.event('trialBegun', {service, version});
+      }
     }
     const status = state.statuses.get(service);
     const recorded =
@@ -129,7 +136,9 @@
       oldVersionRequests: oldVersionRequests(service, order.version),
     });
     if (step.phase !== phase) this.setPhase(service, step.phase, verdict);
-    this.record(service, order.version, rollout, step.record, nowMs);
+    const lost = state.lostStatuses.has(service) ? recorded : undefined;
+    const desired = step.record ?? lost;
+    this.record(service, order.version, rollout, desired, nowMs);
   }
 
   private setPhase(service: string, phase: CanaryPhase, why: string): void {
@@ -171,7 +180,7 @@
       // The decision below needs all statuses that were recorded before; the append fails if one is added.
       await feed.readStatuses();
       const known = state.statuses.get(service);
-      if (known?.version === version) {
+      if (known?.version === version && !state.lostStatuses.has(service)) {
         const final = known.state !== rolloutStates.running;
         if (final || known.state === desired) return;
       }
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -70,6 +70,11 @@
   localOffsets: StateCopy['offsets'],
   nowMs: number,
 ): void {
+  const {configuration} = copy;
+  // A host that started after the store was restored finds an older configuration there than the others have in force.
+  if (configuration) {
+    state.apply([record({kind: 'configuration', configuration})], nowMs);
+  }
   if (copy.offsets.orders > localOffsets.orders) {
     const changes: FeedRecord[] = [
       ...copy.evacuated.map(zone =>
@@ -79,10 +84,6 @@
         record({kind: 'rollout-order', service: order.service, order}, offset),
       ),
     ];
-    const {configuration} = copy;
-    if (configuration) {
-      changes.push(record({kind: 'configuration', configuration}));
-    }
     state.replace('orders', changes, nowMs);
     for (const status of copy.statuses) {
       const {service} = status;
--- a/src/version/deployment/state-feed.ts
+++ b/src/version/deployment/state-feed.ts
@@ -1,7 +1,6 @@
 import {
   feeds,
   type Feed,
-  type FeedRecord,
   type SharedStore,
 } from '../../connection/store/shared-store.js';
 import {InterruptibleSleep, type Clock} from '../../process/clock.js';
@@ -9,30 +8,14 @@
 import type {Bounds} from '../../process/gateway-settings.js';
 import type {Logger} from '../../process/logger.js';
 import type {DeploymentState} from './deployment-state.js';
-import {
-  maxAgeMs,
-  RecentChanges,
-  roundAgeMs,
-  type FeedUpdate,
-} from './feed-update.js';
+import {FeedReader, ownRead, readOutcomes} from './feed-reader.js';
+import {maxAgeMs, roundAgeMs, type FeedUpdate} from './feed-update.js';
 import {PeerTargetUpdates} from './peer-target-updates.js';
 import {ReadSchedule} from './read-schedule.js';
 import {applyStateCopy, copyState, type StateCopy} from './state-copy.js';
 import {StoreOutage} from './store-outage.js';
 import {TargetsView} from './targets-view.js';
 
-/** Result of one read of a log. */
-const readOutcomes = {
-  changed: 'changed',
-  unchanged: 'unchanged',
-  /** The log held no further record until the end of the poll. */
-  empty: 'empty',
-  /** Discarded: while it ran, other hosts reported records beyond its end. */
-  overtaken: 'overtaken',
-} as const;
-
-type ReadOutcome = (typeof readOutcomes)[keyof typeof readOutcomes];
-
 /** Logs that one host reads on behalf of all; it shares the result by gossip. */
 type SharedFeed = typeof feeds.orders | typeof feeds.targets;
 
@@ -44,9 +27,6 @@
 const minRetryDelayMs = 150;
 const maxRetryDelayMs = 800;
 
-/** Name of the evidence of a host's own reads; see {@link Confirmation.by}. */
-const ownRead = 'store';
-
 /** Dependencies of a {@link StateFeed}. */
 export interface StateFeedParts {
   readonly clock: Clock;
@@ -64,19 +44,20 @@
   /** Random number in [0, 1): jitter for the calls of hosts that started together. */
   readonly random: () => number;
   readonly onUnreadable: (feed: Feed) => void;
+  /** Called when the store was restored from a copy, once for each time. */
+  readonly onRestored: () => void;
 }
 
 /** Keeps the deployment state up to date from the logs of the store and the reports of other hosts. */
 export class StateFeed {
-  private readonly next = new Map<Feed, number>();
+  private readonly reader: FeedReader;
   /** Whether and since when reads of the store fail. */
   readonly outage: StoreOutage;
   private stopped = false;
   private readonly schedules: Readonly<Record<SharedFeed, ReadSchedule>>;
-  private readonly recent = new RecentChanges();
   /** Sleeps of the loops that read the shared logs. */
   private readonly sleeps: Readonly<Record<SharedFeed, InterruptibleSleep>>;
-  /** Highest offset up to which another host reported to have read orders. */
+  /** Highest position up to which another host reported to have read orders. */
   private reportedOrders = -1;
   private readonly heard: PeerTargetUpdates;
   /** This host's view of the targets, and whether it may be used. */
@@ -103,6 +84,8 @@
       outage: this.outage,
       boundMs: drainMs,
     });
+    const {heard, outage, targetsView} = this;
+    this.reader = new FeedReader({...parts, heard, outage, targetsView});
   }
 
   /** Starts reading orders, targets and rollout statuses. */
@@ -133,10 +116,11 @@
       ...this.offsets,
       ordersAgeMs: roundAgeMs(nowMs - orders.confirmedMs),
       ordersReadAtMs: orders.confirmedBy.readAtMs,
+      configuration: this.parts.state.configuration?.version ?? 0,
       targetsAgeMs: roundAgeMs(nowMs - targets.confirmedMs),
       targetsReadAtMs: targets.confirmedBy.readAtMs,
       digest: this.parts.state.targetsDigest,
-      changes: this.recent.list(nowMs),
+      changes: this.reader.recent.list(nowMs),
     };
   }
 
@@ -187,7 +171,7 @@
         by: from,
         readAtMs: peer.targetsReadAtMs,
       });
-      this.advance(feeds.targets, peer.targets);
+      this.reader.advance(feeds.targets, peer.targets);
     } else if (this.heard.needsRead) {
       this.sleeps.targets.interrupt();
     }
@@ -199,17 +183,17 @@
       : this.heard.needsRead;
   }
 
-  /** Offsets up to which orders and targets were read; -1 before the first read. */
+  /** Positions up to which orders and targets were read; -1 before the first read. */
   get offsets(): {readonly orders: number; readonly targets: number} {
     return {
-      orders: this.next.get(feeds.orders) ?? -1,
-      targets: this.next.get(feeds.targets) ?? -1,
+      orders: this.reader.position(feeds.orders) ?? -1,
+      targets: this.reader.position(feeds.targets) ?? -1,
     };
   }
 
-  /** Offset at which the log of statuses ended when it was last read, if it was. */
+  /** Position at which the log of statuses ended when it was last read, if it was. */
   get statusesEnd(): number | undefined {
-    return this.next.get(feeds.statuses);
+    return this.reader.position(feeds.statuses);
   }
 
   /** Copies the deployment state of this host for another one. */
@@ -231,23 +215,19 @@
     applyStateCopy(state, copy, offsets, clock.nowMs());
     for (const feed of [feeds.orders, feeds.targets] as const) {
       if (copy.offsets[feed] <= offsets[feed]) continue;
-      this.next.set(feed, copy.offsets[feed]);
+      this.reader.advance(feed, copy.offsets[feed]);
       const atMs = requestedAtMs - (copy.ages?.[feed] ?? maxAgeMs);
       this.schedules[feed].confirm(atMs, {by: from, readAtMs: 0});
     }
   }
 
-  private advance(feed: SharedFeed, offset: number): void {
-    if (offset > this.offsets[feed]) this.next.set(feed, offset);
-  }
-
   /**
    * Reads the log of rollout statuses immediately.
    *
    * @throws {@link FailureError} of kind `store-*`.
    */
   async readStatuses(): Promise<void> {
-    await this.readOnce(feeds.statuses, 0);
+    await this.reader.read(feeds.statuses, 0);
   }
 
   private hasOpenRollout(): boolean {
@@ -270,7 +250,7 @@
       }
       try {
         this.outage.started(feed);
-        const read = await this.readOnce(feed, plan.waitMs);
+        const read = await this.reader.read(feed, plan.waitMs);
         plan.succeeded();
         this.outage.succeeded(feed);
         if (read === readOutcomes.overtaken) continue;
@@ -304,7 +284,7 @@
       const startMs = clock.nowMs();
       if (isNeeded()) {
         try {
-          await this.readOnce(feed, 0);
+          await this.reader.read(feed, 0);
           this.outage.succeeded(feed);
           retryDelayMs = minRetryDelayMs;
         } catch (err) {
@@ -322,81 +302,6 @@
     }
   }
 
-  private async readOnce(feed: Feed, waitMs: number): Promise<ReadOutcome> {
-    const {clock, state, store} = this.parts;
-    const from = this.next.get(feed);
-    if (from === undefined) return this.readNewest(feed);
-    const result = await store.read(feed, from, waitMs);
-    // Meanwhile a state copy or report of another host may have moved the position past this page.
-    if ((this.next.get(feed) ?? 0) > from) return readOutcomes.overtaken;
-    if (result.kind === 'truncated') {
-      const {first} = result;
-      const outcome = await this.readNewest(feed);
-      const next = this.next.get(feed);
-      this.parts.logger.event('feedTruncated', {feed, from, first, next});
-      return outcome;
-    }
-    if (this.isReadOvertaken(feed, result.next)) return readOutcomes.overtaken;
-    const readable = this.readable(feed, result.records);
-    const nowMs = clock.nowMs();
-    const changed = state.apply(
-      readable,
-      nowMs,
-      this.outage.keepExpiredUntilMs(),
-    );
-    this.next.set(feed, result.next);
-    if (feed === feeds.targets && changed.length > 0) {
-      this.targetsView.logChange(ownRead);
-    }
-    this.announce(changed, readable);
-    if (result.records.length === 0) return readOutcomes.empty;
-    return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
-  }
-
-  private isReadOvertaken(feed: Feed, next: number): boolean {
-    return feed === feeds.targets && this.heard.discardBeyond(next);
-  }
-
-  private async readNewest(feed: Feed): Promise<ReadOutcome> {
-    const {clock, state, store} = this.parts;
-    const {records, next} = await store.newest(feed);
-    if (this.isReadOvertaken(feed, next)) return readOutcomes.overtaken;
-    const changed = state.replace(
-      feed,
-      this.readable(feed, records),
-      clock.nowMs(),
-      this.outage.keepExpiredUntilMs(),
-    );
-    const isFirst = !this.next.has(feed);
-    if (next >= (this.next.get(feed) ?? 0)) this.next.set(feed, next);
-    // The first read is new to this host only, so it is not announced.
-    if (isFirst) return readOutcomes.unchanged;
-    // A removal without a record in the snapshot is announced at the last offset before its end.
-    this.announce(
-      changed.map(record => ({
-        ...record,
-        offset: record.offset > 0 ? record.offset : next - 1,
-      })),
-    );
-    return changed.length > 0 ? readOutcomes.changed : readOutcomes.unchanged;
-  }
-
-  private announce(changed: FeedRecord[], read: FeedRecord[] = []): void {
-    const {clock, state} = this.parts;
-    const keptUntilMs = (id: string) => state.targets.get(id)?.goneAtMs ?? 0;
-    this.recent.add(changed, read, clock.nowMs(), keptUntilMs);
-  }
-
-  private readable(feed: Feed, records: readonly FeedRecord[]): FeedRecord[] {
-    const {logger, onUnreadable} = this.parts;
-    return records.filter(({offset, change}) => {
-      if (change.kind !== 'unreadable') return true;
-      onUnreadable(feed);
-      logger.event('recordUnreadable', {feed, offset, ...change});
-      return false;
-    });
-  }
-
   private sleep(ms: number): Promise<void> {
     return new Promise(resolve => this.parts.clock.after(ms, resolve));
   }
--- a/src/version/deployment/store-outage.ts
+++ b/src/version/deployment/store-outage.ts
@@ -91,6 +91,11 @@
     this.respondedAtMs = atMs;
   }
 
+  /** Records that the store was restored from a copy: targets that the copy does not list write their entries again. */
+  restored(): void {
+    this.returnedAtMs = this.clock.nowMs();
+  }
+
   /**
    * Computes until when targets whose entries expire are kept: after an outage of the store they are written
    * again. A host that alone does not reach the store keeps none, because the entries of the others went on.
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -8,6 +8,9 @@
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {PlatformWireFormat} from '../../platform/wire-format.js';
 import {
+  eraOf,
+  offsetOf,
+  positionOf,
   SharedStore,
   type AppendResult,
   type Feed,
@@ -35,27 +38,43 @@
 
 /** In-memory store. Waiting reads return at the next append. */
 export class MemoryStore extends SharedStore {
-  private readonly logs = new Map<Feed, FeedRecord[]>();
+  private readonly logs = new Map<Feed, Change[]>();
   private waiters: (() => void)[] = [];
+  private era = 0;
   /** Whether all calls fail. */
   down = false;
 
   put(feed: Feed, change: Change): void {
-    const log = this.log(feed);
-    log.push({offset: log.length, change});
-    for (const wake of this.waiters.splice(0)) wake();
+    this.log(feed).push(change);
+    this.wake();
+  }
+
+  /** Number of records of a log. */
+  size(feed: Feed): number {
+    return this.log(feed).length;
+  }
+
+  /** Restores the store from a copy that holds only the first records of each log; logs without a size lose none. */
+  restore(sizes: Partial<Record<Feed, number>>): void {
+    for (const [feed, size] of Object.entries(sizes)) {
+      this.log(feed as Feed).splice(size);
+    }
+    this.era++;
+    this.wake();
   }
 
   statuses(): RolloutStatus[] {
-    return this.log('statuses').flatMap(({change}) =>
+    return this.log('statuses').flatMap(change =>
       change.kind === 'rollout-status' && change.status ? change.status : [],
     );
   }
 
   override async newest(feed: Feed): Promise<Snapshot> {
     this.check();
-    const log = this.log(feed);
-    return {records: [...log], next: log.length};
+    return {
+      records: this.recordsFrom(feed, 0),
+      next: positionOf(this.era, this.size(feed)),
+    };
   }
 
   override async read(
@@ -64,11 +83,14 @@
     waitMs: number,
   ): Promise<ReadResult> {
     this.check();
-    if (this.log(feed).length <= from && waitMs > 0) {
+    const {era} = this;
+    const isCurrent = () => this.era === era && era === eraOf(from);
+    if (isCurrent() && this.size(feed) <= offsetOf(from) && waitMs > 0) {
       await new Promise<void>(resolve => this.waiters.push(resolve));
       this.check();
     }
-    const records = this.log(feed).slice(from);
+    if (!isCurrent()) return {kind: 'restored', era: this.era};
+    const records = this.recordsFrom(feed, offsetOf(from));
     return {kind: 'records', records, next: from + records.length};
   }
 
@@ -77,8 +99,9 @@
     end: number,
   ): Promise<AppendResult> {
     this.check();
-    const log = this.log('statuses');
-    if (log.length !== end) return {kind: 'conflict', end: log.length};
+    if (positionOf(this.era, this.size('statuses')) !== end) {
+      return {kind: 'conflict'};
+    }
     const {service} = status;
     this.put('statuses', {kind: 'rollout-status', service, status});
     return {kind: 'appended'};
@@ -94,12 +117,25 @@
 
   override async close(): Promise<void> {}
 
+  private recordsFrom(feed: Feed, offset: number): FeedRecord[] {
+    return this.log(feed)
+      .slice(offset)
+      .map((change, i) => ({
+        offset: positionOf(this.era, offset + i),
+        change,
+      }));
+  }
+
+  private wake(): void {
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
   private check(): void {
     if (!this.down) return;
     throw new FailureError({kind: 'store-refused', call: 'any', status: 503});
   }
 
-  private log(feed: Feed): FeedRecord[] {
+  private log(feed: Feed): Change[] {
     let log = this.logs.get(feed);
     if (!log) {
       log = [];
@@ -394,5 +430,6 @@
     position: () => 0,
     onRead: () => {},
     onUnreadable: () => {},
+    onRestored: () => {},
   });
 }
--- a/test/gateway/message-time.test.ts
+++ b/test/gateway/message-time.test.ts
@@ -22,6 +22,7 @@
     orders: -1,
     ordersAgeMs: 0,
     ordersReadAtMs: 0,
+    configuration: 0,
     targets: -1,
     targetsAgeMs: 0,
     targetsReadAtMs: 0,
--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -118,7 +118,8 @@
   assert.deepEqual(step, {phase: canaryPhases.moved});
 });
 
-test('two hosts with different verdicts record only one final state', async () => {
+/** Starts two hosts that run a rollout and exchange no evidence. */
+function startHosts() {
   const clock = new ManualClock();
   const store = new MemoryStore();
   store.put(feeds.orders, {kind: 'rollout-order', service: 's', order});
@@ -135,6 +136,7 @@
       position: () => 0,
       onRead: () => {},
       onUnreadable: () => {},
+      onRestored: () => {},
     });
     const router = new CanaryRouter(0.1);
     const evaluator = new CanaryEvaluator();
@@ -159,8 +161,18 @@
       await new Promise(resolve => setImmediate(resolve));
     }
   };
+  const finalStates = () =>
+    store
+      .statuses()
+      .map(({state}) => state)
+      .filter(state => state !== rolloutStates.running);
+  return {hosts, store, run, finalStates};
+}
+
+test('two hosts with different verdicts record only one final state', async () => {
+  const {hosts, run, finalStates} = startHosts();
   await run(1000);
-  // The hosts do not exchange evidence: one has evidence for the version, the other against it.
+  // One host has evidence for the version, the other against it.
   for (let i = 0; i < 40; i++) {
     for (const {evaluator, index} of hosts) {
       evaluator.record('s', 'v1', 'r', false, 50);
@@ -168,9 +180,8 @@
     }
   }
   await run(12_000);
-  const states = store.statuses().map(({state}) => state);
-  const final = states.filter(state => state !== rolloutStates.running);
-  assert.equal(final.length, 1, states.join());
+  const final = finalStates();
+  assert.equal(final.length, 1, final.join());
   for (const {controller, feed, router} of hosts) {
     assert.equal(
       router.phase('s'),
@@ -182,3 +193,32 @@
     feed.stop();
   }
 });
+
+// Guards against a rollout whose final status nobody writes again after the store has lost it, and against one that then
+// ends in another way: by now the evidence would speak for the new version.
+test('a final status that the store has lost is recorded again, once and unchanged', async () => {
+  const {hosts, store, run, finalStates} = startHosts();
+  await run(1000);
+  const record = (failed: boolean, count: number) => {
+    for (let i = 0; i < count; i++) {
+      for (const {evaluator} of hosts) {
+        evaluator.record('s', 'v1', 'r', false, 50);
+        evaluator.record('s', 'v2', 'r', failed, 50);
+      }
+    }
+  };
+  record(true, 40);
+  await run(3000);
+  assert.deepEqual(finalStates(), [rolloutStates.rolledBack]);
+  store.restore({statuses: 1, orders: 0});
+  await run(500);
+  record(false, 2000);
+  store.put(feeds.orders, {kind: 'rollout-order', service: 's', order});
+  await run(15_000);
+  assert.deepEqual(finalStates(), [rolloutStates.rolledBack]);
+  for (const {controller, feed, router} of hosts) {
+    assert.equal(router.phase('s'), canaryPhases.stopped);
+    controller.stop();
+    feed.stop();
+  }
+});
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -171,6 +171,7 @@
         else host.nextSendMs = 0;
       },
       onUnreadable: () => {},
+      onRestored: () => {},
     });
     const host: FleetHost = {
       name,
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -34,6 +34,7 @@
     position: () => 0,
     onRead: () => {},
     onUnreadable: () => unreadable++,
+    onRestored: () => {},
   });
   const run = async (ms: number) => {
     for (let passed = 0; passed < ms; passed += 50) {
@@ -124,6 +125,7 @@
     orders: 6,
     ordersAgeMs: 0,
     ordersReadAtMs: 0,
+    configuration: 0,
     targets: 5,
     targetsAgeMs: 0,
     targetsReadAtMs: 0,
