Send no new requests to a target that states that it leaves

An engine that leaves says so in all its answers (`Server-Leaving: 1`), and a host that has passed one on is bound by it, also while the store is away. Nothing read the header: hosts learned that a target leaves from its entry in the store only.

Change: the statement has its place in target-statements.ts. It holds for the incarnation, also when its entry vanishes and comes back, spreads by gossip, and is checked again once the connection is open.

Tests: three in target-statements.test.ts. With the check left out, `a target that states that it leaves gets no new requests...` fails.

--- a/src/process/fleet/statement-codec.ts
+++ b/src/process/fleet/statement-codec.ts
@@ -11,11 +11,12 @@
   reports: readonly StatementReport[],
 ): unknown[] | undefined {
   if (reports.length === 0) return undefined;
-  return reports.map(({target, bornMs, limitPerSecond, ageMs}) => [
+  return reports.map(({target, bornMs, leaving, limitPerSecond, ageMs}) => [
     target,
     bornMs,
     roundAgeMs(ageMs),
     limitPerSecond ?? null,
+    leaving ? 1 : 0,
   ]);
 }
 
@@ -31,9 +32,9 @@
 
 function decodeStatement(row: unknown): StatementReport | undefined {
   if (!Array.isArray(row)) return undefined;
-  const [target, bornMs, ageMs, limit] = row as unknown[];
+  const [target, bornMs, ageMs, limit, leaving] = row as unknown[];
   if (typeof target !== 'string') return undefined;
   if (typeof bornMs !== 'number' || typeof ageMs !== 'number') return undefined;
   const limitPerSecond = typeof limit === 'number' ? limit : undefined;
-  return {target, bornMs, limitPerSecond, ageMs};
+  return {target, bornMs, leaving: leaving === 1, limitPerSecond, ageMs};
 }
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -64,9 +64,14 @@
   constructor(
     public entry: TargetEntry,
     readonly reported: Readonly<ReportedLoad>,
-    readonly stated: TargetStatement = {},
+    readonly stated: TargetStatement = {leaving: false},
   ) {}
 
+  /** Whether the target is about to stop and gets no new requests, by its entry or its responses. */
+  get isLeaving(): boolean {
+    return this.entry.draining || this.stated.leaving;
+  }
+
   /** Number of requests that the target runs concurrently. */
   get slots(): number {
     return Math.max(1, this.entry.slots);
--- a/src/process/pool/target-candidates.ts
+++ b/src/process/pool/target-candidates.ts
@@ -108,13 +108,13 @@
 
   /** Checks everything but free slots, connections and the rate of a cold target. */
   private isEligible(
-    {entry, suspendedUntilMs}: PooledTarget,
+    {entry, isLeaving, suspendedUntilMs}: PooledTarget,
     {exclude, regions, service}: SlotRequest,
     trial: boolean,
     nowMs: number,
   ): boolean {
     const {state, canaryRouter} = this.parts;
-    if (entry.draining || state.evacuatedZones.has(entry.zone)) return false;
+    if (isLeaving || state.evacuatedZones.has(entry.zone)) return false;
     if (exclude.has(entry.id) || suspendedUntilMs > nowMs) return false;
     if (!canaryRouter.allows(service, entry.version, trial)) return false;
     const region = this.parts.regions.get(entry.zone) ?? '';
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -129,7 +129,7 @@
       connections.closeIdle();
       limits.forget(id);
       this.loadReports.forget(id);
-      this.statements.forget(id);
+      this.statements.removed(id, nowMs);
       this.shares.forget(id);
       logger.event('targetGone', {target: id, replaced});
     }
@@ -319,9 +319,11 @@
    *
    * @param target - Target whose slot was taken.
    */
-  maySend({entry}: PooledTarget): boolean {
+  maySend({entry, stated}: PooledTarget): boolean {
     const {isViewCurrent, onSend, state} = this.parts;
-    if (!isViewCurrent() || !state.allows(entry)) return false;
+    if (stated.leaving || !isViewCurrent() || !state.allows(entry)) {
+      return false;
+    }
     onSend(entry);
     return true;
   }
@@ -353,7 +355,7 @@
     let slots = 0;
     let occupied = 0;
     for (const {target} of this.byService.get(service) ?? []) {
-      if (target.entry.draining) continue;
+      if (target.isLeaving) continue;
       const {limitPerSecond = Infinity} = target.stated;
       slots += target.slots;
       occupied += Math.min(target.slots, (limitPerSecond * costMs) / 1000);
@@ -373,7 +375,7 @@
     let load = 0;
     let slots = 0;
     for (const {target} of this.byService.get(service) ?? []) {
-      if (target.entry.draining) continue;
+      if (target.isLeaving) continue;
       load += target.loadAt(nowMs);
       slots += target.slots;
     }
--- a/src/process/pool/target-statements.ts
+++ b/src/process/pool/target-statements.ts
@@ -7,6 +7,8 @@
 export interface TargetStatement {
   /** Requests per second that the target accepts from all hosts together; absent if it states no limit. */
   readonly limitPerSecond?: number;
+  /** Whether the target is about to stop, so that it gets no new requests. */
+  readonly leaving: boolean;
 }
 
 /** What a target says of itself, as hosts report it to each other. */
@@ -23,9 +25,18 @@
 /** Time for which the end of a limit is reported, in milliseconds; long enough for some messages of each host. */
 const endReportedMs = 6000;
 
+/**
+ * Time for which the statements of a removed target are kept, in milliseconds. Its entry can come back, because the store
+ * was away or was restored from a copy; it is then still the same incarnation.
+ */
+const keptMs = 300_000;
+
 /** Latest statement of one incarnation of a target. */
 class StatementRecord implements TargetStatement {
   limitPerSecond?: number;
+  leaving = false;
+  /** Monotonic time at which the target was removed, in milliseconds; absent while it is known. */
+  removedAtMs?: number;
   /** Monotonic time of the latest response that states the limit, or that ended it, in milliseconds. */
   limitAtMs = -Infinity;
   /** Requests of this host since the last log line about them, and the monotonic time of that line. */
@@ -58,6 +69,7 @@
       record = new StatementRecord(bornMs);
       this.records.set(id, record);
     }
+    record.removedAtMs = undefined;
     return record;
   }
 
@@ -81,6 +93,7 @@
     const record = this.records.get(id);
     // A late response of an earlier incarnation says nothing about the present one.
     if (record?.bornMs !== bornMs) return;
+    if (stated.leaving) this.setLeaving(record, id, 'response');
     const {limitPerSecond} = stated;
     const ends =
       limitPerSecond === undefined &&
@@ -97,10 +110,13 @@
    */
   report(nowMs: number): StatementReport[] {
     const all: StatementReport[] = [];
-    for (const [target, {bornMs, limitAtMs, limitPerSecond}] of this.records) {
+    for (const [target, record] of this.records) {
+      const {bornMs, leaving, limitAtMs, limitPerSecond} = record;
+      if (record.removedAtMs !== undefined) continue;
       const ageMs = nowMs - limitAtMs;
-      if (limitPerSecond === undefined && ageMs > endReportedMs) continue;
-      all.push({target, bornMs, limitPerSecond, ageMs});
+      const isLimited = limitPerSecond !== undefined || ageMs <= endReportedMs;
+      if (!isLimited && !leaving) continue;
+      all.push({target, bornMs, leaving, limitPerSecond, ageMs});
     }
     if (all.length <= maxReports) return all;
     const first = this.reported % all.length;
@@ -120,9 +136,13 @@
     from: string,
     composedAtMs: number,
   ): void {
-    for (const {target, bornMs, limitPerSecond, ageMs} of reports) {
+    for (const {target, bornMs, leaving, limitPerSecond, ageMs} of reports) {
       const record = this.records.get(target);
       if (record?.bornMs !== bornMs) continue;
+      if (leaving) this.setLeaving(record, target, from);
+      if (limitPerSecond === undefined && record.limitPerSecond === undefined) {
+        continue;
+      }
       const atMs = composedAtMs - ageMs;
       // A limit of unknown age is better than none: after its start, a host cannot date the messages of others yet.
       const isFirst =
@@ -158,12 +178,27 @@
   }
 
   /**
-   * Drops the statement of a target that was removed.
+   * Records that a target was removed.
    *
    * @param id - Id of the target.
+   * @param nowMs - Monotonic time, in milliseconds.
    */
-  forget(id: string): void {
-    this.records.delete(id);
+  removed(id: string, nowMs: number): void {
+    const record = this.records.get(id);
+    if (record) record.removedAtMs = nowMs;
+    for (const [other, {removedAtMs = Infinity}] of this.records) {
+      if (nowMs - removedAtMs > keptMs) this.records.delete(other);
+    }
+  }
+
+  private setLeaving(
+    record: StatementRecord,
+    target: string,
+    by: string,
+  ): void {
+    if (record.leaving) return;
+    record.leaving = true;
+    this.logger.event('targetDraining', {target, by});
   }
 
   private setLimit(
--- a/src/request/gateway/wire-format.ts
+++ b/src/request/gateway/wire-format.ts
@@ -67,6 +67,8 @@
   readonly coldMs?: number;
   /** Requests per second that the target accepts from all hosts together; absent if it states no limit. */
   readonly limitPerSecond?: number;
+  /** Whether the target states that it is about to stop. */
+  readonly leaving: boolean;
   /** Headers to relay to the caller. */
   readonly relayed: Readonly<Record<string, string | string[]>>;
 }
--- a/test/gateway/limited-hosts.ts
+++ b/test/gateway/limited-hosts.ts
@@ -30,6 +30,8 @@
   readonly toldAtMs = new Map<string, number>();
   readonly pools = new Map<string, TargetPool>();
   private readonly state = new DeploymentState();
+  /** Targets that state that they leave. */
+  readonly leaving = new Set<string>();
   /** Hosts that send no requests. */
   readonly idle = new Set<string>();
 
@@ -106,7 +108,8 @@
       if (limitPerSecond !== undefined && !this.toldAtMs.has(key)) {
         this.toldAtMs.set(key, nowMs);
       }
-      pool.recordStatement(target, {limitPerSecond}, sentAtMs);
+      const leaving = this.leaving.has(id);
+      pool.recordStatement(target, {leaving, limitPerSecond}, sentAtMs);
       pool.release(target, outcomes.answered, 0);
     });
   }
--- a/test/gateway/target-statements.test.ts
+++ b/test/gateway/target-statements.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {PlatformWireFormat} from '../../platform/wire-format.js';
+import {
+  decodeStatements,
+  encodeStatements,
+} from '../../src/process/fleet/statement-codec.js';
 import {Logger} from '../../src/process/logger.js';
 import {TargetStatements} from '../../src/process/pool/target-statements.js';
+import {createRequest, LimitedHosts} from './limited-hosts.js';
 
 const wire = new PlatformWireFormat();
 
@@ -20,13 +25,13 @@
 test('a limit ends with a response to a request that was sent after it was stated', () => {
   const statements = new TargetStatements(Logger.create('silent'));
   const statement = statements.of('i', 1);
-  statements.record('i', 1, {limitPerSecond: 2}, 0, 100);
+  statements.record('i', 1, {leaving: false, limitPerSecond: 2}, 0, 100);
   assert.equal(statement.limitPerSecond, 2);
-  statements.record('i', 1, {}, 90, 120);
+  statements.record('i', 1, {leaving: false}, 90, 120);
   assert.equal(statement.limitPerSecond, 2);
-  statements.record('i', 1, {limitPerSecond: 3}, 100, 130);
+  statements.record('i', 1, {leaving: false, limitPerSecond: 3}, 100, 130);
   assert.equal(statement.limitPerSecond, 3);
-  statements.record('i', 1, {}, 140, 150);
+  statements.record('i', 1, {leaving: false}, 140, 150);
   assert.equal(statement.limitPerSecond, undefined);
 });
 
@@ -34,9 +39,51 @@
 test('another incarnation of a target starts without statements', () => {
   const statements = new TargetStatements(Logger.create('silent'));
   const first = statements.of('i', 1);
-  statements.record('i', 1, {limitPerSecond: 2}, 0, 100);
+  statements.record('i', 1, {leaving: false, limitPerSecond: 2}, 0, 100);
   assert.equal(first.limitPerSecond, 2);
   const second = statements.of('i', 2);
-  statements.record('i', 1, {limitPerSecond: 3}, 100, 200);
+  statements.record('i', 1, {leaving: false, limitPerSecond: 3}, 100, 200);
   assert.equal(second.limitPerSecond, undefined);
 });
+
+// Guards against requests to a target that says in its responses that it leaves, while its entry in the store, which may be
+// away, still lists it as ready.
+test('a target that states that it leaves gets no new requests, also from hosts that learn it from others', () => {
+  const fleet = new LimitedHosts(['h0', 'h1'], 2, () => undefined);
+  fleet.leaving.add('i-0');
+  fleet.idle.add('h1');
+  fleet.run(200);
+  const leftAtMs = fleet.clock.nowMs();
+  const [h0, h1] = [...fleet.pools.values()];
+  const reports = decodeStatements(
+    JSON.parse(JSON.stringify(encodeStatements(h0.reportStatements()))),
+  );
+  h1.applyStatements('h0', reports, -Infinity);
+  fleet.idle.delete('h1');
+  fleet.run(2000);
+  assert.equal(fleet.count('i-0', leftAtMs, 2000), 0);
+  assert.ok(fleet.count('i-1', leftAtMs, 2000) > 0);
+});
+
+// Guards against a target that gets requests again because its entry vanished and came back, and against a new incarnation
+// that gets none.
+test('a target stays leaving until it starts again', () => {
+  const statements = new TargetStatements(Logger.create('silent'));
+  statements.of('i', 1);
+  statements.record('i', 1, {leaving: true}, 0, 100);
+  statements.record('i', 1, {leaving: false}, 200, 300);
+  statements.removed('i', 400);
+  assert.equal(statements.of('i', 1).leaving, true);
+  assert.equal(statements.of('i', 2).leaving, false);
+});
+
+// Guards against a request that is sent although the target said that it leaves while the connection was opened.
+test('a target that states that it leaves is not used by requests that already have a slot', () => {
+  const fleet = new LimitedHosts(['h0'], 1, () => undefined);
+  const pool = fleet.pools.get('h0');
+  const target = pool?.takeSlot(createRequest(0), 0);
+  assert.ok(pool && target && typeof target !== 'string');
+  assert.ok(pool.maySend(target));
+  pool.recordStatement(target, {leaving: true}, 0);
+  assert.ok(!pool.maySend(target));
+});
