Send nothing to a target for as long as it asks this host to stay away

An engine that turns a request away with 503 may add `Retry-After`; it wants nothing from that host for so long.

Change: the time is kept for the incarnation of the target, at this host only, and checked again once the connection is open (event 7209).

Tests: `a target that turns a request away gets nothing from this host until the time that it states`; it fails with the check left out.

--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -116,6 +116,11 @@
     level: 'info',
     message: 'requests of this host to a target that states a limit',
   },
+  targetBackoff: {
+    id: 7209,
+    level: 'info',
+    message: 'target accepts nothing from this host for a time',
+  },
   gatewayRefused: {
     id: 7301,
     level: 'info',
--- a/src/process/pool/pooled-target.ts
+++ b/src/process/pool/pooled-target.ts
@@ -64,7 +64,10 @@
   constructor(
     public entry: TargetEntry,
     readonly reported: Readonly<ReportedLoad>,
-    readonly stated: TargetStatement = {leaving: false},
+    readonly stated: TargetStatement = {
+      leaving: false,
+      backoffUntilMs: -Infinity,
+    },
   ) {}
 
   /** Whether the target is about to stop and gets no new requests, by its entry or its responses. */
@@ -72,6 +75,15 @@
     return this.entry.draining || this.stated.leaving;
   }
 
+  /**
+   * Checks whether the target accepts new requests of this host, by its responses.
+   *
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  accepts(nowMs: number): boolean {
+    return !this.stated.leaving && this.stated.backoffUntilMs <= nowMs;
+  }
+
   /** Number of requests that the target runs concurrently. */
   get slots(): number {
     return Math.max(1, this.entry.slots);
--- a/src/process/pool/target-candidates.ts
+++ b/src/process/pool/target-candidates.ts
@@ -108,13 +108,15 @@
 
   /** Checks everything but free slots, connections and the rate of a cold target. */
   private isEligible(
-    {entry, isLeaving, suspendedUntilMs}: PooledTarget,
+    target: PooledTarget,
     {exclude, regions, service}: SlotRequest,
     trial: boolean,
     nowMs: number,
   ): boolean {
     const {state, canaryRouter} = this.parts;
-    if (isLeaving || state.evacuatedZones.has(entry.zone)) return false;
+    const {entry, suspendedUntilMs} = target;
+    if (entry.draining || !target.accepts(nowMs)) return false;
+    if (state.evacuatedZones.has(entry.zone)) return false;
     if (exclude.has(entry.id) || suspendedUntilMs > nowMs) return false;
     if (!canaryRouter.allows(service, entry.version, trial)) return false;
     const region = this.parts.regions.get(entry.zone) ?? '';
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -13,6 +13,7 @@
 } from './completion-fit.js';
 import {LoadReports} from './load-reports.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
+import {slotShare, sumOccupancy, type Occupancy} from './service-capacity.js';
 import {SlotShares} from './slot-shares.js';
 import {
   TargetCandidates,
@@ -22,8 +23,8 @@
 import {SessionAffinity} from './session-affinity.js';
 import {
   TargetStatements,
+  type ResponseStatement,
   type StatementReport,
-  type TargetStatement,
 } from './target-statements.js';
 
 /**
@@ -276,7 +277,7 @@
    */
   recordStatement(
     {entry: {id, bornMs}}: PooledTarget,
-    stated: TargetStatement,
+    stated: ResponseStatement,
     sentAtMs: number,
   ): void {
     const nowMs = this.parts.clock.nowMs();
@@ -319,11 +320,11 @@
    *
    * @param target - Target whose slot was taken.
    */
-  maySend({entry, stated}: PooledTarget): boolean {
-    const {isViewCurrent, onSend, state} = this.parts;
-    if (stated.leaving || !isViewCurrent() || !state.allows(entry)) {
-      return false;
-    }
+  maySend(target: PooledTarget): boolean {
+    const {clock, isViewCurrent, onSend, state} = this.parts;
+    const {entry} = target;
+    if (!target.accepts(clock.nowMs())) return false;
+    if (!isViewCurrent() || !state.allows(entry)) return false;
     onSend(entry);
     return true;
   }
@@ -344,42 +345,23 @@
   }
 
   /**
-   * Computes the share of a service's slots that this host has if all hosts have equal shares. Of a target that states
-   * a limit, only as many slots count as requests at that rate occupy.
+   * Computes this host's equal share of a service's slots; see {@link slotShare}.
    *
    * @param service - Name of the service.
    * @param costMs - Mean time for which a request occupies a slot, in milliseconds.
    * @returns Number of slots, possibly fractional.
    */
   localSlotShare(service: string, costMs: number): number {
-    let slots = 0;
-    let occupied = 0;
-    for (const {target} of this.byService.get(service) ?? []) {
-      if (target.isLeaving) continue;
-      const {limitPerSecond = Infinity} = target.stated;
-      slots += target.slots;
-      occupied += Math.min(target.slots, (limitPerSecond * costMs) / 1000);
-    }
-    const share = Math.max(1, slots / Math.max(1, this.parts.hosts().length));
-    return slots > 0 ? (share * occupied) / slots : share;
+    return slotShare(this.targets(service), this.parts.hosts().length, costMs);
   }
 
   /**
    * Sums up load and slots of a service.
    *
    * @param service - Name of the service.
-   * @returns Open requests and slots of all targets that are not draining.
    */
-  occupancy(service: string): {readonly load: number; readonly slots: number} {
-    const nowMs = this.parts.clock.nowMs();
-    let load = 0;
-    let slots = 0;
-    for (const {target} of this.byService.get(service) ?? []) {
-      if (target.isLeaving) continue;
-      load += target.loadAt(nowMs);
-      slots += target.slots;
-    }
-    return {load, slots};
+  occupancy(service: string): Occupancy {
+    return sumOccupancy(this.targets(service), this.parts.clock.nowMs());
   }
 
   /**
@@ -391,12 +373,16 @@
    */
   loadOnOtherVersions(service: string, version: string): number {
     let load = 0;
-    for (const {target} of this.byService.get(service) ?? []) {
+    for (const target of this.targets(service)) {
       if (target.entry.version !== version) load += target.hostReportedLoad;
     }
     return load;
   }
 
+  private *targets(service: string): Generator<PooledTarget> {
+    for (const {target} of this.byService.get(service) ?? []) yield target;
+  }
+
   private *usable(
     request: SlotRequest,
     trial: boolean,
--- a/src/process/pool/target-statements.ts
+++ b/src/process/pool/target-statements.ts
@@ -3,16 +3,31 @@
 /** Minimum time between two log lines about the use of one limited target, in milliseconds. */
 const useLogIntervalMs = 4000;
 
+/** What one response says of its target. */
+export interface ResponseStatement {
+  /** Requests per second that the target accepts from all hosts together; absent if it states no limit. */
+  readonly limitPerSecond?: number;
+  /** Whether the target is about to stop. */
+  readonly leaving: boolean;
+  /** Time for which the target accepts nothing from this host, in milliseconds. */
+  readonly backoffMs?: number;
+}
+
 /** What a target says of itself in its responses. */
 export interface TargetStatement {
   /** Requests per second that the target accepts from all hosts together; absent if it states no limit. */
   readonly limitPerSecond?: number;
   /** Whether the target is about to stop, so that it gets no new requests. */
   readonly leaving: boolean;
+  /** Monotonic time until which the target accepts nothing from this host, in milliseconds. */
+  readonly backoffUntilMs: number;
 }
 
-/** What a target says of itself, as hosts report it to each other. */
-export interface StatementReport extends TargetStatement {
+/** What a target says of itself, as hosts report it to each other. A backoff concerns one host only. */
+export interface StatementReport extends Pick<
+  TargetStatement,
+  'limitPerSecond' | 'leaving'
+> {
   readonly target: string;
   /** Unix time at which the target started, in milliseconds; identifies its incarnation. */
   readonly bornMs: number;
@@ -35,6 +50,7 @@
 class StatementRecord implements TargetStatement {
   limitPerSecond?: number;
   leaving = false;
+  backoffUntilMs = -Infinity;
   /** Monotonic time at which the target was removed, in milliseconds; absent while it is known. */
   removedAtMs?: number;
   /** Monotonic time of the latest response that states the limit, or that ended it, in milliseconds. */
@@ -86,7 +102,7 @@
   record(
     id: string,
     bornMs: number,
-    stated: TargetStatement,
+    stated: ResponseStatement,
     sentAtMs: number,
     nowMs: number,
   ): void {
@@ -94,6 +110,11 @@
     // A late response of an earlier incarnation says nothing about the present one.
     if (record?.bornMs !== bornMs) return;
     if (stated.leaving) this.setLeaving(record, id, 'response');
+    if (stated.backoffMs !== undefined) {
+      const untilMs = nowMs + stated.backoffMs;
+      record.backoffUntilMs = Math.max(record.backoffUntilMs, untilMs);
+      this.logger.event('targetBackoff', {target: id, forMs: stated.backoffMs});
+    }
     const {limitPerSecond} = stated;
     const ends =
       limitPerSecond === undefined &&
--- a/src/request/gateway/wire-format.ts
+++ b/src/request/gateway/wire-format.ts
@@ -69,6 +69,8 @@
   readonly limitPerSecond?: number;
   /** Whether the target states that it is about to stop. */
   readonly leaving: boolean;
+  /** Time for which the target, which turns the request away, accepts nothing from this host, in milliseconds. */
+  readonly backoffMs?: number;
   /** Headers to relay to the caller. */
   readonly relayed: Readonly<Record<string, string | string[]>>;
 }
--- a/test/gateway/target-statements.test.ts
+++ b/test/gateway/target-statements.test.ts
@@ -87,3 +87,41 @@
   pool.recordStatement(target, {leaving: true}, 0);
   assert.ok(!pool.maySend(target));
 });
+
+// Guards against requests to a target that turned one away and said for how long it wants nothing from this host.
+test('a target that turns a request away gets nothing from this host until the time that it states', () => {
+  const refused = wire.readResponse(503, {
+    'retry-after': '1.5',
+    'x-not-executed': '1',
+  });
+  assert.equal(refused.backoffMs, 1500);
+  // A failure of another kind, or a date, states no such time.
+  assert.equal(
+    wire.readResponse(429, {'retry-after': '1'}).backoffMs,
+    undefined,
+  );
+  const date = 'Sat, 05 Dec 2026 07:00:00 GMT';
+  assert.equal(
+    wire.readResponse(503, {'retry-after': date}).backoffMs,
+    undefined,
+  );
+  const fleet = new LimitedHosts(['h0', 'h1'], 2, () => undefined);
+  const pool = fleet.pools.get('h0');
+  const target = pool?.takeSlot(createRequest(0), 0);
+  assert.ok(pool && target && typeof target !== 'string');
+  const {id} = target.entry;
+  pool.recordStatement(target, refused, 0);
+  assert.ok(!pool.maySend(target));
+  const ofHost = (host: string, fromMs: number, toMs: number) =>
+    fleet.arrivals.filter(
+      arrival =>
+        arrival.host === host &&
+        arrival.target === id &&
+        arrival.atMs >= fromMs &&
+        arrival.atMs < toMs,
+    ).length;
+  fleet.run(3000);
+  assert.equal(ofHost('h0', 0, 1500), 0);
+  assert.ok(ofHost('h0', 1500, 3000) > 0);
+  assert.ok(ofHost('h1', 0, 1500) > 0);
+});
