Place long responses on targets whose request rate is limited

A target that states a limit accepts a number of requests, whatever their length: on hts some 40 of its 99 limited slots were occupied, while the 44 slots of the other engines were full. Short requests used up the rates.

Change: a target with a limit costs a request as much as its slot time is below the mean of its service, and a short request leaves it to longer ones while it can still meet its objective and another target may get a free slot (limited-targets.ts). Fewer hosts share a limit, so that each can save up two requests.

--- a/src/process/limits/target-rate-limiter.ts
+++ b/src/process/limits/target-rate-limiter.ts
@@ -9,6 +9,8 @@
   readonly perSecond: number;
   /** Requests by which all hosts together may exceed the rate in any period over which they are counted. */
   readonly excess: number;
+  /** Requests that each host may accumulate at least, while it has none to send; 1 or more. */
+  readonly burst: number;
 }
 
 interface Bucket {
@@ -42,7 +44,8 @@
     nowMs: number,
   ): boolean {
     const usable = rate.excess * usableShare;
-    const users = Math.max(1, Math.min(hosts.length, Math.floor(usable)));
+    const most = Math.max(1, Math.floor(usable / rate.burst));
+    const users = Math.min(hosts.length, most);
     if (rendezvousRank(target, this.host, hosts) >= users) return false;
     // A burst below one request would never admit any.
     const burst = Math.max(1, usable / users);
--- a/src/process/pool/choose-target.ts
+++ b/src/process/pool/choose-target.ts
@@ -18,16 +18,16 @@
   readonly zone: string;
   /** Current time on the process's clock, in milliseconds. */
   readonly nowMs: number;
-  /** Additional cost of a target for this host, in milliseconds. */
+  /** Additional cost of a target for this request, in milliseconds; negative for an advantage. */
   readonly penaltyMs?: (target: PooledTarget) => number;
 }
 
 /** Time per output token of an engine without samples, in milliseconds. */
-const defaultTokenMs = 4.5;
+export const defaultTokenMs = 4.5;
 /** Response time of a plain service without samples, in milliseconds. */
 const defaultResponseMs = 25;
 /** Prompt tokens that an engine processes in the time of one output token. */
-const promptTokensPerOutputToken = 300;
+export const promptTokensPerOutputToken = 300;
 /** Relative increase of the token time from an idle to a full engine of 11 slots. */
 const maxTokenSlowdown = 0.4;
 /** Relative increase of the response time of a plain service from an idle to a full target. */
--- a/src/process/pool/target-limits.ts
+++ b/src/process/pool/target-limits.ts
@@ -11,6 +11,12 @@
  */
 const minStatedPerSecond = 0.25;
 
+/**
+ * Requests that a host may accumulate at least for a target that states a limit. Hosts get suitable requests for it
+ * irregularly; with a burst of one, a fifth of the rate was not used.
+ */
+const statedBurst = 2;
+
 /** Bounds of the deployment that limit the request rate of single targets. */
 export type TargetRateBounds = Pick<
   Bounds,
@@ -85,13 +91,13 @@
     const {statedOver, statedSlack, statedWindowMs} = this.bounds;
     if (coldPerSecond > 0) {
       const excess = coldPerSecond * (coldOver - 1) + coldSlack;
-      yield [this.cold, {perSecond: coldPerSecond, excess}];
+      yield [this.cold, {perSecond: coldPerSecond, excess, burst: 1}];
     }
     if (limitPerSecond !== undefined) {
       const perWindow = (limitPerSecond * statedWindowMs) / 1000;
       const perSecond = Math.max(minStatedPerSecond, limitPerSecond);
       const excess = perWindow * (statedOver - 1) + statedSlack;
-      yield [this.stated, {perSecond, excess}];
+      yield [this.stated, {perSecond, excess, burst: statedBurst}];
     }
   }
 }
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -11,7 +11,9 @@
   requiredFit,
   type CompletionFit,
 } from './completion-fit.js';
+import {LimitedTargets} from './limited-targets.js';
 import {LoadReports} from './load-reports.js';
+import {noSlots, type NoSlot} from './no-slot.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
 import {slotShare, sumOccupancy, type Occupancy} from './service-capacity.js';
 import {SlotShares} from './slot-shares.js';
@@ -39,17 +41,6 @@
  */
 const finalPollsMs = 50;
 
-/** Why a request got no slot. */
-export const noSlots = {
-  /** No target that it may use has a free slot. */
-  full: 'full',
-  /** Only targets that would hardly complete its response in time have one. */
-  tooSlow: 'too-slow',
-} as const;
-
-/** One of {@link noSlots}. */
-export type NoSlot = (typeof noSlots)[keyof typeof noSlots];
-
 /** Dependencies of the pool. */
 export interface TargetPoolParts extends CandidateParts {
   readonly clock: Clock;
@@ -67,6 +58,7 @@
   private readonly byService = new Map<string, PoolMember[]>();
   private readonly sessions = new SessionAffinity();
   private readonly loadReports = new LoadReports();
+  private readonly limited = new LimitedTargets();
   private readonly shares: SlotShares;
   private readonly candidates: TargetCandidates;
   private readonly statements: TargetStatements;
@@ -179,10 +171,16 @@
   takeSlot(request: SlotRequest, nowMs: number): PooledTarget | NoSlot {
     const demand = this.demandOf(request, nowMs);
     const minFit = this.requiredFit(request, demand);
+    const areReserved = this.limited.areReserved(
+      request,
+      this.eligible(request, nowMs),
+      nowMs,
+    );
     let hasFree = false;
     const fitting = function* (free: Iterable<PooledTarget>) {
       for (const target of free) {
         hasFree = true;
+        if (areReserved && target.stated.limitPerSecond !== undefined) continue;
         if (completionFit(target, demand) >= minFit) yield target;
       }
     };
@@ -192,9 +190,10 @@
         ? chooseTarget(this.usable(request, true, nowMs), demand)
         : undefined) ??
       chooseTarget(fitting(this.usable(request, false, nowMs)), demand);
-    if (!target) return hasFree ? noSlots.tooSlow : noSlots.full;
+    if (!target) return hasFree ? noSlots.unsuitable : noSlots.full;
     this.candidates.take(target, nowMs);
     this.statements.sent(target.entry.id, nowMs);
+    this.limited.record(request);
     target.localRequests++;
     target.localPendingTokens += request.promptTokens;
     if (request.session !== undefined) {
@@ -205,6 +204,7 @@
 
   private demandOf(request: SlotRequest, nowMs: number): PlacementRequest {
     const {session} = request;
+    const limitedMs = this.limited.costMs(request);
     return {
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
@@ -214,7 +214,9 @@
       cachedAt: session === undefined ? undefined : this.sessions.get(session),
       zone: this.parts.zone,
       nowMs,
-      penaltyMs: (target: PooledTarget) => this.candidates.remoteSlotMs(target),
+      penaltyMs: (target: PooledTarget) =>
+        this.candidates.remoteSlotMs(target) +
+        (target.stated.limitPerSecond === undefined ? 0 : limitedMs),
     };
   }
 
@@ -224,9 +226,8 @@
   ): CompletionFit {
     if (request.outputTokens === 0) return completionFits.unlikely;
     const {nowMs} = demand;
-    const members = this.byService.get(request.service) ?? [];
     return requiredFit(
-      this.candidates.eligible(members, request, nowMs),
+      this.eligible(request, nowMs),
       demand,
       nowMs < request.untilMs - finalPollsMs,
     );
@@ -383,12 +384,13 @@
     for (const {target} of this.byService.get(service) ?? []) yield target;
   }
 
-  private *usable(
-    request: SlotRequest,
-    trial: boolean,
-    nowMs: number,
-  ): Generator<PooledTarget> {
+  private eligible(request: SlotRequest, nowMs: number) {
+    const members = this.byService.get(request.service) ?? [];
+    return this.candidates.eligible(members, request, nowMs);
+  }
+
+  private usable(request: SlotRequest, trial: boolean, nowMs: number) {
     const members = this.byService.get(request.service) ?? [];
-    yield* this.candidates.usable(members, request, trial, nowMs);
+    return this.candidates.usable(members, request, trial, nowMs);
   }
 }
--- a/src/request/gateway/dispatcher.ts
+++ b/src/request/gateway/dispatcher.ts
@@ -1,7 +1,8 @@
 import type {Clock} from '../../process/clock.js';
+import {noSlots} from '../../process/pool/no-slot.js';
 import type {PooledTarget} from '../../process/pool/pooled-target.js';
 import {RankQueue, type QueueItem} from '../../process/pool/rank-queue.js';
-import {noSlots, type TargetPool} from '../../process/pool/target-pool.js';
+import type {TargetPool} from '../../process/pool/target-pool.js';
 
 /** A request for a slot, with what the choice of a target depends on. */
 export interface SlotRequest {
@@ -149,13 +150,13 @@
 
   private serveOne(queue: RankQueue<Ticket>): boolean {
     const nowMs = this.clock.nowMs();
-    // Requests that wait for a faster target must not block the others of their line.
+    // Requests that wait for a more suitable target must not block the others of their line.
     const selective = new Set<Ticket>();
     for (;;) {
       const held = selective.size;
       for (const ticket of queue.heads(nowMs, selective)) {
         const target = this.pool.takeSlot(ticket.request, nowMs);
-        if (target === noSlots.tooSlow) selective.add(ticket);
+        if (target === noSlots.unsuitable) selective.add(ticket);
         if (typeof target === 'string') continue;
         queue.remove(ticket, true);
         ticket.onSlot(target);
--- a/test/gateway/limits.test.ts
+++ b/test/gateway/limits.test.ts
@@ -108,7 +108,7 @@
 });
 
 test('all hosts together stay within the rate of a cold target in any second', () => {
-  const rate = {perSecond: 13, excess: 13 * 0.5 + 5};
+  const rate = {perSecond: 13, excess: 13 * 0.5 + 5, burst: 1};
   fc.assert(
     fc.property(fc.integer({min: 1, max: 90}), fc.nat(1000), (count, id) => {
       const hosts = Array.from({length: count}, (_, i) => `h${i}`);
--- a/test/gateway/stated-limits.test.ts
+++ b/test/gateway/stated-limits.test.ts
@@ -5,6 +5,7 @@
   decodeStatements,
   encodeStatements,
 } from '../../src/process/fleet/statement-codec.js';
+import {outcomes} from '../../src/process/pool/pooled-target.js';
 import {Dispatcher} from '../../src/request/gateway/dispatcher.js';
 import {createRequest, LimitedHosts} from './limited-hosts.js';
 
@@ -135,3 +136,39 @@
   assert.ok(Math.abs(backlogMs() - 500 / 8) < 1);
   assert.ok(Math.abs(backlogMs(1) - 500) < 1);
 });
+
+// Guards against short requests that use up the rate of a limited target, so that long ones fill the slots of the others.
+// Load: a mix of short and long responses, one target with a limit and free slots, one with slots that barely suffice.
+test('a target that states a limit gets the requests that occupy a slot for longest', () => {
+  const fleet = new LimitedHosts(['h0'], 2, () => 2);
+  const {clock} = fleet;
+  const pool = fleet.pools.get('h0');
+  assert.ok(pool);
+  const limited = pool.takeSlot(createRequest(0), 0);
+  assert.ok(typeof limited !== 'string');
+  pool.release(limited, outcomes.answered, 0);
+  pool.recordStatement(limited, {limitPerSecond: 2, leaving: false}, 0);
+  const counts = {longAtLimited: 0, atLimited: 0, all: 0, refused: 0};
+  const send = (costMs: number) => {
+    const nowMs = clock.nowMs();
+    const target = pool.takeSlot({...createRequest(nowMs), costMs}, nowMs);
+    counts.all++;
+    if (typeof target === 'string') {
+      counts.refused++;
+      return;
+    }
+    if (target === limited) counts.atLimited++;
+    if (target === limited && costMs > 1000) counts.longAtLimited++;
+    clock.after(costMs, () => pool.release(target, outcomes.answered, 0));
+  };
+  for (let ms = 0; ms < 30_000; ms += 20) {
+    if (ms % 160 === 0) send(300);
+    if (ms % 340 === 0) send(1500);
+    clock.advance(20);
+  }
+  assert.ok(
+    counts.longAtLimited > 0.85 * counts.atLimited,
+    JSON.stringify(counts),
+  );
+  assert.ok(counts.refused < 0.03 * counts.all, JSON.stringify(counts));
+});
