Refuse requests that a stopping host would have to cut off

What the caller saw: a stream that was requested 7.1 s after the host had got SIGTERM was broken off after 0.3 s, when the time to stop was over.

Cause: connections that are busy with a response which began before the signal do not announce their end in its head, and the check for idle connections runs every 50 ms. A caller that sends its next request as soon as such a response has ended gets it in. The host took it like any other, whatever time was left.

Change: from the time at which the load balancer opens no new connections, a request is refused with 503 `stopping` as not run, and to be sent again at once, if three times the mean time of its route is more than what is left. Connections close at the end of their responses from the signal on.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -22,6 +22,8 @@
   private readonly server: Server;
   /** Requests in progress by connection. */
   private readonly busy = new Map<Socket, number>();
+  /** Whether connections are closed at the end of their responses. */
+  private closes = false;
 
   /**
    * @param endpoint - Address and port to listen on.
@@ -44,7 +46,11 @@
     });
     this.server.on('request', (req, res) => {
       this.count(req.socket, 1);
-      res.once('close', () => this.count(req.socket, -1));
+      res.once('close', () => {
+        this.count(req.socket, -1);
+        // The head of a response that began earlier did not announce it.
+        if (this.closes && this.busy.get(req.socket) === 0) req.socket.end();
+      });
       onRequest(req, res);
     });
   }
@@ -79,6 +85,11 @@
     return idle;
   }
 
+  /** Closes each connection at the end of its response from now on, because the host stops. */
+  closeAfterResponses(): void {
+    this.closes = true;
+  }
+
   /** Stops accepting connections and closes the idle ones. */
   closeIdle(): void {
     this.server.close();
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -98,6 +98,7 @@
   let routes: RouteTable | undefined;
   let draining = false;
   let leaving = false;
+  let stopsAtMs = Infinity;
   let hosts: readonly string[] = [host];
   let readiness: Server | undefined;
   let stopping: Promise<void> | undefined;
@@ -200,6 +201,7 @@
     crashWatch: crashes.watch,
     routes: () => routes,
     isDraining: () => draining,
+    stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
   const server = new GatewayServer(settings.callers, (req, res) =>
@@ -365,7 +367,10 @@
     const endMs = clock.nowMs() + bounds.stopMs - stopMarginMs;
     draining = true;
     logger.event('gatewayStopping', {open: handler.openRequests});
+    server.closeAfterResponses();
     await wait(loadBalancerNoticeMs);
+    // Later requests come on connections that were kept for other ones; other hosts take them as well.
+    stopsAtMs = endMs;
     for (;;) {
       server.closeIdle();
       if (handler.openRequests === 0 || clock.nowMs() >= endMs) break;
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -30,6 +30,8 @@
   readonly decisions: DecisionLog;
   readonly crashWatch: CrashWatch;
   readonly isDraining: () => boolean;
+  /** Time on the process's clock at which open requests are ended, in milliseconds; infinite while the host does not stop. */
+  readonly stopsAtMs: () => number;
   /** Maximum time from an event at its target until it reaches the caller, in milliseconds; 0 if there is no such bound. */
   readonly eventDelayMs: number;
 }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -4,8 +4,11 @@
   chooseService,
   type RouteTable,
 } from '../../version/deployment/route-table.js';
-import type {Organisation} from '../../version/deployment/types.js';
-import type {GatewayRequestParts} from './admitted-request.js';
+import {
+  requestKinds,
+  type Organisation,
+} from '../../version/deployment/types.js';
+import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
 import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
@@ -17,6 +20,11 @@
 /** Retry-After of a host that has no configuration yet, in milliseconds. */
 const notConfiguredRetryAfterMs = 500;
 
+/** Retry-After of a host that stops, in milliseconds; other hosts take the request at once. */
+const stoppingRetryAfterMs = 50;
+/** Multiple of a route's mean response time that most of its responses stay below. */
+const longResponseFactor = 3;
+
 /** Dependencies of the handler. */
 export interface GatewayHandlerParts extends GatewayRequestParts {
   readonly routes: () => RouteTable | undefined;
@@ -99,6 +107,9 @@
         tokensPerEvent: routes.service(service)?.engine?.tokensPerEvent ?? 1,
         arrivedMs,
       };
+      if (this.stopsTooSoon(admitted)) {
+        return this.refuse(req, res, head, 'stopping', stoppingRetryAfterMs);
+      }
       const request = new GatewayRequest(this.parts, admitted, res, done =>
         this.open.delete(done),
       );
@@ -107,6 +118,14 @@
     });
   }
 
+  /** Checks whether a response would probably be cut off, because this host stops. */
+  private stopsTooSoon({route}: AdmittedRequest): boolean {
+    const {clock, stats, stopsAtMs} = this.parts;
+    const isStream = route.kind === requestKinds.stream;
+    const neededMs = stats.slotMs(route.name, isStream) * longResponseFactor;
+    return clock.nowMs() + neededMs > stopsAtMs();
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -82,6 +82,7 @@
     crashWatch: crashes.watch,
     routes,
     isDraining: () => false,
+    stopsAtMs: () => Infinity,
     eventDelayMs: 0,
   });
 }
