--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -7,7 +7,6 @@
 import {
   configuration,
   freePort,
-  MemoryStore,
   sendRequest,
   startGateway,
   startRawTarget,
@@ -15,6 +14,7 @@
   type FakeTarget,
   type ReceivedResponse,
 } from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 
 /** Text in a request under which a target ends. */
 const deadly = 'deadly';
--- a/test/gateway/restored-store.test.ts
+++ b/test/gateway/restored-store.test.ts
@@ -29,10 +29,10 @@
   configuration,
   createStateFeed,
   freePort,
-  MemoryStore,
   startGateway,
   targetChange,
 } from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 import {startFleet} from './simulated-fleet.js';
 import {advanceClock} from './started-gateway.js';
 
--- a/test/gateway/rollout.test.ts
+++ b/test/gateway/rollout.test.ts
@@ -18,7 +18,7 @@
 } from '../../src/version/deployment/canary-evaluator.js';
 import {rolloutStates} from '../../src/version/deployment/types.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {MemoryStore} from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 
 const order = {service: 's', version: 'v2', durationMs: 12_000};
 
--- a/test/gateway/shared-reads.test.ts
+++ b/test/gateway/shared-reads.test.ts
@@ -10,12 +10,8 @@
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {ReadSchedule} from '../../src/version/deployment/read-schedule.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {
-  configuration,
-  createStateFeed,
-  MemoryStore,
-  targetChange,
-} from './gateway-fakes.js';
+import {configuration, createStateFeed, targetChange} from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 import {startFleet} from './simulated-fleet.js';
 
 const bounds = {configMs: 2000, drainMs: 2000};
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -24,7 +24,8 @@
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, MemoryStore, targetChange} from './gateway-fakes.js';
+import {configuration, targetChange} from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 
 /** Step of the simulation, in milliseconds; delays are rounded up to it. */
 const stepMs = 10;
--- a/test/gateway/started-gateway.ts
+++ b/test/gateway/started-gateway.ts
@@ -3,11 +3,11 @@
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
   configuration,
-  MemoryStore,
   startGateway,
   targetChange,
   type FakeTarget,
 } from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 
 /** Starts a gateway host with targets; both are stopped at the end of the test. */
 export async function startWithTargets(
--- a/test/gateway/stopping-host.test.ts
+++ b/test/gateway/stopping-host.test.ts
@@ -33,7 +33,7 @@
   caller.on('error', () => {});
   const lines = ['Host: h.example', 'X-Deadline-Ms: 20000', ''];
   const requestText = (id: string) =>
-    [`POST /stream/a HTTP/1.1`, `X-Request-Id: ${id}`, ...lines, ''].join(
+    ['POST /stream/a HTTP/1.1', `X-Request-Id: ${id}`, ...lines, ''].join(
       '\r\n',
     );
   caller.write(requestText('first'));
--- a/test/gateway/store-feed.test.ts
+++ b/test/gateway/store-feed.test.ts
@@ -17,7 +17,8 @@
   applyStateCopy,
 } from '../../src/version/deployment/state-copy.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, MemoryStore, targetChange} from './gateway-fakes.js';
+import {configuration, targetChange} from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 
 function createFeed() {
   const clock = new ManualClock();
--- a/test/gateway/view-age.test.ts
+++ b/test/gateway/view-age.test.ts
@@ -9,7 +9,8 @@
 import {createRandom} from '../../src/process/random.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
-import {configuration, createStateFeed, MemoryStore} from './gateway-fakes.js';
+import {configuration, createStateFeed} from './gateway-fakes.js';
+import {MemoryStore} from './memory-store.js';
 import {
   startFleet,
   type Fleet,
