--- a/src/process/pool/target-limits.ts
+++ b/src/process/pool/target-limits.ts
@@ -12,8 +12,8 @@
 const minStatedPerSecond = 0.25;
 
 /**
- * Requests that a host may accumulate at least for a target that states a limit. Hosts get suitable requests for it
- * irregularly; with a burst of one, a fifth of the rate was not used.
+ * Requests that a host may accumulate at least for a target that states a limit, because it gets suitable requests
+ * irregularly.
  */
 const statedBurst = 2;
 
