--- a/src/process/pool/limited-targets.ts
+++ b/src/process/pool/limited-targets.ts
@@ -4,8 +4,11 @@
 
 /** Weight of a new sample in the mean slot time of a service's requests. */
 const sampleWeight = 0.05;
-/** Time before a request becomes late from which it accepts every target, in milliseconds; two checks of the queue. */
-const finalPollsMs = 50;
+/**
+ * Time before a request becomes late, or before the end of its wait, from which it accepts less suitable targets, in
+ * milliseconds; long enough for two checks of the waiting requests.
+ */
+export const finalPollsMs = 50;
 
 /** Request with the properties on which its slot time depends. */
 type SizedRequest = Pick<
--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -11,7 +11,7 @@
   requiredFit,
   type CompletionFit,
 } from './completion-fit.js';
-import {LimitedTargets} from './limited-targets.js';
+import {finalPollsMs, LimitedTargets} from './limited-targets.js';
 import {LoadReports} from './load-reports.js';
 import {noSlots, type NoSlot} from './no-slot.js';
 import {outcomes, PooledTarget, type Outcome} from './pooled-target.js';
@@ -35,12 +35,6 @@
  */
 const assumedColdMs = 2500;
 
-/**
- * Time before the end of its wait from which a request accepts slower targets, in milliseconds; long enough for two
- * checks of the waiting requests.
- */
-const finalPollsMs = 50;
-
 /** Dependencies of the pool. */
 export interface TargetPoolParts extends CandidateParts {
   readonly clock: Clock;
--- a/test/gateway/message-time.test.ts
+++ b/test/gateway/message-time.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {emptyReport} from '../../src/process/crashes/crash-report.js';
 import {
   decodeGossip,
   encodeEcho,
@@ -8,6 +7,7 @@
 } from '../../src/process/fleet/gossip-message.js';
 import {composedAtMs, echoFor} from '../../src/process/fleet/message-time.js';
 import {PeerTable} from '../../src/process/fleet/peer-table.js';
+import {nothingToReport} from './gossip-fixture.js';
 
 const message = {
   host: 'a',
@@ -16,8 +16,7 @@
   incarnation: 7,
   sequence: 1,
   sentAtMs: 5000.4,
-  leaving: false,
-  storeReachable: true,
+  ...nothingToReport,
   feedUpdate: {
     orders: -1,
     ordersAgeMs: 0,
@@ -29,12 +28,6 @@
     digest: 0,
     changes: [],
   },
-  targetReports: {},
-  statements: [],
-  used: {},
-  crashReport: emptyReport,
-  evidence: new Map(),
-  phases: new Map(),
 };
 
 function passOn(echo: Parameters<typeof encodeEcho>[0]) {
--- a/test/gateway/restored-store.test.ts
+++ b/test/gateway/restored-store.test.ts
@@ -11,7 +11,6 @@
   offsetOf,
   positionOf,
 } from '../../src/connection/store/shared-store.js';
-import {emptyReport} from '../../src/process/crashes/crash-report.js';
 import type {GossipMessage} from '../../src/process/fleet/gossip-message.js';
 import {PeerStateSync} from '../../src/process/fleet/peer-state-sync.js';
 import {PeerTable} from '../../src/process/fleet/peer-table.js';
@@ -32,6 +31,7 @@
   startGateway,
   targetChange,
 } from './gateway-fakes.js';
+import {nothingToReport} from './gossip-fixture.js';
 import {MemoryStore} from './memory-store.js';
 import {startFleet} from './simulated-fleet.js';
 import {advanceClock} from './started-gateway.js';
@@ -45,14 +45,7 @@
   ip: '127.0.0.1',
   zone: 'z',
   incarnation: 1,
-  leaving: false,
-  storeReachable: true,
-  targetReports: {},
-  statements: [],
-  used: {},
-  crashReport: emptyReport,
-  evidence: new Map(),
-  phases: new Map(),
+  ...nothingToReport,
 };
 
 function versionChange(version: number): Change {
--- a/test/gateway/simulated-fleet.ts
+++ b/test/gateway/simulated-fleet.ts
@@ -5,7 +5,6 @@
   type Snapshot,
 } from '../../src/connection/store/shared-store.js';
 import {FailureError} from '../../src/process/errors/catalogue.js';
-import {emptyReport} from '../../src/process/crashes/crash-report.js';
 import {
   gossipIntervalMs,
   minIntervalMs,
@@ -25,6 +24,7 @@
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {configuration, targetChange} from './gateway-fakes.js';
+import {nothingToReport} from './gossip-fixture.js';
 import {MemoryStore} from './memory-store.js';
 
 /** Step of the simulation, in milliseconds; delays are rounded up to it. */
@@ -230,15 +230,9 @@
       incarnation,
       sequence: ++from.sequence,
       sentAtMs: this.clock.nowMs(),
-      leaving: false,
+      ...nothingToReport,
       storeReachable: from.feed.outage.durationMs === 0,
       feedUpdate: from.feed.composeUpdate(),
-      targetReports: {},
-      statements: [],
-      used: {},
-      crashReport: emptyReport,
-      evidence: new Map(),
-      phases: new Map(),
     });
     const message = decodeGossip(
       Buffer.concat([shared, encodeEcho(undefined)]),
