--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -44,22 +44,27 @@
     this.server.listen(port, ip);
     await once(this.server, 'listening');
     this.address = `${ip}:${this.server.address().port}`;
-    const beat = () =>
-      store.put('keyed.servers', this.id, {
-        service: this.service,
-        address: this.address,
-        zone: this.zone,
-        version: 'v1',
-        slots: this.slots,
-        state: 'ready',
-        coldRemainingMs: 0,
-        sequence: this.sequence++,
-        born: this.born,
-      });
+    this.store = store;
+    const beat = () => this.beat('ready');
     beat();
     this.timer = setInterval(beat, heartbeatMs);
   }
 
+  /** Writes its entry to the store. */
+  beat(state) {
+    this.store.put('keyed.servers', this.id, {
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: 'v1',
+      slots: this.slots,
+      state,
+      coldRemainingMs: 0,
+      sequence: this.sequence++,
+      born: this.born,
+    });
+  }
+
   close() {
     clearInterval(this.timer);
     this.server.close();
