--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # each of them can be read.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in lib/*.mjs [1-5]/*.mjs; do
+for file in lib/*.mjs [1-5]/*.mjs tried/*.mjs; do
   [ -e "$file" ] || continue
   node --check "$file"
 done
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -19,7 +19,7 @@
    *   `run(request, answer)`, which is called when a request begins to run and calls `answer.end()` when it has ended.
    */
   constructor(options) {
-    Object.assign(this, {queue: 0, load: true}, options);
+    Object.assign(this, {queue: 0, load: true, version: 'v1'}, options);
     this.reset();
   }
 
@@ -56,7 +56,7 @@
       service: this.service,
       address: this.address,
       zone: this.zone,
-      version: 'v1',
+      version: this.version,
       slots: this.slots,
       state,
       coldRemainingMs: 0,
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -10,6 +10,8 @@
   constructor() {
     this.topics = new Map();
     this.sockets = new Set();
+    this.era = 0;
+    this.away = false;
     this.server = createServer((req, res) => this.handle(req, res));
     this.server.on('connection', socket => {
       this.sockets.add(socket);
@@ -29,6 +31,32 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Copies what the store holds. */
+  copy() {
+    return [...this.topics].map(([name, {records, newest}]) => ({
+      name,
+      records: [...records],
+      newest: new Map(newest),
+    }));
+  }
+
+  /** Comes back from a copy, in a new era. */
+  restore(copy) {
+    this.era++;
+    this.topics = new Map(
+      copy.map(({name, records, newest}) => [
+        name,
+        {records: [...records], newest: new Map(newest), waiting: []},
+      ]),
+    );
+  }
+
+  /** The newest value of a key, parsed; undefined if there is none. */
+  get(topic, key) {
+    const item = this.topic(topic).newest.get(key);
+    return item && JSON.parse(Buffer.from(item.value, 'base64').toString());
+  }
+
   /** Writes a record as the operator or an engine does; without a value the key is dropped. */
   put(topic, key, value) {
     const bytes = value === undefined ? '' : JSON.stringify(value);
@@ -66,6 +94,8 @@
   }
 
   handle(req, res) {
+    res.setHeader('Store-Era', String(this.era));
+    if (this.away) return this.json(res, 503, {});
     const url = new URL(req.url, 'http://store');
     const log = this.topic(url.searchParams.get('topic') ?? '');
     const chunks = [];
@@ -90,6 +120,7 @@
 
   read(res, log, query) {
     const from = Number(query.get('from'));
+    if (from > log.records.length) return this.json(res, 410, {first: 0});
     const send = () => {
       const head = Buffer.alloc(16);
       head.writeBigUInt64BE(BigInt(log.records.length), 0);
@@ -124,6 +155,7 @@
       const next = from + 4 + size;
       const key = body.toString('utf8', from + 5, valueFrom);
       this.append(topic, key, body.subarray(valueFrom, next));
+      this.onAppend?.(topic, key, body.toString('utf8', valueFrom, next));
       from = next;
     }
     this.json(res, 200, {offset: end, end: log.records.length});
