Break off a resumed stream whose next target sends no stream

Callers saw a stream end as complete, with status 200 and the last chunk, although the events from a target's crash on were missing; bytes of the next target's error could follow the events.

Cause: ResponseRelay.begin() ignored every head after the first, so status and content type of the response to a request with Last-Event-Id were not checked, and the end of an error completed the caller's response.

Change: after the first head only a stream with the same status may follow. Other responses end the attempt at their head (failure no-continuation); the request goes on elsewhere if runs, attempts and budget allow, or is broken off. A resumed stream without a length needs an event of its own to be complete.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -24,6 +24,8 @@
   cutOff: 'cut-off',
   /** The response does not echo the request id, so it belongs to another request or is not valid. */
   foreign: 'foreign',
+  /** The response cannot continue a stream of which the caller has received a part. */
+  noContinuation: 'no-continuation',
   /** The gateway aborted the exchange. */
   aborted: 'aborted',
 } as const;
@@ -125,12 +127,16 @@
   }
 
   /**
-   * Ends the exchange because what the target sends is no response, and closes its connection.
+   * Ends the exchange because what the target sends is of no use, and closes its connection.
    *
    * @param reason - What is wrong.
+   * @param failure - How the exchange ends.
    */
-  reject(reason: string): void {
-    if (!this.done) this.fail(exchangeFailures.foreign, reason);
+  reject(
+    reason: string,
+    failure: ExchangeFailure = exchangeFailures.foreign,
+  ): void {
+    if (!this.done) this.fail(failure, reason);
   }
 
   /** Stops reading until {@link resume}: backpressure from a caller that reads more slowly than the target sends. */
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -184,10 +184,16 @@
   }
 
   private onHead(head: ResponseHead): void {
-    this.attempt?.recordHead(head);
-    if (!this.attempt || head.notRun) return;
+    const {attempt} = this;
+    attempt?.recordHead(head);
+    if (!attempt || head.notRun) return;
     this.mayHaveRun = true;
-    this.relay.begin(head);
+    if (!this.relay.begin(head)) {
+      attempt.exchange.reject(
+        `status ${head.status} does not continue the stream`,
+        exchangeFailures.noContinuation,
+      );
+    }
   }
 
   private onData(chunk: Buffer): void {
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -26,6 +26,8 @@
   started = false;
   /** Last complete events sent; a retry on another target resumes after them. */
   private lastSentEvents: Buffer | undefined;
+  /** Number of events that earlier targets sent. */
+  private earlierEvents = 0;
   /** Times of the first and latest event, or first byte, on the process's clock, in milliseconds. */
   firstAtMs: number | undefined;
   lastAtMs: number | undefined;
@@ -68,16 +70,25 @@
   }
 
   /**
-   * Accepts the head of a response. Has no effect once the caller has received a head.
+   * Accepts the head of a response. Once the caller has received a head, only a stream with the same status may follow:
+   * the caller cannot see another status or content type and would take the body for the rest of the stream.
    *
    * @param head - Head as received from the target.
+   * @returns Whether the body may be relayed.
    */
-  begin(head: ResponseHead): void {
-    if (this.started) return;
+  begin(head: ResponseHead): boolean {
+    if (this.started) {
+      return (
+        this.splitter !== undefined &&
+        head.eventStream &&
+        head.status === this.head?.status
+      );
+    }
     this.head = head;
     if (head.eventStream && head.status < 300) {
       this.splitter = new SseSplitter(Infinity);
     }
+    return true;
   }
 
   /** Discards what the caller has not received, before a retry on another target. */
@@ -85,10 +96,12 @@
     this.held = [];
     this.heldBytes = 0;
     this.splitter?.discardPartial();
+    this.earlierEvents = this.events;
     if (this.started) return;
     this.head = undefined;
     this.splitter = undefined;
     this.firstAtMs = undefined;
+    this.earlierEvents = 0;
   }
 
   /**
@@ -139,7 +152,10 @@
   isComplete(framed: boolean): boolean {
     // An unframed stream that ends within an event, or before the first one, was cut short.
     if (framed || !this.splitter) return true;
-    return this.splitter.flush().length === 0 && this.splitter.events > 0;
+    return (
+      this.splitter.flush().length === 0 &&
+      this.splitter.events > this.earlierEvents
+    );
   }
 
   /** Sends what is buffered and ends the response. */
