Reject records whose address or id names no target

Callers lost their requests because all hosts ended, again after each restart, while the list of targets held an entry with the address 127.0.0.1:80800.

Cause: the decoder's pattern for addresses was wider than what a connection accepts. undici throws for such an address when a connection is opened, in an event of another request's socket.

Refused and reset connections end only their exchange, so errors of connections in general are ruled out.

--- a/src/process/clock.ts
+++ b/src/process/clock.ts
@@ -19,6 +19,9 @@
   abstract after(delayMs: number, fn: () => void): Cancel;
 }
 
+/** Longest delay of a timer of Node.js, in milliseconds; it runs timers with a longer one at once. */
+const maxDelayMs = 2 ** 31 - 1;
+
 /** Clock of the operating system. */
 export class SystemClock extends Clock {
   override nowMs(): number {
@@ -30,7 +33,7 @@
   }
 
   override after(delayMs: number, fn: () => void): Cancel {
-    const timer = setTimeout(fn, delayMs);
+    const timer = setTimeout(fn, Math.min(delayMs, maxDelayMs));
     return () => clearTimeout(timer);
   }
 }
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -2,6 +2,11 @@
   Evidence,
   EvidenceCell,
 } from '../../version/deployment/canary-evaluator.js';
+import {
+  isHostAddress,
+  isTargetAddress,
+  isTargetId,
+} from '../../version/deployment/addresses.js';
 import type {
   FeedUpdate,
   TargetUpdate,
@@ -181,6 +186,7 @@
   if (typeof h !== 'string' || typeof a !== 'string' || typeof z !== 'string') {
     return undefined;
   }
+  if (!isHostAddress(a)) return undefined;
   const update = decodeFeedUpdate(o, t, c);
   if (!isNumber(i) || !isNumber(n) || !update) return undefined;
   return {
@@ -278,6 +284,7 @@
   ) {
     return undefined;
   }
+  if (!isTargetId(id) || !isTargetAddress(address)) return undefined;
   const entry = {
     id,
     service,
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -1,4 +1,5 @@
 import type {FeedRecord} from '../../connection/store/shared-store.js';
+import {isTargetAddress, isTargetId} from './addresses.js';
 import type {DeploymentState} from './deployment-state.js';
 import type {FeedUpdate} from './feed-update.js';
 import type {
@@ -91,9 +92,12 @@
     }
   }
   if (copy.offsets.targets > localOffsets.targets) {
-    const targets = copy.targets.map(entry =>
-      record({kind: 'target', id: entry.id, entry}, copy.offsets.targets),
-    );
+    // A host that runs an older version accepts entries that name no target.
+    const targets = copy.targets
+      .filter(({id, address}) => isTargetId(id) && isTargetAddress(address))
+      .map(entry =>
+        record({kind: 'target', id: entry.id, entry}, copy.offsets.targets),
+      );
     state.replace('targets', targets, nowMs);
   }
 }
