Count what a chunk costs: collect buffered bytes in one buffer

Callers lost their requests because a host was aborted with a full heap: nine streams without an event, or one request body of 2 MB, had come in chunks of one byte.

Cause: buffered bytes were kept as a list of their chunks and limited in bytes, but a Buffer object takes more than 100 bytes of the heap, so that 256 KB take some 30 MB.

Change: ByteBuffer copies chunks into one buffer that grows with the bytes. The gateway's partial events, gathered events, held responses and request bodies use it, and so do the bodies of the product's own interface and of calls to other processes. A response that waits for a slow caller adds one 'drain' listener, not one a chunk.

--- a/src/connection/caller/request-body.ts
+++ b/src/connection/caller/request-body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import {FailureError} from '../../process/errors/catalogue.js';
 
 /**
@@ -21,23 +22,21 @@
       tooLarge();
       return;
     }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new ByteBuffer();
     req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) {
-        chunks.length = 0;
+      if (body.length + chunk.length > maxBytes) {
+        body.clear();
         req.pause();
         tooLarge();
         return;
       }
-      chunks.push(chunk);
+      body.append(chunk);
     });
     const onClose = () =>
       reject(new FailureError({kind: 'caller-left', execution: 'not-run'}));
     req.once('end', () => {
       req.off('close', onClose);
-      resolve(Buffer.concat(chunks));
+      resolve(body.take());
     });
     req.once('close', onClose);
     // Without a listener, the 'error' event of a reset connection would end the process.
--- a/src/connection/caller/resource-request.ts
+++ b/src/connection/caller/resource-request.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import {FailureError} from '../../process/errors/catalogue.js';
 import {isObject} from '../../version/merge-patch.js';
 import {
@@ -104,18 +105,16 @@
   if (!mediaTypes.has(mediaType)) {
     throw new FailureError({kind: 'resource-media-type', mediaType});
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new ByteBuffer();
   for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maxBytes) {
+    if (body.length + chunk.length > maxBytes) {
       throw new FailureError({kind: 'resource-body-too-large', maxBytes});
     }
-    chunks.push(chunk);
+    body.append(chunk);
   }
   let value: unknown;
   try {
-    value = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    value = JSON.parse(body.take().toString('utf8'));
   } catch (err) {
     const reason = (err as Error).message;
     throw new FailureError({kind: 'resource-body-malformed', reason});
--- a/src/connection/http/http-client.ts
+++ b/src/connection/http/http-client.ts
@@ -1,4 +1,5 @@
 import Pool from 'undici/lib/dispatcher/pool.js';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 
 /** A short call whose response is buffered completely. */
@@ -71,7 +72,7 @@
    */
   call(call: HttpCall): Promise<CallResponse> {
     return new Promise((resolve, reject) => {
-      const chunks: Buffer[] = [];
+      const body = new ByteBuffer();
       let status = 0;
       let headers: CallResponse['headers'] = {};
       let abort: ((err: Error) => void) | undefined;
@@ -108,12 +109,10 @@
             headers = received;
           },
           onResponseData(_controller, chunk) {
-            chunks.push(chunk);
+            body.append(chunk);
           },
           onResponseEnd() {
-            finish(() =>
-              resolve({status, headers, body: Buffer.concat(chunks)}),
-            );
+            finish(() => resolve({status, headers, body: body.take()}));
           },
           onResponseError(_controller, err) {
             fail({kind: 'broken', reason: err.message});
--- a/src/connection/platform/platform-http.ts
+++ b/src/connection/platform/platform-http.ts
@@ -1,4 +1,5 @@
 import {Pool} from 'undici';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 
 /** Maximum size of a response from a platform service, in bytes. */
 const maxResponseBytes = 16 * 1024 * 1024;
@@ -60,17 +61,15 @@
       res.body.destroy();
       throw new Error(`response exceeds ${maxResponseBytes} bytes`);
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const received = new ByteBuffer();
     for await (const chunk of res.body as AsyncIterable<Buffer>) {
-      size += chunk.length;
       // Throwing out of the loop destroys the body and closes the connection.
-      if (size > maxResponseBytes) {
+      if (received.length + chunk.length > maxResponseBytes) {
         throw new Error(`response exceeds ${maxResponseBytes} bytes`);
       }
-      chunks.push(chunk);
+      received.append(chunk);
     }
-    const body: unknown = JSON.parse(Buffer.concat(chunks).toString('utf8'));
+    const body: unknown = JSON.parse(received.take().toString('utf8'));
     if (typeof body !== 'object' || body === null || Array.isArray(body)) {
       throw new Error('response is not a JSON object');
     }
--- a/src/request/gateway/event-batch.ts
+++ b/src/request/gateway/event-batch.ts
@@ -1,3 +1,4 @@
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import type {Cancel, Clock} from '../../process/clock.js';
 
 /**
@@ -11,7 +12,7 @@
  * targets send an event every 10 to 20 ms, and each write costs a host more than relaying the event does otherwise.
  */
 export class EventBatch {
-  private gathered: Buffer[] = [];
+  private readonly gathered = new ByteBuffer();
   private cancel: Cancel | undefined;
   /** Time of the last write on the process's clock, in milliseconds. */
   private sentAtMs = -Infinity;
@@ -34,7 +35,7 @@
    * @param events - Bytes of one or more complete events.
    */
   add(events: Buffer): void {
-    this.gathered.push(events);
+    this.gathered.append(events);
     if (this.cancel) return;
     const waitMs =
       this.sentAtMs + this.eventDelayMs * gatherShare - this.clock.nowMs();
@@ -53,9 +54,7 @@
   /** @returns What was gathered; the caller of this method sends it. */
   take(): Buffer {
     this.stop();
-    const {gathered} = this;
-    this.gathered = [];
-    return gathered.length === 1 ? gathered[0] : Buffer.concat(gathered);
+    return this.gathered.take();
   }
 
   /** Stops the timer; nothing is sent any more unless {@link flush} is called. */
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import {every, type Cancel} from '../../process/clock.js';
 import {
   chooseService,
@@ -149,20 +150,13 @@
   maxBytes: number,
   onBody: (body: Buffer | undefined) => void,
 ): void {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const body = new ByteBuffer();
+  let isTooLarge = false;
   req.on('error', () => {});
   req.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes <= maxBytes) chunks.push(chunk);
-  });
-  req.on('end', () => {
-    onBody(
-      bytes > maxBytes
-        ? undefined
-        : chunks.length === 1
-          ? chunks[0]
-          : Buffer.concat(chunks),
-    );
+    isTooLarge ||= body.length + chunk.length > maxBytes;
+    if (isTooLarge) body.clear();
+    else body.append(chunk);
   });
+  req.on('end', () => onBody(isTooLarge ? undefined : body.take()));
 }
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -188,12 +188,9 @@
     attempt?.recordHead(head);
     if (!attempt || head.notRun) return;
     this.mayHaveRun = true;
-    if (!this.relay.begin(head)) {
-      attempt.exchange.reject(
-        `status ${head.status} does not continue the stream`,
-        exchangeFailures.noContinuation,
-      );
-    }
+    if (this.relay.begin(head)) return;
+    const reason = `status ${head.status} does not continue the stream`;
+    attempt.exchange.reject(reason, exchangeFailures.noContinuation);
   }
 
   private onData(chunk: Buffer): void {
@@ -303,8 +300,7 @@
 
   /** Whether the route and the relayed part of the response allow a retry on another target. */
   private isRetryable(): boolean {
-    if (!this.relay.started) return this.routeAllowsRetry;
-    return this.routeAllowsRetry && this.relay.canResume;
+    return this.routeAllowsRetry && this.relay.canRestart;
   }
 
   private retry(why: GatewayRetryReason, target: PooledTarget): boolean {
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {ByteBuffer} from '../../process/byte-buffer.js';
 import type {Clock} from '../../process/clock.js';
 import {SseSplitter} from '../sse-splitter.js';
 import {EventBatch} from './event-batch.js';
@@ -20,8 +21,7 @@
 export class ResponseRelay {
   private head: ResponseHead | undefined;
   private splitter: SseSplitter | undefined;
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private readonly held = new ByteBuffer();
   /** Whether the head of the response was sent to the caller. */
   started = false;
   /** Last complete events sent; a retry on another target resumes after them. */
@@ -33,6 +33,7 @@
   lastAtMs: number | undefined;
 
   private readonly batch: EventBatch;
+  private awaitsDrain = false;
 
   /**
    * @param res - Response to the caller.
@@ -64,8 +65,9 @@
     return this.lastSentEvents && lastEventIdOf(this.lastSentEvents);
   }
 
-  /** Whether another target can resume the stream where this one stopped. */
-  get canResume(): boolean {
+  /** Whether another target can give the response, or the rest of it if a part of a stream was sent. */
+  get canRestart(): boolean {
+    if (!this.started) return true;
     return this.lastEventId !== undefined && this.splitter?.aligned === true;
   }
 
@@ -93,8 +95,7 @@
 
   /** Discards what the caller has not received, before a retry on another target. */
   restart(): void {
-    this.held = [];
-    this.heldBytes = 0;
+    this.held.clear();
     this.splitter?.discardPartial();
     this.earlierEvents = this.events;
     if (this.started) return;
@@ -162,8 +163,7 @@
   end(): void {
     const rest = this.splitter
       ? Buffer.concat([this.batch.take(), this.splitter.flush()])
-      : Buffer.concat(this.held);
-    this.held = [];
+      : this.held.take();
     if (this.started) {
       this.res.end(rest.length > 0 ? rest : undefined);
       return;
@@ -174,19 +174,21 @@
 
   private hold(chunk: Buffer): void {
     if (this.started) return this.write(chunk);
-    this.held.push(chunk);
-    this.heldBytes += chunk.length;
-    if (this.heldBytes <= maxHeldBytes) return;
-    const held = Buffer.concat(this.held);
-    this.held = [];
-    this.write(held);
+    this.held.append(chunk);
+    if (this.held.length > maxHeldBytes) this.write(this.held.take());
   }
 
   private write(bytes: Buffer): void {
     if (!this.started) this.sendHead();
     if (this.res.write(bytes)) return;
     this.flow.pause();
-    this.res.once('drain', this.flow.resume);
+    // What the target has sent already still arrives after the pause.
+    if (this.awaitsDrain) return;
+    this.awaitsDrain = true;
+    this.res.once('drain', () => {
+      this.awaitsDrain = false;
+      this.flow.resume();
+    });
   }
 
   private sendHead(): void {
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -3,6 +3,7 @@
 import {responseHeaders} from '../connection/caller/headers.js';
 import type {ResponseSink} from './response-sink.js';
 import {maxRecordedBytes} from './claim-gate.js';
+import {ByteBuffer} from '../process/byte-buffer.js';
 import {SseSplitter} from './sse-splitter.js';
 
 /** Responses up to this size are buffered until complete, so that a truncated one can be retried. */
@@ -37,8 +38,7 @@
 export class Relay {
   private readonly splitter = new SseSplitter(maxEventBytes);
   private readonly startMs: number;
-  private recording: Buffer[] | undefined;
-  private recordingBytes = 0;
+  private recording: ByteBuffer | undefined;
   private nextReportMs = -Infinity;
   private reportIntervalMs = firstProgressIntervalMs;
   private usageTokens: number | undefined;
@@ -58,7 +58,7 @@
    */
   constructor(private readonly options: RelayOptions) {
     this.startMs = options.clock.nowMs();
-    if (options.record) this.recording = [];
+    if (options.record) this.recording = new ByteBuffer();
   }
 
   /** Number of complete events received, from which the stream is resumed. */
@@ -81,9 +81,9 @@
     return this.usageCachedTokens;
   }
 
-  /** Recorded body of the response, if it was short enough. */
-  get recorded(): Buffer | undefined {
-    return this.recording && Buffer.concat(this.recording);
+  /** @returns Recorded body of the response, if it was short enough; it is not kept. */
+  takeRecorded(): Buffer | undefined {
+    return this.recording?.take();
   }
 
   /**
@@ -137,22 +137,20 @@
   }
 
   private async relayBuffered(response: TargetResponse): Promise<void> {
-    const buffered: Buffer[] = [];
-    let bytes = 0;
+    const buffered = new ByteBuffer();
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       this.first();
       if (this.options.sink.started) {
         await this.write(chunk);
         continue;
       }
-      buffered.push(chunk);
-      bytes += chunk.length;
-      if (bytes > maxBufferedBytes) {
+      buffered.append(chunk);
+      if (buffered.length > maxBufferedBytes) {
         this.start(response);
-        for (const part of buffered.splice(0)) await this.write(part);
+        await this.write(buffered.take());
       }
     }
-    const body = Buffer.concat(buffered);
+    const body = buffered.take();
     if (this.options.model && !isFramed(response) && !isJson(body)) {
       throw new Error('the response ended before its JSON was complete');
     }
@@ -198,9 +196,9 @@
 
   private record(chunk: Buffer): void {
     if (!this.recording) return;
-    this.recordingBytes += chunk.length;
-    if (this.recordingBytes > maxRecordedBytes) this.recording = undefined;
-    else this.recording.push(chunk);
+    const size = this.recording.length + chunk.length;
+    if (size > maxRecordedBytes) this.recording = undefined;
+    else this.recording.append(chunk);
   }
 
   private readUsage(json: string): void {
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -189,7 +189,7 @@
       throw err;
     }
     const {relay, complete} = result;
-    const body = complete ? relay.recorded : undefined;
+    const body = complete ? relay.takeRecorded() : undefined;
     claims.finish(
       token,
       body && relay.status !== undefined
--- a/src/request/sse-splitter.ts
+++ b/src/request/sse-splitter.ts
@@ -1,14 +1,16 @@
+import {ByteBuffer} from '../process/byte-buffer.js';
+
 const newline = 0x0a;
 const carriageReturn = 0x0d;
 const colon = 0x3a;
+const noBytes = Buffer.alloc(0);
 
 /**
  * Splits a stream of server-sent events at event boundaries. Only complete events are released, so a
  * stream that is cut short inside an event can be resumed after the last complete one.
  */
 export class SseSplitter {
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private readonly held = new ByteBuffer();
   private lineEmpty = true;
   private inComment = false;
   /** Whether the current event has only comment lines so far; such an event is not counted. */
@@ -27,7 +29,7 @@
 
   /** Bytes of the incomplete event that is buffered. */
   get pendingBytes(): number {
-    return this.heldBytes;
+    return this.held.length;
   }
 
   /** Whether the released bytes end at an event boundary. */
@@ -59,39 +61,30 @@
     if (end > 0) {
       const released = this.take(chunk.subarray(0, end));
       this.aligned = true;
-      this.hold(chunk.subarray(end));
+      this.held.append(chunk.subarray(end));
       return released;
     }
-    this.hold(chunk);
-    if (this.heldBytes <= this.maxEventBytes) return Buffer.alloc(0);
+    this.held.append(chunk);
+    if (this.held.length <= this.maxEventBytes) return noBytes;
     this.aligned = false;
-    return this.take(Buffer.alloc(0));
+    return this.held.take();
   }
 
   /** @returns Buffered bytes, for a stream that ended without a final empty line. */
   flush(): Buffer {
-    return this.take(Buffer.alloc(0));
+    return this.held.take();
   }
 
   /** Discards the partial event before the stream is resumed at an event boundary. */
   discardPartial(): void {
-    this.held = [];
-    this.heldBytes = 0;
+    this.held.clear();
     this.lineEmpty = true;
     this.eventEmpty = true;
   }
 
-  private hold(bytes: Buffer): void {
-    if (bytes.length === 0) return;
-    this.held.push(bytes);
-    this.heldBytes += bytes.length;
-  }
-
   private take(last: Buffer): Buffer {
     if (this.held.length === 0) return last;
-    const released = Buffer.concat([...this.held, last]);
-    this.held = [];
-    this.heldBytes = 0;
-    return released;
+    this.held.append(last);
+    return this.held.take();
   }
 }
