Count crashes of targets that reset their connections or fall silent

Callers' sound requests failed because one request ended engine after engine: the engines reset their connections as they ended, and no host ever refused the request.

Cause: a failure by reset was no evidence of a crash, because a cut between hosts and targets resets and refuses connections, too.

Change: a reset or a long silence, with a probe that is refused or unanswered, makes a provisional crash record. Provisional records count only beside two confirmed ones. Hosts exchange them in a list that older versions skip.

The new test of crashing-requests.test.ts failed before; 8 new tests on simulated hosts check that resets at running targets, cuts and targets that crash by themselves convict nobody.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -313,8 +313,10 @@
   const subscriptions = [
     subscribe(state.changes, kind => {
       if (kind === 'configuration') onConfiguration();
-      else if (kind === 'target') pool.refresh();
-      else if (kind === 'host') onHosts();
+      else if (kind === 'target') {
+        pool.refresh();
+        crashes.observe(state.targets.values());
+      } else if (kind === 'host') onHosts();
       else if (kind === 'evacuation') {
         const zones = [...state.evacuatedZones];
         logger.event('evacuationChanged', {zones});
--- a/src/process/crashes/blame-rule.ts
+++ b/src/process/crashes/blame-rule.ts
@@ -53,13 +53,16 @@
 const contradictionMs = 500;
 /** Sum of the weights of crashes in a row from which a fingerprint is refused. */
 const crashesToBlame = 3;
+/** Sum of the weights of confirmed crashes from which those that are not confirmed yet count as well. */
+const confirmedToBlame = 2;
 
 /**
  * Refuses the fingerprints that explain crashes best. Runs that overlapped count as one crash, because one cause may
  * have ended their targets together: a fingerprint is suspected again only by a run that started after the crash
  * before. A crash together with those of several targets that the fingerprint does not explain is no evidence. What a
  * refused fingerprint explains is no evidence against others, so that of several under the same crashes only the most
- * specific one is refused.
+ * specific one is refused. Crashes that are not confirmed count only beside confirmed ones, because a cut between hosts
+ * and targets looks like many of them.
  */
 export class BestExplanationRule extends BlameRule {
   override readonly crashesKept = 8;
@@ -101,6 +104,8 @@
       const rank = Math.min(...unexplained.map(record => record.rank ?? 0));
       const settledMs = rank > 0 ? nowMs - this.settleMs : nowMs;
       const settled = unexplained.filter(({atMs}) => atMs <= settledMs);
+      const confirmed = settled.filter(({isProvisional}) => !isProvisional);
+      if (weightInSequence(confirmed) < confirmedToBlame) continue;
       if (weightInSequence(settled) < crashesToBlame) continue;
       const count = new Set(unexplained.map(({target}) => target)).size;
       const isBetter =
--- a/src/process/crashes/crash-evidence.ts
+++ b/src/process/crashes/crash-evidence.ts
@@ -3,6 +3,7 @@
   attemptEnds,
   RunningAttempts,
   type AttemptEnd,
+  type Suspect,
 } from './running-attempts.js';
 import type {
   ClearedFingerprint,
@@ -16,6 +17,11 @@
   readonly expiryMs?: number;
   /** Maximum time from a broken request to a crash for which it is suspected, in milliseconds. */
   readonly suspicionMs?: number;
+  /**
+   * Time in which a crash that is not certain must be confirmed, in milliseconds: the target has to start again, and its
+   * new entry to be read. By default broken requests are not kept beyond `suspicionMs`.
+   */
+  readonly confirmationMs?: number;
   /** Maximum number of fingerprints with evidence. */
   readonly maxFingerprints?: number;
   /** Decides which fingerprints are refused; by default those with {@link maxCrashes} crashes. */
@@ -47,6 +53,8 @@
   private verdict: Verdict | undefined;
   private readonly rule: BlameRule;
   private readonly expiryMs: number;
+  private readonly suspicionMs: number;
+  private readonly confirmationMs: number;
   private readonly maxFingerprints: number;
 
   /**
@@ -54,7 +62,9 @@
    */
   constructor(options: CrashEvidenceOptions = {}) {
     this.expiryMs = options.expiryMs ?? 600_000;
-    this.running = new RunningAttempts(options.suspicionMs ?? 2000);
+    this.suspicionMs = options.suspicionMs ?? 2000;
+    this.confirmationMs = options.confirmationMs ?? this.suspicionMs;
+    this.running = new RunningAttempts(this.confirmationMs);
     this.maxFingerprints = options.maxFingerprints ?? 10_000;
     this.rule = options.rule ?? new CrashCountRule(maxCrashes);
   }
@@ -147,7 +157,64 @@
    * @returns Number of requests that may have caused the crash.
    */
   recordTargetCrash(target: string, nowMs: number): number {
-    const suspects = this.running.takeSuspects(target, nowMs);
+    const {suspicionMs} = this;
+    const suspects = this.running.takeSuspects(target, nowMs, suspicionMs);
+    this.accuse(target, nowMs, suspects);
+    return suspects.length;
+  }
+
+  /**
+   * Records that a target has probably crashed: it reset the connections of requests, or was silent, and accepts no new
+   * ones. Attributes the crash to these requests; it counts fully once {@link recordReplacement} confirms it.
+   *
+   * @param target - Name of the target.
+   * @param nowMs - Current time in milliseconds.
+   * @returns Number of requests that may have caused the crash.
+   */
+  recordProbableCrash(target: string, nowMs: number): number {
+    // Finding that a target does not answer takes longer than `suspicionMs`.
+    const suspects = this.running.takeSuspects(
+      target,
+      nowMs,
+      this.confirmationMs,
+      true,
+    );
+    this.accuse(target, nowMs, suspects, true);
+    return suspects.length;
+  }
+
+  /**
+   * Records that a target was replaced by another process, so that it has crashed if it was not stopped. Confirms what all
+   * hosts have reported about it, and attributes the crash to the requests of this host that it left without an answer.
+   *
+   * @param target - Name of the target.
+   * @param nowMs - Current time in milliseconds.
+   * @returns Number of requests to which the crash was not attributed before.
+   */
+  recordReplacement(target: string, nowMs: number): number {
+    for (const [fingerprint, records] of this.crashes) {
+      const isProbable = ({target: other, isProvisional}: CrashRecord) =>
+        other === target && isProvisional === true;
+      if (!records.some(isProbable)) continue;
+      this.keep(
+        fingerprint,
+        records.map(record =>
+          isProbable(record) ? {...record, isProvisional: false} : record,
+        ),
+      );
+    }
+    const {confirmationMs} = this;
+    const suspects = this.running.takeSuspects(target, nowMs, confirmationMs);
+    this.accuse(target, nowMs, suspects);
+    return suspects.length;
+  }
+
+  private accuse(
+    target: string,
+    nowMs: number,
+    suspects: readonly Suspect[],
+    isProvisional = false,
+  ): void {
     // Of several runs with one fingerprint, the first in this order counts.
     for (const {fingerprints, startedMs, brokenAtMs, weight} of suspects) {
       fingerprints.forEach((fingerprint, rank) =>
@@ -160,10 +227,10 @@
           rank,
           suspects: suspects.length,
           isLocal: true,
+          isProvisional,
         }),
       );
     }
-    return suspects.length;
   }
 
   /**
@@ -201,8 +268,10 @@
     if (!this.verdict || nowMs >= this.verdict.untilMs) {
       const records = this.unexpired(nowMs);
       const {settleMs} = this.rule;
-      const changesMs = records.map(({atMs}) =>
-        nowMs - atMs < settleMs ? atMs + settleMs : atMs + this.expiryMs,
+      const changesMs = records.map(record =>
+        nowMs - record.atMs < settleMs
+          ? record.atMs + settleMs
+          : this.expiresAtMs(record),
       );
       this.verdict = {
         blocked: this.rule.blocked(this.crashes, nowMs),
@@ -264,14 +333,15 @@
     if (atMs <= completedMs) return this.clear(fingerprint, completedMs);
     if (atMs <= this.clearedAtMs(fingerprint)) return;
     const known = this.crashes.get(fingerprint) ?? [];
-    const duplicate = known.some(
+    const duplicate = known.find(
       other =>
         other.target === target && Math.abs(other.atMs - atMs) <= sameCrashMs,
     );
-    if (duplicate) return;
+    if (duplicate && (!duplicate.isProvisional || record.isProvisional)) return;
+    const others = known.filter(other => other !== duplicate);
     // Re-inserting keeps the map ordered by latest crash.
     this.crashes.delete(fingerprint);
-    this.keep(fingerprint, [...known, record].slice(-this.rule.crashesKept));
+    this.keep(fingerprint, [...others, record].slice(-this.rule.crashesKept));
     if (this.crashes.size > this.maxFingerprints) this.evict();
   }
 
@@ -302,9 +372,13 @@
     else this.crashes.delete(fingerprint);
   }
 
+  private expiresAtMs({atMs, isProvisional}: CrashRecord): number {
+    return atMs + (isProvisional ? this.confirmationMs : this.expiryMs);
+  }
+
   private unexpired(nowMs: number): CrashRecord[] {
     for (const [fingerprint, records] of this.crashes) {
-      const kept = records.filter(({atMs}) => nowMs - atMs <= this.expiryMs);
+      const kept = records.filter(record => nowMs <= this.expiresAtMs(record));
       if (kept.length < records.length) this.keep(fingerprint, kept);
     }
     return [...this.crashes.values()].flat();
--- a/src/process/crashes/crash-record.ts
+++ b/src/process/crashes/crash-record.ts
@@ -15,6 +15,11 @@
   readonly suspects: number;
   /** Whether this host saw the crash itself; not exchanged. */
   readonly isLocal?: boolean;
+  /**
+   * Whether it is not known yet that the target's process ended: its connections were reset and refused, which a cut
+   * between hosts and targets brings about, too. Expires early unless it is confirmed.
+   */
+  readonly isProvisional?: boolean;
 }
 
 /** A fingerprint that completed after its latest crash. */
--- a/src/process/crashes/crash-report.ts
+++ b/src/process/crashes/crash-report.ts
@@ -13,6 +13,8 @@
   readonly weight: number;
   readonly ageMs: number;
   readonly startedAgeMs: number;
+  /** Whether the crash is not confirmed yet. */
+  readonly isProvisional: boolean;
 }
 
 /** Crash evidence in one message between hosts. */
@@ -101,6 +103,7 @@
         weight: record.weight ?? 1,
         ageMs: nowMs - record.atMs,
         startedAgeMs: nowMs - (record.startedMs ?? record.atMs),
+        isProvisional: record.isProvisional === true,
       })),
       cleared: completions.map(({fingerprint, atMs}) => ({
         fingerprint,
@@ -134,17 +137,12 @@
   composedAtMs: number,
 ): CrashEvidenceExport {
   return {
-    records: crashes.map(
-      ({fingerprint, target, rank, weight, ageMs, startedAgeMs}) => ({
-        fingerprint,
-        target,
-        rank,
-        weight,
-        atMs: composedAtMs - ageMs,
-        startedMs: composedAtMs - startedAgeMs,
-        suspects: 1,
-      }),
-    ),
+    records: crashes.map(({ageMs, startedAgeMs, ...crash}) => ({
+      ...crash,
+      atMs: composedAtMs - ageMs,
+      startedMs: composedAtMs - startedAgeMs,
+      suspects: 1,
+    })),
     cleared: cleared.map(({fingerprint, ageMs}) => ({
       fingerprint,
       atMs: composedAtMs - ageMs,
--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -29,6 +29,13 @@
   readonly onCrash: (target: string, suspects: number) => void;
 }
 
+/** A check of a target that is in progress. */
+interface Check {
+  readonly callbacks: ((crashed: boolean) => void)[];
+  /** Whether the target closed one of the connections that broke in order. */
+  wasClosed: boolean;
+}
+
 /** An attempt that is watched. */
 export interface WatchedAttempt {
   readonly id: string;
@@ -37,11 +44,13 @@
 
 /**
  * Distinguishes crashes of targets from lost responses and cut connections, and attributes them to the requests of this host
- * that ran there. A target has crashed if it closed the connection of a request and nothing listens at its address.
+ * that ran there. A target has crashed if it closed the connection of a request and nothing listens at its address. If it
+ * reset the connection instead, or was silent, this is certain only when another process takes its place: a cut between
+ * hosts and targets resets and refuses connections as well.
  */
 export class CrashWatch {
   private attempts = 0;
-  private readonly checks = new Map<string, ((crashed: boolean) => void)[]>();
+  private readonly checks = new Map<string, Check>();
 
   /** @param parts - Dependencies. */
   constructor(private readonly parts: CrashWatchParts) {}
@@ -104,17 +113,24 @@
    *
    * @param entry - Target of the attempt.
    * @param onChecked - Called once, when it is known or after a short time; `false` means that no crash was seen.
+   * @param wasClosed - Whether the target closed the connection in order. A reset or silence may come from a cut.
    */
-  check(entry: TargetEntry, onChecked: (crashed: boolean) => void): void {
+  check(
+    entry: TargetEntry,
+    onChecked: (crashed: boolean) => void,
+    wasClosed = true,
+  ): void {
     const {clock, evidence, isInService, probe} = this.parts;
     const target = incarnationOf(entry);
-    const waiting = this.checks.get(target);
-    if (waiting) {
-      waiting.push(onChecked);
+    const known = this.checks.get(target);
+    if (known) {
+      known.callbacks.push(onChecked);
+      known.wasClosed ||= wasClosed;
       return;
     }
     const callbacks = [onChecked];
-    this.checks.set(target, callbacks);
+    const check = {callbacks, wasClosed};
+    this.checks.set(target, check);
     const finish = (crashed: boolean) => {
       for (const callback of callbacks.splice(0)) callback(crashed);
     };
@@ -123,18 +139,33 @@
       cancel();
       this.checks.delete(target);
       // A target that is about to leave ends without a crash.
-      const crashed = result === probeResults.refused && isInService(entry);
-      if (crashed) this.recordCrash(entry);
+      const isDown = result !== probeResults.accepted && isInService(entry);
+      const crashed =
+        isDown && check.wasClosed && result === probeResults.refused;
+      if (isDown) this.recordCrash(entry, !crashed);
       evidence.dismissBroken(target);
       finish(crashed);
     });
   }
 
-  private recordCrash(entry: TargetEntry): void {
+  /**
+   * Records that another process has taken the place of a target.
+   *
+   * @param target - Target with its incarnation, as named by {@link incarnationOf}.
+   */
+  replaced(target: string): void {
+    const {clock, evidence, onCrash} = this.parts;
+    const suspects = evidence.recordReplacement(target, clock.nowMs());
+    if (suspects > 0) onCrash(target, suspects);
+  }
+
+  private recordCrash(entry: TargetEntry, isProvisional: boolean): void {
     const {clock, evidence, lastHeardMs, onCrash} = this.parts;
     const target = incarnationOf(entry);
     const nowMs = clock.nowMs();
-    const suspects = evidence.recordTargetCrash(target, nowMs);
+    const suspects = isProvisional
+      ? evidence.recordProbableCrash(target, nowMs)
+      : evidence.recordTargetCrash(target, nowMs);
     if (suspects === 0) return;
     onCrash(entry.id, suspects);
     if (lastHeardMs() === undefined) return;
@@ -145,7 +176,11 @@
   }
 }
 
-/** Names one run of a target's process, which can crash only once. */
-function incarnationOf({id, bornMs}: TargetEntry): string {
+/**
+ * Names one run of a target's process, which can crash only once.
+ *
+ * @param entry - Entry of the target.
+ */
+export function incarnationOf({id, bornMs}: TargetEntry): string {
   return `${id}/${bornMs}`;
 }
--- a/src/process/crashes/running-attempts.ts
+++ b/src/process/crashes/running-attempts.ts
@@ -2,7 +2,7 @@
 export const attemptEnds = {
   /** The target responded completely and without an error. */
   completed: 'completed',
-  /** The target closed the connection before its response was complete. */
+  /** The target closed or reset the connection before its response was complete, or was silent for too long. */
   broken: 'broken',
   /** Anything else, for example not sent or cancelled. */
   other: 'other',
@@ -41,10 +41,9 @@
   private readonly byTarget = new Map<string, Map<string, RunningAttempt>>();
 
   /**
-   * @param suspicionMs - Time from a broken attempt to the crash of its target within which it is suspected, in
-   *   milliseconds.
+   * @param keptMs - Time for which a broken attempt is kept, in milliseconds.
    */
-  constructor(private readonly suspicionMs: number) {}
+  constructor(private readonly keptMs: number) {}
 
   /**
    * Adds an attempt.
@@ -88,7 +87,7 @@
     attempt.brokenAtMs = nowMs;
     for (const [other, {brokenAtMs}] of attempts) {
       if (brokenAtMs === undefined) continue;
-      if (nowMs - brokenAtMs > this.suspicionMs) attempts.delete(other);
+      if (nowMs - brokenAtMs > this.keptMs) attempts.delete(other);
     }
   }
 
@@ -119,19 +118,28 @@
   }
 
   /**
-   * Removes the attempts of a target that crashed.
+   * Removes the attempts of a target that crashed, or only the broken ones while it is not certain that it crashed.
    *
    * @param target - Name of the target.
    * @param nowMs - Current time in milliseconds.
+   * @param suspicionMs - Time since an attempt broke within which it is suspected, in milliseconds.
+   * @param brokenOnly - Whether to leave the attempts that did not break.
    * @returns The suspects, the most suspicious first and of equal ones the last.
    */
-  takeSuspects(target: string, nowMs: number): Suspect[] {
+  takeSuspects(
+    target: string,
+    nowMs: number,
+    suspicionMs: number,
+    brokenOnly = false,
+  ): Suspect[] {
     const attempts = [...(this.byTarget.get(target)?.values() ?? [])];
-    this.byTarget.delete(target);
+    if (brokenOnly) this.dismissBroken(target);
+    else this.byTarget.delete(target);
     return attempts
-      .filter(
-        ({brokenAtMs}) =>
-          brokenAtMs === undefined || nowMs - brokenAtMs <= this.suspicionMs,
+      .filter(({brokenAtMs}) =>
+        brokenAtMs === undefined
+          ? !brokenOnly
+          : nowMs - brokenAtMs <= suspicionMs,
       )
       .map(attempt => ({...attempt, weight: weightOf(attempt, nowMs)}))
       .reverse()
--- a/src/process/fleet/crash-codec.ts
+++ b/src/process/fleet/crash-codec.ts
@@ -1,4 +1,4 @@
-import type {CrashReport} from '../crashes/crash-report.js';
+import type {CrashReport, ReportedCrash} from '../crashes/crash-report.js';
 
 /** Maximum length of a fingerprint or name of a target in a message. */
 const maxNameLength = 80;
@@ -9,23 +9,28 @@
  * Encodes a crash report as rows for a datagram.
  *
  * @param report - Report to send.
- * @returns Rows of crashes and of completions, or `undefined` if there are none.
+ * @returns Rows of confirmed crashes, of completions and of crashes that are not confirmed, which hosts with an older
+ *   version skip; `undefined` if there are none.
  */
 export function encodeCrashReport({
   crashes,
   cleared,
 }: CrashReport): unknown[] | undefined {
   if (crashes.length === 0 && cleared.length === 0) return undefined;
+  const confirmed = crashes.filter(({isProvisional}) => !isProvisional);
+  const provisional = crashes.filter(({isProvisional}) => isProvisional);
   return [
-    crashes.map(({fingerprint, target, rank, weight, ageMs, startedAgeMs}) => [
-      fingerprint,
-      target,
-      rank,
-      Math.round(ageMs),
-      Math.round(startedAgeMs),
-      weight,
-    ]),
+    confirmed.map(encodeCrash),
     cleared.map(({fingerprint, ageMs}) => [fingerprint, Math.round(ageMs)]),
+    ...(provisional.length > 0 ? [provisional.map(encodeCrash)] : []),
+  ];
+}
+
+function encodeCrash(crash: ReportedCrash): unknown[] {
+  const {fingerprint, target, rank, weight, ageMs, startedAgeMs} = crash;
+  return [
+    ...[fingerprint, target, rank],
+    ...[Math.round(ageMs), Math.round(startedAgeMs), weight],
   ];
 }
 
@@ -35,22 +40,31 @@
  * @param value - Value from a datagram.
  */
 export function decodeCrashReport(value: unknown): CrashReport {
-  const [crashRows, clearedRows] = Array.isArray(value)
+  const [crashRows, clearedRows, provisionalRows] = Array.isArray(value)
     ? (value as unknown[])
     : [];
-  const crashes = rowsOf(crashRows).flatMap(row => {
-    const [fingerprint, target, rank, ageMs, startedAgeMs, weight] = row;
-    if (!isName(fingerprint) || !isName(target) || !isAge(rank)) return [];
-    if (!isAge(ageMs) || !isAge(startedAgeMs)) return [];
-    if (!isAge(weight) || weight > 1) return [];
-    return {fingerprint, target, rank, weight, ageMs, startedAgeMs};
-  });
+  const crashes = [
+    ...rowsOf(crashRows).flatMap(row => decodeCrash(row, false) ?? []),
+    ...rowsOf(provisionalRows).flatMap(row => decodeCrash(row, true) ?? []),
+  ];
   const cleared = rowsOf(clearedRows).flatMap(([fingerprint, ageMs]) =>
     isName(fingerprint) && isAge(ageMs) ? {fingerprint, ageMs} : [],
   );
   return {crashes, cleared};
 }
 
+function decodeCrash(
+  row: unknown[],
+  isProvisional: boolean,
+): ReportedCrash | undefined {
+  const [fingerprint, target, rank, ageMs, startedAgeMs, weight] = row;
+  if (!isName(fingerprint) || !isName(target) || !isAge(rank)) return undefined;
+  if (!isAge(ageMs) || !isAge(startedAgeMs)) return undefined;
+  if (!isAge(weight) || weight > 1) return undefined;
+  const ages = {ageMs, startedAgeMs};
+  return {fingerprint, target, rank, weight, ...ages, isProvisional};
+}
+
 function rowsOf(value: unknown): unknown[][] {
   return Array.isArray(value)
     ? value.filter((row): row is unknown[] => Array.isArray(row))
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -258,7 +258,7 @@
     }
     const isBroken = attempt.isBroken(failure);
     const outcome = attempt.failureOutcome(failure);
-    this.release(outcome, isBroken ? attemptEnds.broken : attemptEnds.other);
+    this.release(outcome, isBroken ? attemptEnds.broken : undefined);
     const isUnsent = !mayHaveArrived && !this.relay.started;
     const canRetry = isUnsent || this.isRetryable();
     const why = attempt.retryReason(failure);
@@ -266,8 +266,7 @@
       if (this.done || this.failIfBlocked()) return;
       if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
     };
-    if (isBroken) this.parts.crashWatch.check(target.entry, proceed);
-    else proceed();
+    attempt.checkCrash(failure, proceed);
   }
 
   private onTargetRefusal(target: PooledTarget): void {
@@ -319,7 +318,7 @@
     return true;
   }
 
-  private release(outcome: Outcome, end: AttemptEnd = attemptEnds.other): void {
+  private release(outcome: Outcome, end?: AttemptEnd): void {
     const {attempt} = this;
     if (!attempt) return;
     this.attempt = undefined;
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -140,13 +140,29 @@
   }
 
   /**
-   * Checks whether a failure is one that a crash of the target brings about.
+   * Checks whether a failure is one that a crash of the target brings about, so that the target has to be probed.
    *
    * @param failure - How the exchange ended.
    */
   isBroken(failure: ExchangeFailure): boolean {
-    const {mayHaveArrived, wasReset} = this.exchange;
-    return mayHaveArrived && !wasReset && brokenFailures.has(failure);
+    return this.mayHaveArrived && brokenFailures.has(failure);
+  }
+
+  /**
+   * Finds out whether the target crashed, if the failure suggests it.
+   *
+   * @param failure - How the exchange ended.
+   * @param onChecked - Called once, when it is known or after a short time.
+   */
+  checkCrash(failure: ExchangeFailure, onChecked: () => void): void {
+    const {crashWatch} = this.parts;
+    const {entry} = this.target;
+    if (this.isBroken(failure)) {
+      return crashWatch.check(entry, onChecked, !this.exchange.wasReset);
+    }
+    // A target that was silent may have crashed, but a retry does not wait for the result.
+    if (this.stalled) crashWatch.check(entry, () => {}, false);
+    onChecked();
   }
 
   /**
@@ -176,9 +192,12 @@
    * Releases the slot.
    *
    * @param outcome - How the attempt ended at the target.
-   * @param end - How it ended for the detection of crashes.
+   * @param end - How it ended for the detection of crashes. A target that was silent may turn out to have crashed.
    */
-  release(outcome: Outcome, end: AttemptEnd = attemptEnds.other): void {
+  release(
+    outcome: Outcome,
+    end: AttemptEnd = this.stalled ? attemptEnds.broken : attemptEnds.other,
+  ): void {
     const {crashWatch, dispatcher, pool} = this.parts;
     crashWatch.ended(this.watched, end);
     pool.release(this.target, outcome, this.pendingTokens);
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -100,6 +100,18 @@
     await this.advance(2000);
   }
 
+  /** Writes the entries of the processes that take the places of the targets that ended; nothing listens there yet. */
+  async replaceEnded(): Promise<void> {
+    for (const id of this.ended) {
+      const index = Number(id.slice(2));
+      const change = targetChange(id, this.targets[index].address);
+      assert.ok(change.kind === 'target' && change.entry);
+      const entry = {...change.entry, bornMs: 2};
+      this.store.put(feeds.targets, {...change, entry});
+    }
+    await this.advance(2000);
+  }
+
   private async startTarget(id: string): Promise<FakeTarget> {
     const target = await startRawTarget((socket, request, text) => {
       if (text.includes(deadly)) {
@@ -154,6 +166,27 @@
   assert.doesNotMatch(last.body, /crashesTargets/);
 });
 
+// Guards against a request that ends target after target because these reset their connections.
+test('a request is refused once the targets that reset its connections are replaced', async t => {
+  const fleet = await CrashingFleet.start(t, {hosts: 3, targets: 9});
+  fleet.resets = true;
+  for (let i = 0; i < 2; i++) {
+    await fleet.send('/safe/order', {body: deadly});
+    await fleet.advance(500);
+  }
+  const {length} = fleet.ended;
+  assert.ok(length >= 3, `ended: ${fleet.ended.join(', ')}`);
+  await fleet.replaceEnded();
+  for (let i = 0; i < 3; i++) {
+    const refused = await fleet.send('/safe/order', {body: deadly});
+    assert.match(refused.body, /crashesTargets/);
+  }
+  assert.equal(fleet.ended.length, length);
+  await fleet.removeEnded();
+  const sound = await fleet.send('/safe/order', {body: 'sound'});
+  assert.equal(sound.status, 200);
+});
+
 // Guards against a prompt part that ends targets in requests of which no two are alike, and against refusing sound
 // requests that share all other parts with them.
 test('a prompt part under which targets ended is refused by all hosts, and its neighbours are served', async t => {
--- a/test/process/crashes/crash-control.test.ts
+++ b/test/process/crashes/crash-control.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createRandom} from '../../../src/process/random.js';
-import {CrashSimulation, type SimulatedRequest} from './simulated-crashes.js';
+import {
+  connectionEnds,
+  CrashSimulation,
+  type SimulatedRequest,
+  type SimulationOptions,
+} from './simulated-crashes.js';
 
 /** Time after which all hosts must refuse what has crashed targets often enough, in milliseconds. */
 const contactMs = 3000;
@@ -29,8 +34,13 @@
 }
 
 /** Starts hosts that serve sound requests over a network that loses and delays messages. */
-async function startBusy(hosts: number, seed: number) {
+async function startBusy(
+  hosts: number,
+  seed: number,
+  ends?: SimulationOptions['ends'],
+) {
   const sim = new CrashSimulation({
+    ends,
     hosts,
     targets: 13,
     seed,
@@ -101,6 +111,108 @@
   });
 }
 
+for (const ends of [connectionEnds.byReset, connectionEnds.silent]) {
+  // Guards against a request that crashes targets without end because their connections are not closed in order.
+  test(`a request that crashes targets whose connections end ${ends} is refused by all hosts in time`, async () => {
+    for (const seed of seeds) {
+      const {sim, traffic} = await startBusy(9, seed, ends);
+      const poison = {
+        fingerprints: ['rpoison', 'pdocument1', common],
+        deadly: true,
+        workMs: 50,
+        maxRuns: 2,
+      };
+      for (let i = 0; i < 20; i++) {
+        sim.send(poison);
+        await sim.run(800 + Math.floor(sim.random() * 800), traffic);
+      }
+      const late = runsAfter(sim, 3);
+      assert.ok(late <= 3, `seed ${seed}: ${late} runs`);
+      assert.equal(sim.refusing('rpoison'), 9, `seed ${seed}`);
+      assert.equal(sim.sound.refused, 0, `seed ${seed}`);
+    }
+  });
+
+  // Guards against the same for a prompt part, and against blaming what ran beside it.
+  test(`a part that crashes targets whose connections end ${ends} is refused by all hosts in time`, async () => {
+    for (const seed of seeds) {
+      const {sim, traffic} = await startBusy(9, seed, ends);
+      for (let i = 0; i < 40; i++) {
+        sim.send({
+          fingerprints: [`rdeadly${i}`, 'pdeadly', common],
+          deadly: true,
+          workMs: 100,
+        });
+        await sim.run(400 + Math.floor(sim.random() * 900), traffic);
+      }
+      const late = runsAfter(sim, 5);
+      assert.ok(late <= 3, `seed ${seed}: ${late} runs`);
+      assert.equal(sim.refusing('pdeadly'), 9, `seed ${seed}`);
+      assert.ok(
+        sim.sound.refused <= sim.sound.sent / 100,
+        `seed ${seed}: ${sim.sound.refused} of ${sim.sound.sent} refused`,
+      );
+    }
+  });
+
+  // Guards against refusing the callers of targets that crash for reasons of their own.
+  test(`targets that crash by themselves, and whose connections end ${ends}, convict nobody`, async () => {
+    for (const seed of seeds) {
+      const {sim, traffic} = await startBusy(9, seed, ends);
+      for (let wave = 0; wave < 10; wave++) {
+        await sim.run(4000, traffic);
+        for (const target of sim.targets.slice(wave, wave + 4)) {
+          sim.crash(target);
+        }
+      }
+      await sim.run(4000, traffic);
+      assert.equal(sim.sound.refused, 0, `seed ${seed}`);
+    }
+  });
+}
+
+// Guards against blame for connections that are reset while their target goes on.
+test('connections that are reset at running targets convict nobody', async () => {
+  for (const seed of seeds) {
+    const {sim, traffic} = await startBusy(9, seed, connectionEnds.byReset);
+    const slow = {fingerprints: ['rslow'], workMs: 60_000, maxRuns: 3};
+    for (let i = 0; i < 10; i++) {
+      sim.send(slow);
+      await sim.run(300, traffic);
+      for (const target of sim.targets) sim.resetConnections(target);
+    }
+    // The targets are replaced later, which says nothing about what ran there before.
+    for (const target of sim.targets) sim.replace(target);
+    await sim.run(3000, traffic);
+    assert.equal(sim.sound.refused, 0, `seed ${seed}`);
+    assert.equal(sim.refusing('rslow'), 0, `seed ${seed}`);
+  }
+});
+
+// Guards against blame by hosts that are cut off from targets, which start again behind the cut.
+test('a cut that resets connections to targets, of which some restart behind it, convicts nobody', async () => {
+  for (const seed of seeds) {
+    const ends = connectionEnds.byReset;
+    const sim = new CrashSimulation({hosts: 12, targets: 40, seed, ends});
+    const traffic = () => sim.send({...soundRequest(sim.random), maxRuns: 3});
+    for (let cut = 0; cut < 2; cut++) {
+      await sim.run(2000, traffic);
+      sim.setSplit(true);
+      await sim.run(2000, traffic);
+      for (const target of sim.targets.slice(cut * 4, cut * 4 + 4)) {
+        sim.crash(target);
+      }
+      await sim.run(2000, traffic);
+      sim.setSplit(false);
+      await sim.run(3000, traffic);
+    }
+    await sim.run(3000, traffic);
+    assert.equal(sim.sound.refused, 0, `seed ${seed}`);
+    const blocked = new Set(sim.hosts.flatMap(h => [...h.crashes.blocked]));
+    assert.equal(blocked.size, 0, `seed ${seed}: ${[...blocked].join(' ')}`);
+  }
+});
+
 // Guards against refusing the callers of a service whose targets crash for reasons of their own.
 test('requests of a service that loses 30 % of its targets again and again are not refused', async () => {
   for (const seed of seeds) {
--- a/test/process/crashes/simulated-crashes.ts
+++ b/test/process/crashes/simulated-crashes.ts
@@ -29,6 +29,21 @@
 const resetMs = 3;
 /** Time from a crash to the start of the next incarnation, in milliseconds. */
 const restartMs = 3000;
+/** Longest time from the start of an incarnation until a host reads its entry, in milliseconds. */
+const maxReadDelayMs = 1400;
+/** Time after which a host gives up an attempt at a target that is silent, in milliseconds. */
+const stallMs = 1200;
+
+/** Time after which a probe that is not answered ends, in milliseconds. */
+const probeTimeoutMs = 600;
+
+/** How the connections of a target end when it crashes. */
+export const connectionEnds = {
+  inOrder: 'in order',
+  byReset: 'by a reset',
+  /** The target's machine lost power: connections stay open, and attempts to open others are not answered. */
+  silent: 'without a sign',
+} as const;
 
 /** A request of a caller; runs of a deadly one end their target. */
 export interface SimulatedRequest {
@@ -72,6 +87,8 @@
   readonly lossRate?: number;
   /** Longest time of a message on its way, in milliseconds. */
   readonly maxDelayMs?: number;
+  /** How connections end in a crash; by default in order. */
+  readonly ends?: (typeof connectionEnds)[keyof typeof connectionEnds];
 }
 
 /** Hosts that exchange crash evidence, and targets that requests may end, on a manual clock. */
@@ -120,17 +137,39 @@
     const {entry} = target;
     const runs = [...target.running];
     target.running.clear();
-    for (const run of runs) this.breakRun(run, entry);
-    this.clock.after(restartMs, () => {
-      target.entry = this.newEntry(entry.id);
-      target.up = true;
-      target.leaving = false;
-    });
+    if (this.isSilent) {
+      this.clock.after(stallMs, () => {
+        for (const run of runs) this.giveUp(run);
+      });
+    } else {
+      for (const run of runs) this.breakRun(run, entry, this.areReset);
+    }
+    this.clock.after(restartMs, () => this.replace(target));
+  }
+
+  /** Starts a new incarnation of a target, of which each host learns when it reads the entry. */
+  replace(target: SimulatedTarget): void {
+    target.entry = this.newEntry(target.entry.id);
+    target.up = true;
+    target.leaving = false;
+    for (const {crashes} of this.hosts) {
+      this.clock.after(this.random() * maxReadDelayMs, () =>
+        crashes.observe(this.targets),
+      );
+    }
+  }
+
+  /** Resets connections to a target that goes on, and accepts new ones. */
+  resetConnections({running, entry}: SimulatedTarget): void {
+    for (const run of [...running]) {
+      running.delete(run);
+      this.breakRun(run, entry, true);
+    }
   }
 
   /**
    * Cuts the hosts and targets with odd numbers off from the others, or heals the cut. Connections across it are
-   * reset when they are used, and new ones are refused; messages across it are lost.
+   * closed when they are used, in order or by a reset, and new ones are refused; messages across it are lost.
    */
   setSplit(isSplit: boolean): void {
     this.isSplit = isSplit;
@@ -138,11 +177,20 @@
       for (const run of [...running]) {
         if (!this.isSeparated(run.host, entry)) continue;
         running.delete(run);
-        this.breakRun(run, entry);
+        this.breakRun(run, entry, this.areReset);
       }
     }
   }
 
+  /** Whether targets that crashed do not even refuse connections. */
+  get isSilent(): boolean {
+    return this.options.ends === connectionEnds.silent;
+  }
+
+  private get areReset(): boolean {
+    return this.options.ends === connectionEnds.byReset;
+  }
+
   /** Whether a cut lies between a host and a target. */
   isSeparated({index}: SimulatedHost, {id}: {readonly id: string}): boolean {
     return this.isSplit && index % 2 !== Number(id.slice(2)) % 2;
@@ -192,7 +240,8 @@
     target.running.add(run);
     if (this.isSeparated(host, target.entry)) {
       this.clock.after(resetMs, () => {
-        if (target.running.delete(run)) this.breakRun(run, target.entry);
+        if (!target.running.delete(run)) return;
+        this.breakRun(run, target.entry, this.areReset);
       });
       return;
     }
@@ -210,13 +259,23 @@
     });
   }
 
-  private breakRun(run: Run, entry: TargetEntry): void {
-    const {attempt, host, request, runs} = run;
-    host.crashes.watch.ended(attempt, attemptEnds.broken);
-    host.crashes.watch.check(entry, () => {
-      if (runs >= (request.maxRuns ?? 1)) return;
-      this.attempt(host, request, runs + 1);
-    });
+  private breakRun(run: Run, entry: TargetEntry, wasReset = false): void {
+    const {watch} = run.host.crashes;
+    watch.ended(run.attempt, attemptEnds.broken);
+    watch.check(entry, () => this.retry(run), !wasReset);
+  }
+
+  /** Ends an attempt at a silent target, which may turn out to have crashed. */
+  private giveUp(run: Run): void {
+    const {watch} = run.host.crashes;
+    watch.ended(run.attempt, attemptEnds.broken);
+    watch.check(run.attempt.entry, () => {}, false);
+    this.retry(run);
+  }
+
+  private retry({host, request, runs}: Run): void {
+    if (runs >= (request.maxRuns ?? 1)) return;
+    this.attempt(host, request, runs + 1);
   }
 
   private addHost(index: number): void {
@@ -232,7 +291,7 @@
   }
 
   private createControl(host: SimulatedHost): CrashControl {
-    return createCrashControl({
+    const crashes = createCrashControl({
       clock: this.clock,
       logger: Logger.create('silent'),
       metrics: new GatewayMetrics(),
@@ -247,6 +306,8 @@
           this.gossip(host),
         ),
     });
+    crashes.observe(this.targets);
+    return crashes;
   }
 
   private gossip(from: SimulatedHost): void {
@@ -278,7 +339,8 @@
       slots: 8,
       draining: false,
       coldMs: 0,
-      bornMs: this.clock.nowMs(),
+      // 0 stands for an unknown time.
+      bornMs: 1 + this.clock.nowMs(),
     };
   }
 
@@ -302,6 +364,12 @@
     const target = this.simulation.targets.find(
       ({entry}) => entry.address === address,
     );
-    return target?.up ? probeResults.accepted : probeResults.refused;
+    if (target?.up) return probeResults.accepted;
+    if (!this.simulation.isSilent) return probeResults.refused;
+    return new Promise(resolve =>
+      this.simulation.clock.after(probeTimeoutMs, () =>
+        resolve(probeResults.unknown),
+      ),
+    );
   }
 }
