Reserve the retry of a stalled attempt before aborting it

Callers on kept connections got the beginning of a stream and then a closed connection, although their target went on after a pause of 1.6 s.

Cause: an attempt that was silent for 1.2 s was aborted if runs, attempts and free slots allowed a retry, but the retry took its slot and its share of the retry budget only afterwards. Without them the response was broken off.

The cause was found by reading; the test brings it about alone, by the budget.

Change: reserveRetry() takes the slot and the retry first. Without both the attempt goes on.

--- a/src/process/pool/target-pool.ts
+++ b/src/process/pool/target-pool.ts
@@ -227,17 +227,6 @@
     );
   }
 
-  /**
-   * Checks whether a usable target has a free slot for a request.
-   *
-   * @param request - Request to place.
-   * @param nowMs - Time on the process's clock, in milliseconds.
-   * @returns Whether a candidate has a free slot, not counting targets of a canary.
-   */
-  hasRoom(request: SlotRequest, nowMs: number): boolean {
-    return !this.usable(request, false, nowMs).next().done;
-  }
-
   /**
    * Releases a slot and records the outcome of its request.
    *
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -18,7 +18,6 @@
   computeDeadlineAtMs,
   retryQuotaReserve,
   priorWaitMs,
-  toSlotRequest,
   toWaitingRequest,
   quotaUnits,
   type AdmittedRequest,
@@ -34,6 +33,7 @@
 import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {refuseRequest} from './refuse-request.js';
+import {reserveRetry} from './stalled-attempt.js';
 import {TargetAttempt} from './target-attempt.js';
 import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
 import type {ResponseHead} from './wire-format.js';
@@ -48,6 +48,8 @@
   private readonly units: number;
   private ticket: Ticket | undefined;
   private attempt: TargetAttempt | undefined;
+  /** Target whose slot was taken for the retry of an attempt that is about to be aborted. */
+  private reserved: PooledTarget | undefined;
   private cancelTimer = () => {};
   private mayHaveRun = false;
   private done = false;
@@ -120,7 +122,7 @@
   check(nowMs: number): void {
     const {attempt} = this;
     if (this.ticket && this.failIfBlocked()) return;
-    if (!attempt || attempt.stalled) return;
+    if (!attempt || attempt.stalled || attempt.endChecked) return;
     const {route} = this.request;
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
     if (sinceMs < stallTimeoutMs(route.objectiveMs, this.relay.started)) return;
@@ -131,14 +133,10 @@
       target: attempt.target.entry.id,
       sinceMs: Math.round(sinceMs),
     });
-    if (!this.isRetryable() || !this.attempts.allowsRetry(nowMs)) return;
-    // Without a free slot elsewhere the attempt goes on: a slow response is better than none.
-    const retryRequest = toSlotRequest(this.request, this.parts.stats, {
-      untilMs: nowMs,
-      exclude: new Set([...this.attempts.excluded, attempt.target.entry.id]),
-      trial: false,
-    });
-    if (this.parts.pool.hasRoom(retryRequest, nowMs)) attempt.exchange.abort();
+    if (!this.isRetryable()) return;
+    const {attempts, parts, request} = this;
+    this.reserved = reserveRetry(parts, request, attempts, attempt.target);
+    if (this.reserved) attempt.exchange.abort();
   }
 
   private requestSlot(): void {
@@ -211,7 +209,7 @@
     const head = attempt?.head;
     if (!attempt || !head) return;
     if (head.notRun) {
-      this.release(outcomes.refused);
+      this.release(outcomes.refused, attemptEnds.other);
       return this.onTargetRefusal(attempt.target);
     }
     if (!this.relay.isComplete(head.framed)) {
@@ -223,7 +221,7 @@
     this.attempts.ran();
     const failed = head.status >= 500;
     recordResponse(this.parts, this.request, this.relay, attempt, failed);
-    if (failed) this.release(outcomes.failed);
+    if (failed) this.release(outcomes.failed, attemptEnds.other);
     else this.release(outcomes.answered, attemptEnds.completed);
     if (this.isRetryable() && failed && this.retry('failed', attempt.target)) {
       return;
@@ -263,7 +261,7 @@
     const canRetry = isUnsent || this.isRetryable();
     const why = attempt.retryReason(failure);
     const proceed = () => {
-      if (this.done || this.failIfBlocked()) return;
+      if (this.done || (!this.reserved && this.failIfBlocked())) return;
       if (!canRetry || !this.retry(why, target)) this.failWith('targetsRefuse');
     };
     attempt.checkCrash(failure, proceed);
@@ -305,7 +303,11 @@
   private retry(why: GatewayRetryReason, target: PooledTarget): boolean {
     const {clock, decisions, metrics} = this.parts;
     const {id} = target.entry;
-    if (!this.attempts.takeRetry(why, id, clock.nowMs())) return false;
+    const {reserved} = this;
+    this.reserved = undefined;
+    if (!reserved && !this.attempts.takeRetry(why, id, clock.nowMs())) {
+      return false;
+    }
     const {organisation, head} = this.request;
     // Each run is charged to the quota; an attempt that did not run was charged already.
     if (organisation && why !== 'refused' && !isFreeRetry(why)) {
@@ -314,7 +316,8 @@
     this.relay.restart();
     metrics.retried(why);
     decisions.log('requestResent', {request: head.requestId, target: id, why});
-    this.requestSlot();
+    if (reserved) this.send(reserved);
+    else this.requestSlot();
     return true;
   }
 
--- a/test/gateway/started-gateway.ts
+++ b/test/gateway/started-gateway.ts
@@ -1,4 +1,5 @@
 import type {TestContext} from 'node:test';
+import type {GatewaySettings} from '../../src/process/gateway-settings.js';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
@@ -13,6 +14,7 @@
 export async function startWithTargets(
   t: TestContext,
   targets: readonly FakeTarget[],
+  change: Partial<GatewaySettings> = {},
 ) {
   const clock = new ManualClock();
   const store = new MemoryStore();
@@ -20,7 +22,7 @@
   targets.forEach((target, i) =>
     store.put(feeds.targets, targetChange(`i-${i}`, target.address)),
   );
-  const {gateway, settings} = await startGateway(store, {clock});
+  const {gateway, settings} = await startGateway(store, {clock, change});
   t.after(async () => {
     const stopped = gateway.stop();
     await advanceClock(clock, 10_000);
