Log whether the host had ended the connection of a lost request

Event 7306 is written when the connection of an open request closes, and states which of the two it is.

--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -146,6 +146,11 @@
     level: 'info',
     message: 'request not sent because targets crashed under its like',
   },
+  callerLeft: {
+    id: 7306,
+    level: 'info',
+    message: 'connection of an open request closed',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -53,6 +53,8 @@
   private cancelTimer = () => {};
   private mayHaveRun = false;
   private done = false;
+  /** Whether this host had ended the connection when the request arrived, so that no response could be sent. */
+  private readonly endedBefore: boolean;
 
   /**
    * @param parts - Dependencies shared by all requests.
@@ -67,6 +69,7 @@
     private readonly onDone: (request: GatewayRequest) => void,
   ) {
     const {route, service} = request;
+    this.endedBefore = res.req.socket.writableEnded;
     this.deadlineAtMs = computeDeadlineAtMs(request);
     this.routeAllowsRetry =
       route.kind === requestKinds.idempotent ||
@@ -344,8 +347,16 @@
 
   private callerLeft(): void {
     if (this.done) return;
+    const {clock, decisions, metrics} = this.parts;
+    const {head, arrivedMs} = this.request;
+    metrics.callerLeft();
+    decisions.log('callerLeft', {
+      request: head.requestId,
+      target: this.attempt?.target.entry.id,
+      endedBefore: this.endedBefore,
+      heldMs: Math.round(clock.nowMs() - arrivedMs),
+    });
     this.abandon();
-    this.parts.metrics.callerLeft();
     this.finish();
   }
 
