Accept no request on a connection that a stopping host ends

What callers saw: around planned work alone, requests on kept connections were passed on to an engine, and the connection was closed 1 to 17 ms after the request without a byte of an answer (LOST), also requests that may run once only.

Cause: GatewayServer ended a socket when a response closed whose head, sent before SIGTERM, had not announced it. The end closes one direction; the parser reads on, and a request that crossed the end was admitted although no response could be sent. Class: a connection is ended by one part and still accepted by another.

Change: CallerConnection owns which requests are in progress on a connection and whether it accepts more. A response that began before the stop leaves its connection open, so that the next request is answered with Connection: close. Only the last of several requests announces the end. An idle connection is ended once it has been idle for 250 ms; whatever arrives afterwards is discarded, counted and logged (7307), never passed on. Ended connections are read for a second, so that late bytes don't reset them.

It also waits for requests whose body is still being sent.

--- /dev/null
+++ b/src/connection/gateway/caller-connection.ts
@@ -0,0 +1,97 @@
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/**
+ * One connection of a caller: the requests in progress on it, and whether it accepts more.
+ *
+ * A connection that this host ends accepts nothing from then on, because no response could be sent. Its parser still
+ * reads, and would otherwise hand over a request that crossed the end.
+ */
+export class CallerConnection {
+  /** Responses in progress, in the order of their requests. */
+  private readonly responses: ServerResponse[] = [];
+  private accepts = true;
+  /** Bytes received up to the end of the last request; more than that are the start of another one. */
+  private requestBytes = 0;
+  /** Time since which no request is in progress, in milliseconds. */
+  private idleSinceMs: number;
+
+  /**
+   * @param socket - Connection to the caller.
+   * @param nowMs - Time of its opening, in milliseconds.
+   */
+  constructor(
+    private readonly socket: Socket,
+    nowMs: number,
+  ) {
+    this.idleSinceMs = nowMs;
+  }
+
+  /** Whether requests that arrive are handled. */
+  get isOpen(): boolean {
+    return this.accepts && this.socket.writable;
+  }
+
+  /** Whether a request is in progress, or a part of one has arrived. */
+  get isBusy(): boolean {
+    return (
+      this.responses.length > 0 || this.socket.bytesRead > this.requestBytes
+    );
+  }
+
+  /** Whether a response is in progress. */
+  get hasResponses(): boolean {
+    return this.responses.length > 0;
+  }
+
+  /**
+   * Adds a request that arrived while the connection is open.
+   *
+   * @param res - Its response.
+   */
+  add(res: ServerResponse): void {
+    this.responses.push(res);
+    res.req.once('end', () => (this.requestBytes = this.socket.bytesRead));
+    // The caller itself asked for the end of the connection.
+    if (!res.shouldKeepAlive) this.accepts = false;
+  }
+
+  /**
+   * Removes a request whose response was sent or whose connection is closed.
+   *
+   * @param res - Its response.
+   * @param nowMs - Present time, in milliseconds.
+   */
+  remove(res: ServerResponse, nowMs: number): void {
+    const index = this.responses.indexOf(res);
+    if (index >= 0) this.responses.splice(index, 1);
+    this.idleSinceMs = nowMs;
+  }
+
+  /**
+   * Makes a response the last one of the connection, if no later request is in progress on it: a response after the last
+   * one could not be sent.
+   *
+   * @param res - Response whose head is about to be sent.
+   * @returns Whether the head has to announce that the connection closes.
+   */
+  closeAfter(res: ServerResponse): boolean {
+    if (this.responses.at(-1) !== res) return false;
+    this.accepts = false;
+    return true;
+  }
+
+  /**
+   * Closes the connection for requests if it has been idle for some time.
+   *
+   * @param nowMs - Present time, in milliseconds.
+   * @param idleMs - Minimum time without a request, in milliseconds.
+   * @returns Whether it accepts no more requests now, so that it can be ended.
+   */
+  closeIfIdle(nowMs: number, idleMs: number): boolean {
+    if (!this.isOpen || this.isBusy) return false;
+    if (nowMs - this.idleSinceMs < idleMs) return false;
+    this.accepts = false;
+    return true;
+  }
+}
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -1,12 +1,18 @@
 import {
+  Server,
   createServer,
   type IncomingMessage,
-  type Server,
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {Clock} from '../../process/clock.js';
+import {
+  connectionEnds,
+  type ConnectionEnd,
+} from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import {CallerConnection} from './caller-connection.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -16,43 +22,60 @@
 const keepAliveMarginMs = 1000;
 /** Maximum time for a caller to send a complete request, in milliseconds. */
 const requestTimeoutMs = 60_000;
+/** Time for which an ended connection is still read, so that late bytes do not reset it, in milliseconds. */
+const lingerMs = 1000;
+/**
+ * Time for which a connection must be idle before a stopping host ends it, in milliseconds. A caller that sends one
+ * request after the other has sent the next one by then.
+ */
+const idleSettleMs = 250;
+/** Interval of the check for connections that became idle while the host stops, in milliseconds. */
+const drainIntervalMs = 50;
+
+/** What a {@link GatewayServer} needs. */
+export interface GatewayServerParts {
+  readonly clock: Clock;
+  /** Handles a request. */
+  readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
+  /** Receives a request that arrived on a connection that accepts no more. */
+  readonly onDiscarded: (req: IncomingMessage) => void;
+  /** Counts a connection that this host ends. */
+  readonly onEnded: (reason: ConnectionEnd) => void;
+}
+
+/** Leaves it to {@link GatewayServer} which connections are idle. */
+class CallerHttpServer extends Server {
+  /**
+   * Called by Node.js when the server stops listening. Its own check takes a connection for idle whose response is not
+   * sent completely, and destroys it.
+   */
+  override closeIdleConnections(): void {}
+}
 
 /** HTTP/1.1 server of a gateway for its callers. */
 export class GatewayServer {
   private readonly server: Server;
-  /** Requests in progress by connection. */
-  private readonly busy = new Map<Socket, number>();
-  /** Whether connections are closed at the end of their responses. */
+  private readonly connections = new Map<Socket, CallerConnection>();
+  /** Whether each connection is closed at the end of its next response. */
   private closes = false;
 
   /**
    * @param endpoint - Address and port to listen on.
-   * @param onRequest - Handles a request.
+   * @param parts - Clock, and receivers of requests and events.
    */
   constructor(
     private readonly endpoint: Endpoint,
-    onRequest: (req: IncomingMessage, res: ServerResponse) => void,
+    private readonly parts: GatewayServerParts,
   ) {
-    this.server = createServer({
+    this.server = new CallerHttpServer({
       maxHeaderSize: parserMaxHeaderBytes,
       connectionsCheckingInterval: timeoutCheckIntervalMs,
       requestTimeout: requestTimeoutMs,
       noDelay: true,
       requireHostHeader: false,
     });
-    this.server.on('connection', socket => {
-      this.busy.set(socket, 0);
-      socket.once('close', () => this.busy.delete(socket));
-    });
-    this.server.on('request', (req, res) => {
-      this.count(req.socket, 1);
-      res.once('close', () => {
-        this.count(req.socket, -1);
-        // The head of a response that began earlier did not announce it.
-        if (this.closes && this.busy.get(req.socket) === 0) req.socket.end();
-      });
-      onRequest(req, res);
-    });
+    this.server.on('connection', socket => this.onConnection(socket));
+    this.server.on('request', (req, res) => this.onRequest(req, res));
   }
 
   /**
@@ -78,33 +101,98 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveMarginMs;
   }
 
-  /** Number of open connections without a request in progress. */
-  get idleConnections(): number {
-    let idle = 0;
-    for (const requests of this.busy.values()) if (requests === 0) idle++;
-    return idle;
-  }
-
-  /** Closes each connection at the end of its response from now on, because the host stops. */
+  /** Closes each connection at the end of its next response, because the host stops. */
   closeAfterResponses(): void {
     this.closes = true;
   }
 
-  /** Stops accepting connections and closes the idle ones. */
-  closeIdle(): void {
+  /**
+   * Decides whether the connection of a response closes after it, and accepts no more requests on it in that case.
+   *
+   * @param res - Response whose head is about to be sent.
+   * @param isRequired - Whether the connection cannot be used any longer.
+   * @returns Whether the head has to announce it.
+   */
+  closesAfter(res: ServerResponse, isRequired = false): boolean {
+    const connection = this.connections.get(res.req.socket);
+    if (!connection) return true;
+    const closes = isRequired || this.closes || !connection.isOpen;
+    return closes && connection.closeAfter(res);
+  }
+
+  /**
+   * Stops accepting connections, and ends each one on which no request is in progress for some time.
+   *
+   * @param endMs - Latest end of the wait on the process's clock, in milliseconds.
+   * @returns A promise that resolves once no connection accepts requests and all responses are sent, or at `endMs`.
+   */
+  async drain(endMs: number): Promise<void> {
+    const {clock} = this.parts;
     this.server.close();
-    this.server.closeIdleConnections();
+    for (;;) {
+      this.closeIdle();
+      const isOpen = [...this.connections.values()].some(
+        connection => connection.isOpen || connection.hasResponses,
+      );
+      if (!isOpen || clock.nowMs() >= endMs) return;
+      await new Promise<void>(resolve => clock.after(drainIntervalMs, resolve));
+    }
   }
 
   /** Stops accepting connections and closes all, also those with a request in progress. */
   closeAll(): void {
     this.server.close();
+    for (const {hasResponses} of this.connections.values()) {
+      if (hasResponses) this.parts.onEnded(connectionEnds.stopped);
+    }
     this.server.closeAllConnections();
   }
 
-  private count(socket: Socket, change: number): void {
-    const requests = this.busy.get(socket);
-    if (requests !== undefined) this.busy.set(socket, requests + change);
+  private closeIdle(): void {
+    const nowMs = this.parts.clock.nowMs();
+    for (const [socket, connection] of this.connections) {
+      if (!connection.closeIfIdle(nowMs, idleSettleMs)) continue;
+      this.parts.onEnded(connectionEnds.idle);
+      socket.destroySoon();
+    }
+  }
+
+  private onConnection(socket: Socket): void {
+    const {clock} = this.parts;
+    this.connections.set(socket, new CallerConnection(socket, clock.nowMs()));
+    let cancelLinger = () => {};
+    // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
+    // that arrive then reset the connection, and the caller may lose the response.
+    socket.destroySoon = () => {
+      socket.end();
+      cancelLinger();
+      cancelLinger = clock.after(lingerMs, () => socket.destroy());
+    };
+    socket.once('close', () => {
+      cancelLinger();
+      this.connections.delete(socket);
+    });
+  }
+
+  private onRequest(req: IncomingMessage, res: ServerResponse): void {
+    const {clock, onDiscarded, onEnded, onRequest} = this.parts;
+    const {socket} = req;
+    const connection = this.connections.get(socket);
+    if (!connection?.isOpen) {
+      req.on('error', () => {});
+      req.resume();
+      onDiscarded(req);
+      return;
+    }
+    connection.add(res);
+    res.once('close', () => {
+      connection.remove(res, clock.nowMs());
+      if (connection.isOpen || connection.hasResponses) return;
+      if (socket.destroyed) return;
+      onEnded(connectionEnds.lastResponse);
+      socket.destroySoon();
+    });
+    onRequest(req, res);
   }
 }
 
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -45,8 +45,6 @@
 const loadBalancerNoticeMs = 2600;
 /** Time reserved for the end of the process after open requests are closed, in milliseconds. */
 const stopMarginMs = 600;
-/** Interval at which a stopping host checks whether its requests have ended, in milliseconds. */
-const drainIntervalMs = 50;
 /**
  * Time after which a restarted host uses its quotas without the levels of other hosts, in milliseconds.
  * It starts with the first message of another host, or at `aloneMs` after the start if there is none.
@@ -200,13 +198,16 @@
     decisions,
     crashWatch: crashes.watch,
     routes: () => routes,
-    isDraining: () => draining,
+    closesAfter: (res, isRequired) => server.closesAfter(res, isRequired),
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
-  const server = new GatewayServer(settings.callers, (req, res) =>
-    handler.handle(req, res),
-  );
+  const server = new GatewayServer(settings.callers, {
+    clock,
+    onRequest: (req, res) => handler.handle(req, res),
+    onDiscarded: req => handler.discard(req),
+    onEnded: reason => metrics.connectionEnded(reason),
+  });
   const gossip = new GossipTask({
     clock,
     ip,
@@ -373,11 +374,7 @@
     await wait(loadBalancerNoticeMs);
     // Later requests come on connections that were kept for other ones; other hosts take them as well.
     stopsAtMs = endMs;
-    for (;;) {
-      server.closeIdle();
-      if (handler.openRequests === 0 || clock.nowMs() >= endMs) break;
-      await wait(drainIntervalMs);
-    }
+    await server.drain(endMs);
     leaving = true;
     gossip.send();
     // Without this, others would count this host for some time, but an unreachable store loses nothing.
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -151,6 +151,11 @@
     level: 'info',
     message: 'connection of an open request closed',
   },
+  requestDiscarded: {
+    id: 7307,
+    level: 'info',
+    message: 'request not run because its connection was ended before',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -6,6 +6,20 @@
 export type GatewayRetryReason =
   ExchangeFailure | 'failed' | 'refused' | 'withheld';
 
+/** Why a host ends the connection of a caller. */
+export const connectionEnds = {
+  /** The host stops, and no request was in progress. */
+  idle: 'idle',
+  /** The response that announced the end of the connection was sent. */
+  lastResponse: 'last-response',
+  /** The host stopped while a response was in progress. */
+  stopped: 'stopped',
+} as const;
+
+/** One of {@link connectionEnds}. */
+export type ConnectionEnd =
+  (typeof connectionEnds)[keyof typeof connectionEnds];
+
 import {
   createLatencyHistogram,
   MetricRegistry,
@@ -46,6 +60,15 @@
     'guavaseam_gateway_answers_broken_total',
     'Responses aborted after a part was delivered',
   );
+  private readonly discarded = this.counter(
+    'guavaseam_gateway_requests_discarded_total',
+    'Requests that arrived on a connection that this host had ended; they are not run',
+  );
+  private readonly connectionsEnded = this.counter(
+    'guavaseam_gateway_caller_connections_ended_total',
+    'Connections of callers that this host ended, by reason',
+    ['reason'],
+  );
   private readonly opened = this.counter(
     'guavaseam_gateway_target_connections_total',
     'Connections opened to targets',
@@ -103,6 +126,16 @@
     this.broken.inc();
   }
 
+  /** Counts a request that arrived on a connection that this host had ended. */
+  requestDiscarded(): void {
+    this.discarded.inc();
+  }
+
+  /** @param reason - Why this host ended the connection of a caller. */
+  connectionEnded(reason: ConnectionEnd): void {
+    this.connectionsEnded.inc({reason});
+  }
+
   /** Counts a connection opened to a target. */
   connectionOpened(): void {
     this.opened.inc();
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import type {Clock} from '../../process/clock.js';
 import type {CrashWatch} from '../../process/crashes/crash-watch.js';
 import type {DecisionLog} from '../../process/decision-log.js';
@@ -29,7 +30,11 @@
   readonly metrics: GatewayMetrics;
   readonly decisions: DecisionLog;
   readonly crashWatch: CrashWatch;
-  readonly isDraining: () => boolean;
+  /**
+   * Returns whether the connection closes after a response whose head is about to be sent; `isRequired` if it cannot be
+   * used any longer.
+   */
+  readonly closesAfter: (res: ServerResponse, isRequired?: boolean) => boolean;
   /** Time on the process's clock at which open requests are ended, in milliseconds; infinite while the host does not stop. */
   readonly stopsAtMs: () => number;
   /** Maximum time from an event at its target until it reaches the caller, in milliseconds; 0 if there is no such bound. */
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -119,6 +119,18 @@
     });
   }
 
+  /**
+   * Records a request that arrived on a connection that this host had ended.
+   *
+   * @param req - Request that is not handled.
+   */
+  discard(req: IncomingMessage): void {
+    const {decisions, metrics, wire} = this.parts;
+    const {requestId} = wire.readCaller(req.rawHeaders);
+    metrics.requestDiscarded();
+    decisions.log('requestDiscarded', {request: requestId});
+  }
+
   /** Checks whether a response would probably be cut off, because this host stops. */
   private stopsTooSoon({route}: AdmittedRequest): boolean {
     const {clock, stats, stopsAtMs} = this.parts;
@@ -134,13 +146,13 @@
     name: RefusalName,
     retryAfterMs?: number,
   ): void {
-    const {decisions, isDraining, metrics} = this.parts;
+    const {closesAfter, decisions, metrics} = this.parts;
     metrics.refused(name);
     decisions.log('gatewayRefused', {request: head.requestId, reason: name});
     // The parser would take the unread rest of a body for the next request, so the connection closes.
     const isUnread = !req.complete && name === 'bodyTooLarge';
     req.resume();
-    sendRefusal(res, name, retryAfterMs, isUnread || isDraining());
+    sendRefusal(res, name, retryAfterMs, closesAfter(res, isUnread));
   }
 }
 
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -32,7 +32,7 @@
 import type {Ticket} from './dispatcher.js';
 import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
-import {refuseRequest} from './refuse-request.js';
+import {recordCallerLeft, refuseRequest} from './refuse-request.js';
 import {reserveRetry} from './stalled-attempt.js';
 import {TargetAttempt} from './target-attempt.js';
 import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
@@ -53,8 +53,6 @@
   private cancelTimer = () => {};
   private mayHaveRun = false;
   private done = false;
-  /** Whether this host had ended the connection when the request arrived, so that no response could be sent. */
-  private readonly endedBefore: boolean;
 
   /**
    * @param parts - Dependencies shared by all requests.
@@ -69,7 +67,6 @@
     private readonly onDone: (request: GatewayRequest) => void,
   ) {
     const {route, service} = request;
-    this.endedBefore = res.req.socket.writableEnded;
     this.deadlineAtMs = computeDeadlineAtMs(request);
     this.routeAllowsRetry =
       route.kind === requestKinds.idempotent ||
@@ -79,7 +76,7 @@
     this.units = quotaUnits(request);
     this.relay = new ResponseRelay(
       res,
-      parts.isDraining,
+      () => parts.closesAfter(res),
       {
         pause: () => this.attempt?.exchange.pause(),
         resume: () => this.attempt?.exchange.resume(),
@@ -347,15 +344,7 @@
 
   private callerLeft(): void {
     if (this.done) return;
-    const {clock, decisions, metrics} = this.parts;
-    const {head, arrivedMs} = this.request;
-    metrics.callerLeft();
-    decisions.log('callerLeft', {
-      request: head.requestId,
-      target: this.attempt?.target.entry.id,
-      endedBefore: this.endedBefore,
-      heldMs: Math.round(clock.nowMs() - arrivedMs),
-    });
+    recordCallerLeft(this.parts, this.request, this.attempt?.target.entry.id);
     this.abandon();
     this.finish();
   }
--- a/src/request/gateway/refuse-request.ts
+++ b/src/request/gateway/refuse-request.ts
@@ -18,7 +18,7 @@
   name: RefusalName,
   retryAfterMs: number | undefined,
 ): void {
-  const {clock, decisions, dispatcher, isDraining, metrics, pool} = parts;
+  const {clock, decisions, dispatcher, closesAfter, metrics, pool} = parts;
   const {organisation, service, head, arrivedMs, route} = request;
   metrics.refused(name);
   decisions.log('gatewayRefused', {
@@ -32,7 +32,27 @@
     heldMs: Math.round(clock.nowMs() - arrivedMs),
     returnMs: retryAfterMs && Math.round(retryAfterMs),
   });
-  sendRefusal(res, name, retryAfterMs, isDraining());
+  sendRefusal(res, name, retryAfterMs, closesAfter(res));
+}
+
+/**
+ * Records that the connection of an open request closed, so that its response cannot be sent.
+ *
+ * @param parts - Dependencies of requests.
+ * @param request - Request whose caller left.
+ * @param target - Id of the target that has the request, if any.
+ */
+export function recordCallerLeft(
+  {clock, decisions, metrics}: GatewayRequestParts,
+  {arrivedMs, head}: AdmittedRequest,
+  target: string | undefined,
+): void {
+  metrics.callerLeft();
+  decisions.log('callerLeft', {
+    request: head.requestId,
+    target,
+    heldMs: Math.round(clock.nowMs() - arrivedMs),
+  });
 }
 
 /**
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {PlatformWireFormat} from '../../platform/wire-format.js';
 import {TcpTargetProbe} from '../../src/connection/gateway/target-probe.js';
 import {GatewayServer} from '../../src/connection/gateway/gateway-server.js';
@@ -81,7 +82,7 @@
     decisions: new DecisionLog(logger, () => clock.nowMs()),
     crashWatch: crashes.watch,
     routes,
-    isDraining: () => false,
+    closesAfter: () => false,
     stopsAtMs: () => Infinity,
     eventDelayMs: 0,
   });
@@ -102,8 +103,14 @@
     () => ++checks === 1 || checks > 4,
   );
   const port = await freePort();
-  const server = new GatewayServer({address: '127.0.0.1', port}, (req, res) =>
-    handler.handle(req, res),
+  const server = new GatewayServer(
+    {address: '127.0.0.1', port},
+    {
+      clock: new ManualClock(),
+      onRequest: (req, res) => handler.handle(req, res),
+      onDiscarded: () => assert.fail('a request was discarded'),
+      onEnded: () => {},
+    },
   );
   await server.listen();
   t.after(() => {
