Send responses that are due before refusing bytes that are no request

What callers saw (by reading; no report): a request in progress got 400, 413, 431 or 408 as its answer, and its connection was closed, when bytes behind it were no request or did not become one in time. A 408 says that a request has not run, and it had been passed on to a target.

Cause: without a listener for clientError, Node.js writes its own response to the connection unless the head of a response was sent, whatever request is in progress.

Change: the connection accepts no more, the responses to complete requests are sent, and only a connection without one gets the error's status.

--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -81,6 +81,20 @@
     return true;
   }
 
+  /**
+   * Accepts no more requests, because the bytes that arrive are none. A request whose body is incomplete never ends.
+   *
+   * @returns Whether a response to a complete request, or the rest of a response, has to be sent first.
+   */
+  rejectInput(): boolean {
+    this.accepts = false;
+    const pending = this.responses.filter(
+      res => res.req.complete || res.headersSent,
+    );
+    this.responses.splice(0, Infinity, ...pending);
+    return pending.length > 0;
+  }
+
   /**
    * Closes the connection for requests if it has been idle for some time.
    *
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -32,6 +32,13 @@
 /** Interval of the check for connections that became idle while the host stops, in milliseconds. */
 const drainIntervalMs = 50;
 
+/** Responses to bytes that are no request, by error code of the parser. */
+const protocolErrorStatus: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
 /** What a {@link GatewayServer} needs. */
 export interface GatewayServerParts {
   readonly clock: Clock;
@@ -76,6 +83,9 @@
     });
     this.server.on('connection', socket => this.onConnection(socket));
     this.server.on('request', (req, res) => this.onRequest(req, res));
+    this.server.on('clientError', (err, socket) =>
+      this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
+    );
   }
 
   /**
@@ -194,6 +204,25 @@
     });
     onRequest(req, res);
   }
+
+  /** Sends the responses that are due before it ends a connection whose bytes are no request. */
+  private onProtocolError(err: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (!connection || !socket.writable || err.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    // The parser cannot continue after the invalid bytes.
+    socket.pause();
+    const hasResponses = connection.rejectInput();
+    this.parts.onEnded(connectionEnds.noRequest);
+    if (hasResponses) return;
+    const status = protocolErrorStatus[err.code ?? ''] ?? '400 Bad Request';
+    socket.write(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+    );
+    socket.destroySoon();
+  }
 }
 
 /**
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -12,6 +12,8 @@
   idle: 'idle',
   /** The response that announced the end of the connection was sent. */
   lastResponse: 'last-response',
+  /** The bytes of the caller are no request. */
+  noRequest: 'no-request',
   /** The host stopped while a response was in progress. */
   stopped: 'stopped',
 } as const;
--- a/test/gateway/stopping-connections.test.ts
+++ b/test/gateway/stopping-connections.test.ts
@@ -206,3 +206,22 @@
   await advanceClock(clock, stopMs);
   await stopping;
 });
+
+// Guards against a response to bytes that are no request in the place of the response to the request before them.
+test('bytes that are no request do not displace the response to a request in progress', async t => {
+  const {caller, clock, gateway, open} = await startStreaming(t);
+  caller.socket.write(requestText('first', '/plain/a'));
+  while (!open.has('first'))
+    await new Promise(resolve => setImmediate(resolve));
+  caller.socket.write('no request\r\n\r\n');
+  await advanceClock(clock, 1000);
+  open.get('first')?.();
+  await caller.untilEnded();
+  assert.match(caller.received, /^HTTP\/1\.1 200 /);
+  assert.match(caller.received, /data: b/);
+  assert.doesNotMatch(caller.received, / 400 /);
+  caller.socket.end();
+  const stopping = gateway.stop();
+  await advanceClock(clock, stopMs);
+  await stopping;
+});
