Take a request while stopping only if its deadline can be kept

What callers saw: streams on kept connections, sent 3.0 to 3.3 s after SIGTERM, were cut 4.2 to 4.4 s later, within the response (LOST: the excuse for long requests ends 3 s after SIGTERM).

Cause: a stopping host took a request if three times the mean response time of its route fitted into the time left. A host that was restarted knows few responses, and lengths vary more than that. Class: a promise that rests on an estimate.

Change: once the load balancer has taken the host out, a request is taken only if its deadline, which bounds it for certain, lies before the end of the host. Others are refused as not run, with Connection: close and a Retry-After of 50 ms; all other hosts can serve them.

--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -5,11 +5,12 @@
   chooseService,
   type RouteTable,
 } from '../../version/deployment/route-table.js';
+import type {Organisation} from '../../version/deployment/types.js';
 import {
-  requestKinds,
-  type Organisation,
-} from '../../version/deployment/types.js';
-import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+  computeDeadlineAtMs,
+  type AdmittedRequest,
+  type GatewayRequestParts,
+} from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
 import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
@@ -23,8 +24,6 @@
 
 /** Retry-After of a host that stops, in milliseconds; other hosts take the request at once. */
 const stoppingRetryAfterMs = 50;
-/** Multiple of a route's mean response time that most of its responses stay below. */
-const longResponseFactor = 3;
 
 /** Dependencies of the handler. */
 export interface GatewayHandlerParts extends GatewayRequestParts {
@@ -108,7 +107,7 @@
         tokensPerEvent: routes.service(service)?.engine?.tokensPerEvent ?? 1,
         arrivedMs,
       };
-      if (this.stopsTooSoon(admitted)) {
+      if (this.mayBeCutOff(admitted)) {
         return this.refuse(req, res, head, 'stopping', stoppingRetryAfterMs);
       }
       const request = new GatewayRequest(this.parts, admitted, res, done =>
@@ -131,12 +130,9 @@
     decisions.log('requestDiscarded', {request: requestId});
   }
 
-  /** Checks whether a response would probably be cut off, because this host stops. */
-  private stopsTooSoon({route}: AdmittedRequest): boolean {
-    const {clock, stats, stopsAtMs} = this.parts;
-    const isStream = route.kind === requestKinds.stream;
-    const neededMs = stats.slotMs(route.name, isStream) * longResponseFactor;
-    return clock.nowMs() + neededMs > stopsAtMs();
+  /** Checks whether a response might be cut off, because this host stops before the deadline of the request. */
+  private mayBeCutOff(request: AdmittedRequest): boolean {
+    return computeDeadlineAtMs(request) > this.parts.stopsAtMs();
   }
 
   private refuse(
