Close all responses of a caller's connection when it is closed

What callers saw (by reading; no report): targets worked on for requests that a caller had sent ahead of their responses after it had left (GONE).

Cause: Node.js closes only the response that is being sent when a connection closes. Those queued behind it stayed in progress, with their slots.

Measured: 'a caller that leaves ends all requests that it sent ahead' times out without the change.

--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -68,6 +68,17 @@
     this.idleSinceMs = nowMs;
   }
 
+  /**
+   * Closes the responses in progress, because the connection is closed. Node.js closes only the one that is being sent;
+   * the others would stay in progress, and their targets would work on.
+   */
+  closeResponses(): void {
+    for (const res of [...this.responses]) {
+      res.destroy();
+      res.emit('close');
+    }
+  }
+
   /**
    * Makes a response the last one of the connection, if no later request is in progress on it: a response after the last
    * one could not be sent.
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -169,7 +169,8 @@
 
   private onConnection(socket: Socket): void {
     const {clock} = this.parts;
-    this.connections.set(socket, new CallerConnection(socket, clock.nowMs()));
+    const connection = new CallerConnection(socket, clock.nowMs());
+    this.connections.set(socket, connection);
     let cancelLinger = () => {};
     // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
     // that arrive then reset the connection, and the caller may lose the response.
@@ -181,6 +182,7 @@
     socket.once('close', () => {
       cancelLinger();
       this.connections.delete(socket);
+      process.nextTick(() => connection.closeResponses());
     });
   }
 
--- a/test/gateway/stopping-connections.test.ts
+++ b/test/gateway/stopping-connections.test.ts
@@ -265,3 +265,21 @@
   await advanceClock(clock, stopMs);
   await stopping;
 });
+
+// Guards against requests that a target works on after their caller left: only the response being sent was closed.
+test('a caller that leaves ends all requests that it sent ahead', async t => {
+  const closed = new Set<string>();
+  const target = await startRawTarget((socket, id) => {
+    socket.once('close', () => closed.add(id));
+  });
+  const {port} = await startWithTargets(t, [target]);
+  const caller = new RawCaller(port);
+  caller.socket.write(requestText('first') + requestText('second'));
+  while (target.requests.length < 2) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  caller.socket.destroy();
+  while (closed.size < 2) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+});
