--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -32,7 +32,7 @@
 import type {Ticket} from './dispatcher.js';
 import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
-import {refuseRequest} from './refuse-request.js';
+import {recordCallerLeft, refuseRequest} from './refuse-request.js';
 import {reserveRetry} from './stalled-attempt.js';
 import {TargetAttempt} from './target-attempt.js';
 import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
@@ -76,7 +76,7 @@
     this.units = quotaUnits(request);
     this.relay = new ResponseRelay(
       res,
-      parts.isDraining,
+      () => parts.closesAfter(res),
       {
         pause: () => this.attempt?.exchange.pause(),
         resume: () => this.attempt?.exchange.resume(),
@@ -344,8 +344,8 @@
 
   private callerLeft(): void {
     if (this.done) return;
+    recordCallerLeft(this.parts, this.request, this.attempt?.target.entry.id);
     this.abandon();
-    this.parts.metrics.callerLeft();
     this.finish();
   }
 
