Withdraw a waiting request whose earlier attempt failed at once

Cause: an attempt that fails before it begins asks for the next slot while the first call of Dispatcher.requestSlot() is still assigning slots. The second request for a slot is queued, and the first call then returned its own ticket, which replaced that of the queued one. abandon() and check() worked with a ticket that was no longer queued.

Change: requestSlot() returns a ticket only for a request that still waits, and GatewayRequest keeps the newer one otherwise.

--- a/src/process/pool/rank-queue.ts
+++ b/src/process/pool/rank-queue.ts
@@ -61,6 +61,15 @@
     this.count++;
   }
 
+  /**
+   * Checks whether a request waits.
+   *
+   * @param request - Request passed to {@link push}.
+   */
+  has(request: T): boolean {
+    return this.lines.get(lineKey(request))?.waiting.includes(request) ?? false;
+  }
+
   /**
    * Lists the next request of each line, in the order in which they should be served.
    *
--- a/src/request/gateway/dispatcher.ts
+++ b/src/request/gateway/dispatcher.ts
@@ -89,13 +89,13 @@
    * @param request - Request to place.
    * @param onSlot - Receives the target; its slot is taken until {@link TargetPool.release}.
    * @param onExpired - Called when the wait limit of the request has passed.
-   * @returns Ticket for {@link withdraw}.
+   * @returns Ticket for {@link withdraw}, or `undefined` if the slot was assigned before this method returned.
    */
   requestSlot(
     request: SlotRequest,
     onSlot: Ticket['onSlot'],
     onExpired: Ticket['onExpired'],
-  ): Ticket {
+  ): Ticket | undefined {
     const {rank, organisationRank, costMs, dueAtMs} = request;
     const ticket = {
       request,
@@ -114,7 +114,7 @@
     queue.push(ticket);
     this.serve(request.service);
     this.tick();
-    return ticket;
+    return queue.has(ticket) ? ticket : undefined;
   }
 
   /**
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -145,13 +145,13 @@
       exclude: this.attempts.excluded,
       trial: this.trial,
     });
-    this.ticket = this.parts.dispatcher.requestSlot(
+    const ticket = this.parts.dispatcher.requestSlot(
       slotRequest,
       target => this.send(target),
       () => this.onNoSlot(),
     );
-    // The slot may have been assigned before `requestSlot` returned the ticket.
-    if (this.attempt || this.done) this.ticket = undefined;
+    // An attempt that failed at once may already have put the request in the queue again, with another ticket.
+    if (ticket) this.ticket = ticket;
   }
 
   private send(target: PooledTarget): void {
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -15,6 +15,7 @@
   GatewaySettings,
 } from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
+import type {WireFormat} from '../../src/request/gateway/wire-format.js';
 import type {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
 import {
@@ -131,7 +132,11 @@
 /** Starts a gateway host and waits until it is ready. */
 export async function startGateway(
   store: SharedStore,
-  options: {clock?: Clock; change?: Partial<GatewaySettings>} = {},
+  options: {
+    clock?: Clock;
+    change?: Partial<GatewaySettings>;
+    wire?: WireFormat;
+  } = {},
 ): Promise<RunningGateway> {
   const address = '127.0.0.1';
   const settings: GatewaySettings = {
@@ -151,7 +156,7 @@
   };
   const gateway = createGatewayHost(settings, {
     store,
-    wire: new PlatformWireFormat(),
+    wire: options.wire ?? new PlatformWireFormat(),
     clock: options.clock,
     logger: Logger.create('silent'),
   });
@@ -183,6 +188,7 @@
     headers?: Record<string, string>;
     body?: string;
     onData?: (text: string, disconnect: () => void) => void;
+    signal?: AbortSignal;
   } = {},
 ): Promise<ReceivedResponse> {
   return new Promise((resolve, reject) => {
@@ -193,6 +199,7 @@
         path,
         method: options.method ?? 'POST',
         agent: false,
+        signal: options.signal,
         headers: {
           host: 'h.example',
           'x-request-id': `r${nextId++}`,
--- a/test/gateway/started-gateway.ts
+++ b/test/gateway/started-gateway.ts
@@ -1,5 +1,6 @@
 import type {TestContext} from 'node:test';
 import type {GatewaySettings} from '../../src/process/gateway-settings.js';
+import type {WireFormat} from '../../src/request/gateway/wire-format.js';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
@@ -15,6 +16,7 @@
   t: TestContext,
   targets: readonly FakeTarget[],
   change: Partial<GatewaySettings> = {},
+  wire?: WireFormat,
 ) {
   const clock = new ManualClock();
   const store = new MemoryStore();
@@ -22,7 +24,11 @@
   targets.forEach((target, i) =>
     store.put(feeds.targets, targetChange(`i-${i}`, target.address)),
   );
-  const {gateway, settings} = await startGateway(store, {clock, change});
+  const {gateway, settings} = await startGateway(store, {
+    clock,
+    change,
+    wire,
+  });
   t.after(async () => {
     const stopped = gateway.stop();
     await advanceClock(clock, 10_000);
