Limit the numbers in the headers of callers and targets

Callers saw: nothing at once. An X-Token-Count of over 300 digits is infinite as a number. It was added to the load of a target and taken off again, which leaves NaN, so that the choice of targets on that host compared with NaN from then on. A Retry-After or X-Cold-Ms of that size from a target kept it out of use for good.

Cause: PlatformWireFormat accepted every text of digits.

Change: number-limits.ts states the limits. A request with more than a billion tokens is refused with status 400 and the reason tooManyTokens, as no target could run it. Numbers of tokens are whole, so that their sums return to 0.

--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -83,6 +83,9 @@
     if (head.headerBytes > limits.maxHeaderBytes) {
       return this.refuse(req, res, head, 'headersTooLarge');
     }
+    if (head.exceedsTokenLimit) {
+      return this.refuse(req, res, head, 'tooManyTokens');
+    }
     const route = routes.route(head.hosts[0], url.split('?', 1)[0]);
     const service = route && chooseService(route, this.parts.random());
     if (!route || service === undefined) {
--- a/src/request/gateway/refusal-reasons.ts
+++ b/src/request/gateway/refusal-reasons.ts
@@ -6,6 +6,10 @@
   notConfigured: {status: 503, text: 'the host knows no configuration yet'},
   stopping: {status: 503, text: 'the host stops before it could respond'},
   badHost: {status: 400, text: 'exactly one Host header is required'},
+  tooManyTokens: {
+    status: 400,
+    text: 'a header states more tokens than any target could process',
+  },
   headersTooLarge: {status: 431, text: 'the headers are too large'},
   bodyTooLarge: {status: 413, text: 'the body is too large'},
   noRoute: {status: 404, text: 'no route matches the host and path'},
--- a/src/request/gateway/wire-format.ts
+++ b/src/request/gateway/wire-format.ts
@@ -27,6 +27,8 @@
   readonly bodyLength?: number;
   /** Size of all header names and values, in bytes. */
   readonly headerBytes: number;
+  /** Whether a number of tokens exceeds {@link maxTokens}; no target could run such a request. */
+  readonly exceedsTokenLimit: boolean;
   /** Header names and values to forward, alternating. */
   readonly forwarded: readonly string[];
 }
--- a/test/gateway/gateway-path.test.ts
+++ b/test/gateway/gateway-path.test.ts
@@ -56,6 +56,24 @@
   assert.deepEqual(target.requests, []);
 });
 
+// Guards against a header that makes the load of a target infinite and, once the request has ended, NaN.
+test('a request that states more tokens than a number can hold is refused', async t => {
+  const target = await startHttpTarget((_req, res) => res.end('ran'));
+  const {port} = await startWithTargets(t, [target]);
+  const many = '9'.repeat(400);
+  const all: Record<string, string>[] = [
+    {'x-token-count': `${many},1`},
+    {'x-token-count': `1,${many}`},
+    {'x-prompt-prefix': `5c1e:10,91bd:${many}`},
+  ];
+  for (const headers of all) {
+    const {status, body} = await sendRequest(port, '/plain/a', {headers});
+    assert.equal(status, 400);
+    assert.match(body, /more tokens than any target could process/);
+  }
+  assert.deepEqual(target.requests, []);
+});
+
 // Guards against a caller that receives the response of another one over a shared connection.
 test('a response to another request is not delivered', async t => {
   const target = await startRawTarget((socket, id) =>
--- a/test/platform/wire-format.test.ts
+++ b/test/platform/wire-format.test.ts
@@ -1,6 +1,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import fc from 'fast-check';
 import {PlatformWireFormat} from '../../platform/wire-format.js';
+import {
+  maxCount,
+  maxDurationMs,
+  maxStatedMs,
+  maxTokens,
+} from '../../src/process/number-limits.js';
 
 const wire = new PlatformWireFormat();
 
@@ -96,3 +103,71 @@
   assert.deepEqual(unframed.load, {running: 3, waiting: 1, slots: 8});
   assert.equal(wire.readResponse(200, {'content-length': '3'}).framed, true);
 });
+
+/** Numbers in headers, also ones with more digits than a finite number has. */
+const numberText = fc.oneof(
+  fc.integer({min: 1, max: 400}).map(digits => '9'.repeat(digits)),
+  fc.double({noNaN: true}).map(String),
+  fc.nat().map(String),
+  fc.string(),
+);
+const seed = 20261206;
+
+// Guards against a header that makes the load of a target, or a time until which it is left out, infinite or NaN.
+test('every number of a request is within its limits, or the request is refused', () => {
+  fc.assert(
+    fc.property(fc.array(numberText, {minLength: 6, maxLength: 6}), texts => {
+      const [prompt, output, deadline, hint, part, length] = texts;
+      const head = wire.readCaller([
+        ...['X-Token-Count', `${prompt},${output}`, 'X-Deadline-Ms', deadline],
+        ...['X-Length-Hint', hint, 'X-Prompt-Prefix', `5c1e:${part}`],
+        ...['Content-Length', length],
+      ]);
+      const {deadlineMs = 0, expectedOutputTokens = 0, bodyLength = 0} = head;
+      assert.ok(deadlineMs >= 0 && deadlineMs <= maxDurationMs);
+      assert.ok(expectedOutputTokens >= 0 && expectedOutputTokens <= maxTokens);
+      assert.ok(bodyLength >= 0 && bodyLength <= Number.MAX_SAFE_INTEGER);
+      const counts = [
+        ...[head.promptTokens, head.maxOutputTokens],
+        ...head.parts.map(({tokens}) => tokens),
+      ];
+      const areWithin = counts.every(
+        tokens =>
+          Number.isInteger(tokens) && tokens >= 0 && tokens <= maxTokens,
+      );
+      assert.equal(head.exceedsTokenLimit, !areWithin);
+    }),
+    {seed, numRuns: 2000},
+  );
+});
+
+test('every number of a response is within its limits', () => {
+  fc.assert(
+    fc.property(fc.array(numberText, {minLength: 6, maxLength: 6}), texts => {
+      const [load, retryAfter, cold, limit, length, slots] = texts;
+      const head = wire.readResponse(503, {
+        'x-server-load': `${load},1,${slots}`,
+        'retry-after': retryAfter,
+        'x-cold-ms': cold,
+        'server-limit': limit,
+        'content-length': length,
+      });
+      const {backoffMs = 0, coldMs = 0, limitPerSecond = 0} = head;
+      assert.ok(backoffMs >= 0 && backoffMs <= maxStatedMs);
+      assert.ok(coldMs >= 0 && coldMs <= maxStatedMs);
+      assert.ok(limitPerSecond >= 0 && limitPerSecond <= maxCount);
+      assert.ok((head.bodyLength ?? 0) <= Number.MAX_SAFE_INTEGER);
+      const {running = 0, slots: all = 0} = head.load ?? {};
+      assert.ok(running >= 0 && running <= maxCount);
+      assert.ok(all >= 0 && all <= maxCount);
+    }),
+    {seed, numRuns: 2000},
+  );
+});
+
+test('a request for a billion tokens is read, and one for more is refused', () => {
+  const read = (text: string) => wire.readCaller(['X-Token-Count', text]);
+  assert.equal(read(`${maxTokens},${maxTokens}`).exceedsTokenLimit, false);
+  assert.equal(read(`${maxTokens + 1},1`).exceedsTokenLimit, true);
+  assert.equal(read(`1,${'9'.repeat(400)}`).exceedsTokenLimit, true);
+});
