Require keys if the list of organisations is empty

Cause: RouteTable took an empty list for a deployment without keys. The list is also empty when the operator removes the last organisation, and when none of its entries can be read.

Decision: PROTOCOL.md asks for a key if the configuration contains `tenants`. A configuration without the field asks for no keys, as before. An operator that writes an empty list for a deployment without keys has to leave it out.

A copy of the state from a host that runs an older version does not have it, and keeps the old meaning.

--- a/src/version/deployment/route-table.ts
+++ b/src/version/deployment/route-table.ts
@@ -32,7 +32,7 @@
 
   /** Whether callers need an API key on routes that are not public. */
   get needsKeys(): boolean {
-    return this.configuration.organisations.length > 0;
+    return this.configuration.needsKeys;
   }
 
   /**
--- a/src/version/deployment/state-copy.ts
+++ b/src/version/deployment/state-copy.ts
@@ -18,7 +18,8 @@
    * hosts that run an older version.
    */
   readonly ages?: {readonly orders: number; readonly targets: number};
-  readonly configuration?: Configuration;
+  readonly configuration?: Omit<Configuration, 'needsKeys'> &
+    Partial<Pick<Configuration, 'needsKeys'>>;
   readonly evacuated: readonly string[];
   readonly orders: readonly {order: RolloutOrder; offset: number}[];
   readonly statuses: readonly RolloutStatus[];
@@ -71,7 +72,13 @@
   localOffsets: StateCopy['offsets'],
   nowMs: number,
 ): void {
-  const {configuration} = copy;
+  const configuration = copy.configuration && {
+    ...copy.configuration,
+    // Hosts that run an older version do not state it, and need keys if there are organisations.
+    needsKeys:
+      copy.configuration.needsKeys ??
+      copy.configuration.organisations.length > 0,
+  };
   // A host that started after the store was restored finds an older configuration there than the others have in force.
   if (configuration) {
     state.apply([record({kind: 'configuration', configuration})], nowMs);
--- a/src/version/deployment/types.ts
+++ b/src/version/deployment/types.ts
@@ -92,7 +92,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly ServiceConfig[];
-  /** Empty if callers need no API keys. */
+  /** Whether callers need an API key of an organisation on routes that are not public. */
+  readonly needsKeys: boolean;
   readonly organisations: readonly Organisation[];
   readonly limits: CallerLimits;
 }
--- a/test/gateway/foreign-records.test.ts
+++ b/test/gateway/foreign-records.test.ts
@@ -6,7 +6,7 @@
 import {decodeGossip} from '../../src/process/fleet/gossip-message.js';
 import {applyStateCopy} from '../../src/version/deployment/state-copy.js';
 import {DeploymentState} from '../../src/version/deployment/deployment-state.js';
-import {sendRequest, startHttpTarget} from './gateway-fakes.js';
+import {configuration, sendRequest, startHttpTarget} from './gateway-fakes.js';
 import {advanceClock, startWithTargets} from './started-gateway.js';
 
 const entry = {
@@ -133,6 +133,22 @@
   assert.deepEqual([...state.targets.keys()], ['i-1']);
 });
 
+// Guards against serving callers without keys after the state was copied from a host that runs an older version.
+test('a copied configuration that does not say whether it needs keys needs them if it has organisations', () => {
+  const {needsKeys, ...older} = configuration;
+  assert.equal(needsKeys, true);
+  for (const organisations of [older.organisations, []]) {
+    const state = new DeploymentState();
+    const copy = {
+      ...{offsets: {orders: 1, targets: 1}, evacuated: [], orders: []},
+      ...{statuses: [], targets: []},
+      configuration: {...older, organisations},
+    };
+    applyStateCopy(state, copy, {orders: -1, targets: -1}, 0);
+    assert.equal(state.configuration?.needsKeys, organisations.length > 0);
+  }
+});
+
 /** Values that fit the type of a field, or do not, at the limits of both. */
 const fieldValue = fc.oneof(
   fc.constantFrom<unknown>(
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -62,6 +62,7 @@
     {...route, name: 'keyed', pathPrefix: '/keyed/', isPublic: false},
   ],
   services: [{name: 's', maxConnections: 100, coldPerSecond: 0}],
+  needsKeys: true,
   organisations: [
     {
       name: 'o',
--- a/test/gateway/gateway-path.test.ts
+++ b/test/gateway/gateway-path.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import {test} from 'node:test';
+import {decodeRecord} from '../../platform/records.js';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {
   sendRequest,
@@ -269,6 +270,34 @@
   assert.equal(await status('key'), 401);
 });
 
+// Guards against serving everybody once the last organisation is removed.
+test('a configuration with an empty list of organisations refuses all keys', async t => {
+  const target = await startHttpTarget((req, res) => res.end('ran'));
+  const {port, store} = await startWithTargets(t, [target]);
+  const newer = decodeRecord(feeds.orders, {
+    key: 'config',
+    value: Buffer.from(
+      JSON.stringify({
+        version: 2,
+        routes: [
+          {host: 'h.example', pathPrefix: '/keyed/', service: 's'},
+          {host: 'h.example', pathPrefix: '/open/', service: 's', public: true},
+        ],
+        tenants: [],
+      }),
+    ),
+  });
+  store.put(feeds.orders, newer);
+  const headers = {'x-key': 'key'};
+  const status = async (path: string) =>
+    (await sendRequest(port, path, {headers})).status;
+  while ((await status('/open/a')) !== 200);
+  const {length} = target.requests;
+  assert.equal(await status('/keyed/a'), 401);
+  assert.equal((await sendRequest(port, '/keyed/a')).status, 401);
+  assert.equal(target.requests.length, length);
+});
+
 // Guards against a caller that gets an event without end: parts of it were relayed until the deadline.
 test('a stream whose event has no end is continued on another target', async t => {
   let endless: Socket | undefined;
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -121,6 +121,16 @@
   assert.equal(decoded?.organisations[0].countsTokens, true);
 });
 
+// Guards against serving everybody once the last organisation is removed, or if the organisations cannot be read.
+test('a configuration with a list of organisations needs keys, also if it is empty or malformed', () => {
+  const needsKeys = (fields: Record<string, unknown>) =>
+    decodeConfiguration({version: 1, routes: [], ...fields})?.needsKeys;
+  assert.equal(needsKeys({}), false);
+  for (const tenants of [[], [{}], null, {}, 'o', [{name: 'o', apiKeys: []}]]) {
+    assert.equal(needsKeys({tenants}), true, JSON.stringify(tenants));
+  }
+});
+
 test('framed records are decoded unchanged, and a truncated page is rejected', () => {
   const records = [
     {key: 'a', value: Buffer.from('one')},
