Limit the numbers in records of the store

Callers saw: nothing so far, as the platform's store accepts only valid records; a timeout above 2^31 ms would have ended each request at once, because timers of Node fire after 1 ms if they are set to a longer time.

Cause: the decoders accepted every finite number. Versions, times of start and offsets above 2^53 are not exact, and an offset of 2^36 or more is a position of the next era.

Evidence: three new tests in records.test.ts failed, one of them a property over all numbers of a record, written as text so that they include 1e400.

--- a/src/connection/store/shared-store.ts
+++ b/src/connection/store/shared-store.ts
@@ -17,6 +17,10 @@
 
 /** Number of offsets of one era; a log that keeps some minutes of records does not reach it. */
 const offsetsPerEra = 2 ** 36;
+/** Largest offset in a log; a larger one would be a position of the next era. */
+export const maxOffset = offsetsPerEra - 1;
+/** Largest number of an era with which positions are exact. */
+export const maxEra = 2 ** 16;
 
 /**
  * Computes the position of a record. A store that is restored from a copy loses its latest records and gives their
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -10,7 +10,7 @@
   frameRecord,
 } from '../../platform/records.js';
 import {decodeSettings} from '../../platform/settings.js';
-import {feeds} from '../../src/connection/store/shared-store.js';
+import {feeds, type Feed} from '../../src/connection/store/shared-store.js';
 import {FailureError} from '../../src/process/errors/catalogue.js';
 import {
   requestKinds,
@@ -88,6 +88,104 @@
   );
 });
 
+/** Lists all numbers in a decoded value, with the names of their fields. */
+function* numbersIn(value: unknown, name = ''): Generator<[string, number]> {
+  if (typeof value === 'number') yield [name, value];
+  if (typeof value !== 'object' || value === null) return;
+  for (const [key, child] of Object.entries(value)) {
+    yield* numbersIn(child, key);
+  }
+}
+
+const fieldsOf = (...names: string[]) =>
+  fc.record(
+    Object.fromEntries(
+      names.map(name => [
+        name,
+        fc.oneof(
+          fc.constantFrom('1e400', '-1e400', '-1', '0', '1e300', '1e18', '7'),
+          fc.double({noNaN: true, noDefaultInfinity: true}).map(String),
+        ),
+      ]),
+    ),
+    {requiredKeys: []},
+  );
+
+/** Writes numbers as they stand: JSON allows numbers that are infinite once they are read. */
+function writeJson(
+  fields: Record<string, string | undefined>,
+  others: Record<string, unknown>,
+): string {
+  const numbers = Object.entries(fields).map(([k, v]) => `"${k}":${v}`);
+  const rest = JSON.stringify(others).slice(1);
+  return `{${[...numbers, ''].join(',')}${rest}`;
+}
+
+// Guards against numbers that never end a sum or a wait, and against durations at which timers fire at once.
+test('every number of a record is within its limits', () => {
+  const decode = (feed: Feed, key: string, json: string) => {
+    const change = decodeRecord(feed, {key, value: Buffer.from(json)});
+    for (const [name, number] of numbersIn(change)) {
+      const max =
+        name.endsWith('Ms') && name !== 'bornMs' ? 2 ** 31 - 1 : 2 ** 53;
+      assert.ok(number >= 0 && number <= max, `${name}: ${number}`);
+    }
+  };
+  fc.assert(
+    fc.property(
+      fieldsOf('timeoutMs', 'targetLatencyMs', 'priority', 'attempts'),
+      fieldsOf('priority', 'plainTokens', 'ratePerS', 'burst'),
+      fieldsOf('maxHeaderBytes', 'maxBodyBytes', 'headerTimeoutMs'),
+      fieldsOf('maxConnections', 'coldPerS'),
+      fieldsOf('version'),
+      (route, organisation, limits, service, version) => {
+        const parts = {
+          routes: `[${writeJson(route, {host: 'h', pathPrefix: '/'})}]`,
+          tenants: `[${writeJson(organisation, {name: 'o'})}]`,
+          services: `[${writeJson(service, {name: 's'})}]`,
+          limits: writeJson(limits, {a: 1}),
+        };
+        decode(
+          feeds.orders,
+          'config',
+          writeJson({...version, ...parts}, {a: 1}),
+        );
+      },
+    ),
+    {seed, numRuns: 1000},
+  );
+  fc.assert(
+    fc.property(
+      fieldsOf('slots', 'coldRemainingMs', 'born'),
+      fieldsOf('durationS'),
+      (target, order) => {
+        const {service, address, zone, state, version} = validEntry;
+        const entry = {service, address, zone, state, version};
+        decode(feeds.targets, 'i-1', writeJson(target, entry));
+        decode(feeds.orders, 'rollout/s', writeJson(order, {target: 'v2'}));
+      },
+    ),
+    {seed, numRuns: 1000},
+  );
+});
+
+// Guards against two versions or incarnations that are taken for the same one.
+test('a version or time of start that is not an exact number is not used', () => {
+  assert.equal(decodeConfiguration({version: 2 ** 60, routes: []}), undefined);
+  const change = decodeTargetEntry({...validEntry, born: 2 ** 60});
+  assert.ok(change.kind === 'target');
+  assert.equal(change.entry?.bornMs, 0);
+});
+
+// Guards against offsets that reach into the positions of the next era.
+test('a page whose log ends beyond the largest offset is rejected', () => {
+  const page = Buffer.alloc(16);
+  page.writeBigUInt64BE(2n ** 36n - 1n, 0);
+  assert.equal(decodePage(page)?.end, 2 ** 36 - 1);
+  page.writeBigUInt64BE(2n ** 36n, 0);
+  assert.equal(decodePage(page), undefined);
+});
+
 test('wire names of routes and organisations are mapped to the configuration', () => {
   const decoded = decodeConfiguration({
     version: 7,
