Let a begun stream wait for a slot until its caller leaves

A stream whose target broke off, refused it or could not be reached waited for another slot only as long as a first attempt does: up to its objective, 400 ms. Then it was cut, although callers wait for the next event for two seconds, four objectives or eight of the longest pauses on time, whichever is longest (3,200 ms on the deployments with a pause of 400 ms).

A request that is refused early can come back; a stream that was begun is lost. So it waits until the caller leaves, less the time to the first event. Route gains the longest pause on time, gapMs.

--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -11,7 +11,7 @@
 import {requestKinds} from '../../version/deployment/types.js';
 import type {Dispatcher, SlotRequest} from './dispatcher.js';
 import type {RouteStats} from './route-stats.js';
-import {maxWaitMs} from './wait-policy.js';
+import {maxResumeWaitMs, maxWaitMs, streamPatienceMs} from './wait-policy.js';
 import type {CallerHead, WireFormat} from './wire-format.js';
 
 /** Dependencies that all requests of a host share. */
@@ -176,21 +176,33 @@
  * @param parts - Clock and statistics.
  * @param request - Request to place.
  * @param use - Excluded targets and canary assignment of this attempt.
+ * @param silentMs - Time since the last event if the caller has received a part of a stream, in milliseconds.
  * @returns The slot request, with its wait limit.
  */
 export function toWaitingRequest(
   {clock, stats}: GatewayRequestParts,
   request: AdmittedRequest,
   use: Pick<SlotRequest, 'exclude' | 'trial'>,
+  silentMs: number | undefined,
 ): SlotRequest {
   const {route} = request;
   const nowMs = clock.nowMs();
-  const waitLimitMs = maxWaitMs({
-    objectiveMs: route.objectiveMs,
-    remainingMs: computeDeadlineAtMs(request) - nowMs,
-    responseMs: stats.firstMs(route.name),
-    isRetry: priorWaitMs(request) > 0,
-    stream: route.kind === requestKinds.stream,
-  });
+  const remainingMs = computeDeadlineAtMs(request) - nowMs;
+  const responseMs = stats.firstMs(route.name);
+  const waitLimitMs =
+    silentMs === undefined
+      ? maxWaitMs({
+          objectiveMs: route.objectiveMs,
+          remainingMs,
+          responseMs,
+          isRetry: priorWaitMs(request) > 0,
+          stream: route.kind === requestKinds.stream,
+        })
+      : maxResumeWaitMs({
+          patienceMs: streamPatienceMs(route),
+          silentMs,
+          remainingMs,
+          responseMs,
+        });
   return toSlotRequest(request, stats, {...use, untilMs: nowMs + waitLimitMs});
 }
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -122,17 +122,11 @@
   check(nowMs: number): void {
     const {attempt} = this;
     if (this.ticket && this.failIfBlocked()) return;
-    if (!attempt || attempt.stalled || attempt.endChecked) return;
     const {route} = this.request;
+    if (!attempt || attempt.stalled || attempt.endChecked) return;
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
     if (sinceMs < stallTimeoutMs(route.objectiveMs, this.relay.started)) return;
-    attempt.stalled = true;
-    attempt.target.recordOutcome(outcomes.failed, nowMs);
-    this.parts.decisions.log('targetStalled', {
-      request: this.request.head.requestId,
-      target: attempt.target.entry.id,
-      sinceMs: Math.round(sinceMs),
-    });
+    attempt.recordStall(sinceMs);
     if (!this.isRetryable()) return;
     const {attempts, parts, request} = this;
     this.reserved = reserveRetry(parts, request, attempts, attempt.target);
@@ -141,10 +135,12 @@
 
   private requestSlot(): void {
     if (this.failIfBlocked()) return;
-    const slotRequest = toWaitingRequest(this.parts, this.request, {
-      exclude: this.attempts.excluded,
-      trial: this.trial,
-    });
+    const slotRequest = toWaitingRequest(
+      this.parts,
+      this.request,
+      {exclude: this.attempts.excluded, trial: this.trial},
+      this.relay.silentMs,
+    );
     this.ticket = this.parts.dispatcher.requestSlot(
       slotRequest,
       target => this.send(target),
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -46,7 +46,7 @@
     private readonly res: ServerResponse,
     private readonly closesConnection: () => boolean,
     private readonly flow: RelayFlow,
-    clock: Clock,
+    private readonly clock: Clock,
     eventDelayMs: number,
   ) {
     this.batch = new EventBatch(clock, eventDelayMs, events =>
@@ -59,6 +59,12 @@
     return this.splitter?.events ?? 0;
   }
 
+  /** Time since the last event if the caller has received a part of a stream, in milliseconds. */
+  get silentMs(): number | undefined {
+    if (!this.started || this.lastAtMs === undefined) return undefined;
+    return this.clock.nowMs() - this.lastAtMs;
+  }
+
   /** Id of the last complete event sent, if events have ids. */
   get lastEventId(): string | undefined {
     // Few streams are resumed, so the events are parsed for ids only on demand.
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -105,6 +105,23 @@
     this.parts.pool.recordStatement(target, head, this.startMs);
   }
 
+  /**
+   * Records that the target is silent for too long, as a failure of the target.
+   *
+   * @param sinceMs - Time for which it has sent nothing, in milliseconds.
+   */
+  recordStall(sinceMs: number): void {
+    const {clock, decisions} = this.parts;
+    const {target} = this;
+    this.stalled = true;
+    target.recordOutcome(outcomes.failed, clock.nowMs());
+    decisions.log('targetStalled', {
+      request: this.request.head.requestId,
+      target: target.entry.id,
+      sinceMs: Math.round(sinceMs),
+    });
+  }
+
   /** Records that the target has processed the prompt and begun to respond. */
   recordPromptRead(): void {
     if (this.promptRead) return;
--- a/src/request/gateway/wait-policy.ts
+++ b/src/request/gateway/wait-policy.ts
@@ -1,3 +1,5 @@
+import type {Route} from '../../version/deployment/types.js';
+
 /** Input of the wait limit of a request. */
 export interface WaitInput {
   /** Target time to the response or its first event, in milliseconds. */
@@ -14,10 +16,11 @@
 
 /** Share of the objective for which a first attempt may wait. */
 const waitObjectiveShare = 1;
-/** Minimum time after which callers cancel a stream that has not started, in milliseconds. */
+/** Minimum time after which callers cancel a stream without an event, in milliseconds. */
 const minStreamPatienceMs = 2000;
-/** The same as a multiple of the objective; the longer time applies. */
+/** The same as multiples of the objective and of the longest pause on time; the longest time applies. */
 const streamPatienceObjectives = 4;
+const streamPatienceGaps = 8;
 /** Share of the remaining time that a retry may wait, because another refusal would cost it more. */
 const retryWaitShare = 0.5;
 
@@ -38,6 +41,47 @@
   return Math.max(0, Math.min(latestMs, objectiveMs * waitObjectiveShare));
 }
 
+/**
+ * Computes after which pause callers cancel a stream of a route.
+ *
+ * @param route - Objective and longest pause on time.
+ * @returns Time in milliseconds.
+ */
+export function streamPatienceMs({
+  objectiveMs,
+  gapMs = 0,
+}: Pick<Route, 'objectiveMs' | 'gapMs'>): number {
+  return Math.max(
+    minStreamPatienceMs,
+    objectiveMs * streamPatienceObjectives,
+    gapMs * streamPatienceGaps,
+  );
+}
+
+/** Input of the wait limit of a stream that its caller has begun to receive. */
+export interface ResumeWaitInput {
+  /** Time after which the caller cancels a silent stream, in milliseconds. */
+  readonly patienceMs: number;
+  /** Time since the last event, in milliseconds. */
+  readonly silentMs: number;
+  /** Time to the deadline of the caller or the route, in milliseconds. */
+  readonly remainingMs: number;
+  /** Expected time of a target to the first event, in milliseconds. */
+  readonly responseMs: number;
+}
+
+/**
+ * Computes how long a stream may wait for the slot on which it is resumed: until its caller leaves, because it is cut
+ * off otherwise.
+ *
+ * @param input - Patience of the caller and time since the last event.
+ * @returns Time in milliseconds.
+ */
+export function maxResumeWaitMs(input: ResumeWaitInput): number {
+  const {patienceMs, silentMs, remainingMs, responseMs} = input;
+  return Math.max(0, Math.min(remainingMs, patienceMs - silentMs) - responseMs);
+}
+
 /** Bounds of the time after which callers are asked to retry, in milliseconds. */
 const minRetryAfterMs = 300;
 const maxRetryAfterMs = 4000;
--- a/src/version/deployment/types.ts
+++ b/src/version/deployment/types.ts
@@ -29,6 +29,8 @@
   readonly timeoutMs: number;
   /** Latency objective: time to the response, or to the first event of a stream, in milliseconds. */
   readonly objectiveMs: number;
+  /** Pause between the events of a stream for which its response is still on time, in milliseconds, if stated. */
+  readonly gapMs?: number;
   /** Priority; 0 is the highest. */
   readonly rank: number;
   readonly services: readonly ServiceShare[];
