Keep a stream at a target that pauses for a second or so

A resumable stream was moved to another target after 1.2 s without an event. Sound targets pause that long at times and go on. The move read the prompt again, and the stream could be cut at the other target, by a refusal or a break, although the first one would have gone on. It gained nothing: after the longest pause on time a response is late wherever it goes on.

A target now counts as stalled after 65 % of the time after which callers leave, at most 2.5 s: 2,080 ms where the longest pause on time is 400 ms. The rest is for the first event of another target.

The test of a pause of 1.6 s fails on the code before: the stream ran twice.

--- a/src/request/gateway/attempt-tracker.ts
+++ b/src/request/gateway/attempt-tracker.ts
@@ -1,6 +1,8 @@
 import type {GatewayRetryReason} from '../../process/gateway-metrics.js';
 import type {ServiceRetryBudget} from '../../process/limits/service-retry-budget.js';
+import type {Route} from '../../version/deployment/types.js';
 import type {AdmittedRequest} from './admitted-request.js';
+import {streamPatienceMs} from './wait-policy.js';
 
 /** Maximum number of times that one request is sent, including attempts that a target refused. */
 const maxAttempts = 3;
@@ -15,8 +17,13 @@
 const stallObjectiveFactor = 1.5;
 /** Minimum time after which a target without a response counts as stalled, in milliseconds. */
 const minStallTimeoutMs = 250;
-/** Gap within a stream after which its target counts as stalled, in milliseconds. */
-const streamStallTimeoutMs = 1200;
+/**
+ * Share of the pause after which callers cancel a stream, after which its target counts as stalled. Sound targets are
+ * silent for a second or so at times; the rest of the time is for the first event of another target.
+ */
+const streamStallShare = 0.65;
+/** Maximum pause after which the target of a stream counts as stalled, in milliseconds. */
+const maxStreamStallMs = 2500;
 
 /** Tracks the attempts of one request and decides whether it may be retried. */
 export class Attempts {
@@ -90,14 +97,14 @@
 /**
  * Computes how long a target may send nothing before it counts as stalled.
  *
- * @param objectiveMs - Target time to the response or its first event, in milliseconds.
+ * @param route - Route of the request.
  * @param started - Whether a part of the response was already relayed.
  * @returns Timeout in milliseconds.
  */
-export function stallTimeoutMs(objectiveMs: number, started: boolean): number {
+export function stallTimeoutMs(route: Route, started: boolean): number {
   return started
-    ? streamStallTimeoutMs
-    : Math.max(minStallTimeoutMs, objectiveMs * stallObjectiveFactor);
+    ? Math.min(maxStreamStallMs, streamPatienceMs(route) * streamStallShare)
+    : Math.max(minStallTimeoutMs, route.objectiveMs * stallObjectiveFactor);
 }
 
 /**
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -125,7 +125,7 @@
     const {route} = this.request;
     if (!attempt || attempt.stalled || attempt.endChecked) return;
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
-    if (sinceMs < stallTimeoutMs(route.objectiveMs, this.relay.started)) return;
+    if (sinceMs < stallTimeoutMs(route, this.relay.started)) return;
     attempt.recordStall(sinceMs);
     if (!this.isRetryable()) return;
     const {attempts, parts, request} = this;
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -14,6 +14,11 @@
 
 /** Objective and longest pause of the streams, in milliseconds; callers leave after a pause of 3,200 ms. */
 const streamLimits = {objectiveMs: 400, gapMs: 400};
+/** Pause of a sound target, in milliseconds. */
+const pauseMs = 1600;
+/** Silence after which a stream must go on elsewhere, because its caller leaves soon, in milliseconds. */
+const longSilenceMs = 2600;
+
 /** A request that a target runs. */
 interface Run {
   readonly res: ServerResponse;
@@ -69,6 +74,33 @@
   return {clock, port, runs, open, resumed};
 }
 
+// Guards against a stream that runs again elsewhere, at the risk of being cut there, because a sound target is silent for a
+// second or so.
+test('a stream whose target pauses for a second or so stays there', async t => {
+  const {clock, open, resumed} = await startStreams(t, {});
+  const {response, run} = await open();
+  await advanceClock(clock, pauseMs);
+  run.res.end(event(2));
+  const {body, complete} = await response;
+  assert.equal(body, event(1) + event(2));
+  assert.equal(complete, true);
+  assert.equal(resumed().length, 0);
+});
+
+// Guards against a stream that its caller gives up because a target is silent for good.
+test('a stream whose target stays silent is resumed elsewhere before its caller leaves', async t => {
+  const {clock, open, resumed} = await startStreams(t, {});
+  const {response} = await open();
+  await advanceClock(clock, longSilenceMs);
+  const {body, complete} = await response;
+  assert.equal(body, event(1) + event(2));
+  assert.equal(complete, true);
+  assert.deepEqual(
+    resumed().map(run => run.lastEventId),
+    ['1'],
+  );
+});
+
 // Guards against a stream that is cut because no slot is free at once, although its caller would wait.
 test('a stream whose target breaks off waits for a slot until its caller leaves', async t => {
   const {clock, open, resumed} = await startStreams(t, {slots: 1});
