Try again to bind an address that is in use at the start of a host

A host ended at its start when any of its addresses was in use: by the previous process of the same host that still drains, or by an outgoing connection to which the kernel had assigned the port. The port for metrics alone was enough.

A stop ends the attempts.

A datagram socket that sends before it is bound gets any port, and cannot be bound to the right one afterwards, so gossip is not sent before the start.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -7,6 +7,7 @@
 import type {Socket} from 'node:net';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import {listenOnce} from '../http/listen.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -61,11 +62,7 @@
    * @returns A promise that rejects if the address cannot be bound.
    */
   listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      const {address, port} = this.endpoint;
-      this.server.listen(port, address, () => resolve());
-    });
+    return listenOnce(this.server, this.endpoint);
   }
 
   /**
@@ -116,7 +113,7 @@
  * @param isReady - Returns whether the host accepts new connections.
  * @returns The server, once it listens.
  */
-export function serveReadiness(
+export async function serveReadiness(
   endpoint: Endpoint,
   path: string,
   isReady: () => boolean,
@@ -126,8 +123,6 @@
     res.statusCode = isReadinessPath ? (isReady() ? 200 : 503) : 404;
     res.end();
   });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(endpoint.port, endpoint.address, () => resolve(server));
-  });
+  await listenOnce(server, endpoint);
+  return server;
 }
--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -5,6 +5,7 @@
 } from '../../process/gateway-settings.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
+import {listenOnce} from '../http/listen.js';
 
 const statePath = '/internal/state';
 const metricsPath = '/metrics';
@@ -19,11 +20,13 @@
    * @param endpoint - Where to listen.
    * @param copy - Copies the state.
    * @param metrics - Renders the metrics.
+   * @param forHosts - Whether other hosts read the state here; otherwise only metrics are read.
    */
   constructor(
-    private readonly endpoint: Endpoint,
+    readonly endpoint: Endpoint,
     copy: () => StateCopy,
     metrics: () => Promise<string>,
+    readonly forHosts = true,
   ) {
     this.server = createServer((req, res) => {
       if (req.url === statePath) {
@@ -40,11 +43,7 @@
 
   /** Starts to listen. */
   listen(): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      const {address, port} = this.endpoint;
-      this.server.listen(port, address, () => resolve());
-    });
+    return listenOnce(this.server, this.endpoint);
   }
 
   /** Closes all connections. */
@@ -66,13 +65,13 @@
   copy: () => StateCopy,
   metrics: () => Promise<string>,
 ): StateServer[] {
-  const endpoints = [
-    peers,
-    metricsPort === undefined ? undefined : {address: ip, port: metricsPort},
-  ];
-  return endpoints.flatMap(endpoint =>
-    endpoint ? new StateServer(endpoint, copy, metrics) : [],
-  );
+  const servers: StateServer[] = [];
+  if (peers) servers.push(new StateServer(peers, copy, metrics));
+  if (metricsPort !== undefined) {
+    const endpoint = {address: ip, port: metricsPort};
+    servers.push(new StateServer(endpoint, copy, metrics, false));
+  }
+  return servers;
 }
 
 /**
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,9 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
-import {
-  GatewayServer,
-  serveReadiness,
-} from './connection/gateway/gateway-server.js';
+import {GatewayServer} from './connection/gateway/gateway-server.js';
+import {openAddresses} from './connection/gateway/open-addresses.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createStateServers} from './connection/peer/state-server.js';
 import type {SharedStore} from './connection/store/shared-store.js';
@@ -336,6 +334,7 @@
       rolloutController.receivePhases(phases);
     }),
   ];
+  const binding = new AbortController();
   const cancels = [() => {}];
   const wait = (ms: number) =>
     new Promise<void>(resolve => clock.after(ms, resolve));
@@ -343,12 +342,11 @@
   return {
     async start() {
       feed.start();
-      [readiness] = await Promise.all([
-        serveReadiness(settings.ready, wire.readyPath, isReady),
-        server.listen(),
-        ...stateServers.map(each => each.listen()),
-        gossip.start(),
-      ]);
+      const {signal} = binding;
+      const servers = {server, stateServers, gossip, wire, isReady};
+      const parts = {clock, logger, signal, ...servers};
+      readiness = await openAddresses(settings, parts);
+      if (draining) return;
       // Hosts are read after registering, so that of two concurrent starts the later finds the other.
       void registration.add().then(() => feed.startHosts());
       peerStateSync?.start();
@@ -368,6 +366,7 @@
   async function stopHost(): Promise<void> {
     const endMs = clock.nowMs() + bounds.stopMs - stopMarginMs;
     draining = true;
+    binding.abort();
     logger.event('gatewayStopping', {open: handler.openRequests});
     server.closeAfterResponses();
     await wait(loadBalancerNoticeMs);
--- a/src/process/errors/catalogue.ts
+++ b/src/process/errors/catalogue.ts
@@ -1,5 +1,6 @@
 import {peerFailures, type PeerFailure} from './peer-failures.js';
 import {platformFailures, type PlatformFailure} from './platform-failures.js';
+import {processFailures, type ProcessFailure} from './process-failures.js';
 import {requestFailures, type RequestFailure} from './request-failures.js';
 import {resourceFailures, type ResourceFailure} from './resource-failures.js';
 import {rolloutFailures, type RolloutFailure} from './rollout-failures.js';
@@ -8,6 +9,7 @@
 /** Every failure that the system reports, discriminated by `kind`. */
 export type Failure =
   | SettingsFailure
+  | ProcessFailure
   | RequestFailure
   | PlatformFailure
   | PeerFailure
@@ -32,6 +34,7 @@
 /** Texts of all failures. */
 export const failureCatalogue: FailureTexts<Failure> = {
   ...settingsFailures,
+  ...processFailures,
   ...requestFailures,
   ...platformFailures,
   ...peerFailures,
--- a/src/process/events/process-events.ts
+++ b/src/process/events/process-events.ts
@@ -14,4 +14,19 @@
     level: 'error',
     message: 'host stopped after a failure',
   },
+  addressInUse: {
+    id: 1007,
+    level: 'warn',
+    message: 'address cannot be bound yet; trying again',
+  },
+  addressBound: {
+    id: 1008,
+    level: 'info',
+    message: 'address bound after failed attempts',
+  },
+  metricsNotServed: {
+    id: 1009,
+    level: 'error',
+    message: 'metrics are not served because their address cannot be bound',
+  },
 } as const;
--- a/src/process/fleet/gossip-task.ts
+++ b/src/process/fleet/gossip-task.ts
@@ -48,6 +48,7 @@
   private composedAtMs = 0;
   private peersByAddress: ReadonlyMap<string, Peer> = new Map();
   private readonly round = new SendRound();
+  private bound = false;
   private stopped = false;
 
   /** Received messages, except those that are older than the last one of the same host. */
@@ -62,13 +63,18 @@
     this.socket.on('error', () => {});
   }
 
-  /** Binds the socket, sends the first message and starts sending at intervals. */
+  /**
+   * Binds the socket, sends the first message and starts sending at intervals.
+   *
+   * @returns A promise that rejects if the address cannot be bound; the call can be repeated.
+   */
   start(): Promise<void> {
     const {clock, ip, port} = this.parts;
     return new Promise((resolve, reject) => {
       this.socket.once('error', reject);
       this.socket.bind(port, ip, () => {
         this.socket.removeListener('error', reject);
+        this.bound = true;
         this.cancel = every(clock, minIntervalMs, () => this.tick());
         this.send();
         resolve();
@@ -76,8 +82,10 @@
     });
   }
 
-  /** Sends a message to all known hosts, in batches if there are many. */
+  /** Sends a message to all known hosts, in batches if there are many; has no effect before the start. */
   send(): void {
+    // A socket that sends before it is bound gets any port.
+    if (!this.bound) return;
     const {clock, ip, peers, seeds, compose} = this.parts;
     this.composedAtMs = clock.nowMs();
     this.shared = encodeGossip(compose(++this.sequence));
