Stop in order when signals arrive during the start or the stop

SIGHUP and SIGTERM have a default that ends the process, and three spans were left to it: the loading of the program, the start of an entry host and of the stand-ins, and the stop: handlers were added with process.once(), so that a second SIGTERM ended a draining process at once and closed all connections with requests in progress. A gateway that could not finish its start did not stop on SIGTERM at all.

handleSignals() adds handlers that stay. A host that cannot bind an address ends with code 1, not with that of invalid settings.

Signals that arrive before Node.js runs the first line of the program still end it; Node.js resets a SIGHUP that its parent ignores (tried), so nothing in this repository can change that.

--- a/scripts/program-loader.cjs
+++ b/scripts/program-loader.cjs
@@ -6,6 +6,12 @@
 const {join} = require('node:path');
 const {Script} = require('node:vm');
 
+// Node.js calls the handlers of a signal once the program is loaded, and by then those of the program
+// are there as well. Without these the signal would end the process.
+for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) {
+  process.on(signal, () => {});
+}
+
 const file = join(__dirname, 'program.js');
 const cacheFile = join(__dirname, 'program.cache');
 const parameters = 'exports, require, module, __filename, __dirname';
--- a/src/commands/entry.ts
+++ b/src/commands/entry.ts
@@ -1,8 +1,9 @@
 import {Command, Option} from 'clipanion';
 import {FailureError} from '../process/errors/catalogue.js';
 import {loadSettings} from '../process/settings.js';
+import {handleSignals} from '../process/signals.js';
 import {createHost} from '../wiring.js';
-import {exitCodes, printFailure, waitForSignal} from './shared.js';
+import {exitCodes, printFailure} from './shared.js';
 
 /** Runs an entry host until SIGTERM or SIGINT. */
 export class EntryCommand extends Command {
@@ -18,10 +19,11 @@
   });
 
   async execute(): Promise<number> {
+    const stopRequested = handleSignals();
     try {
       const host = createHost(await loadSettings(this.settings));
       await host.start();
-      await waitForSignal();
+      await stopRequested;
       await host.stop();
       return exitCodes.ok;
     } catch (err) {
--- a/src/commands/gateway.ts
+++ b/src/commands/gateway.ts
@@ -29,7 +29,9 @@
     } catch (err) {
       if (!(err instanceof FailureError)) throw err;
       printFailure(this.context.stderr, err);
-      return exitCodes.usage;
+      return err.failure.kind.startsWith('settings-')
+        ? exitCodes.usage
+        : exitCodes.failed;
     }
   }
 }
--- a/src/commands/shared.ts
+++ b/src/commands/shared.ts
@@ -36,7 +36,10 @@
   out.write(`error: ${title}\n  ${message}\n  hint: ${hint}\n`);
 }
 
-/** Resolves at the first SIGTERM or SIGINT. */
+/**
+ * Resolves at the first SIGTERM or SIGINT; a second one ends the process. Commands that serve use
+ * `handleSignals` instead.
+ */
 export function waitForSignal(): Promise<void> {
   return new Promise(resolve => {
     process.once('SIGTERM', () => resolve());
--- a/src/commands/stand-ins.ts
+++ b/src/commands/stand-ins.ts
@@ -2,7 +2,8 @@
 import {startStandIns} from '../../stand-ins/index.js';
 import {exampleNames, readExample} from '../demo/example.js';
 import {ExampleStandIns} from '../demo/example-stand-ins.js';
-import {exitCodes, waitForSignal} from './shared.js';
+import {handleSignals} from '../process/signals.js';
+import {exitCodes} from './shared.js';
 
 /** Runs stand-ins for the platform's services and for targets on the loopback interface. */
 export class StandInsCommand extends Command {
@@ -40,6 +41,7 @@
   });
 
   async execute(): Promise<number> {
+    const stopRequested = handleSignals();
     const running = this.example
       ? await this.startExample(this.example)
       : await this.startPorts();
@@ -49,7 +51,7 @@
       return exitCodes.usage;
     }
     this.context.stdout.write(`${running.text}\n`);
-    await waitForSignal();
+    await stopRequested;
     await running.stop();
     return exitCodes.ok;
   }
