Announce the close of a caller's connection in its last response only

Callers of the product's own interface that pipeline requests got one response and a closed connection, although all their requests ran. Node.js closes a connection after the response that announces the close. CallerServer announced it in all responses in progress when a drain began, in those before bytes that are no request, and in the response to a request that failed, whatever else was in progress on the connection. A request that was refused during the drain got no refusal, so its caller did not learn that it had not run.

The close is now announced in the last response of the connection; a request that arrives during the drain takes the announcement over.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -144,11 +144,7 @@
    */
   async close(drainMs: number): Promise<number> {
     this.draining = true;
-    for (const responses of this.inProgress.values()) {
-      for (const res of responses) {
-        if (!res.headersSent) res.setHeader('connection', 'close');
-      }
-    }
+    for (const responses of this.inProgress.values()) announceClose(responses);
     if (this.inProgress.size > 0) await this.untilIdle(drainMs);
     const aborted = this.requests;
     const closed = new Promise<void>(resolve =>
@@ -180,6 +176,7 @@
     const handler =
       this.handlers.find(candidate => candidate.matches(path)) ?? this.fallback;
     try {
+      if (this.draining) announceClose(this.inProgress.get(req.socket) ?? []);
       if (this.draining && !handler.servesWhileDraining) {
         this.refuse(req, res, 'draining');
       } else if (pipelined > maxPipelined) {
@@ -203,7 +200,9 @@
     reason: RefusalReason,
   ): void {
     this.report(reason);
-    res.setHeader('connection', 'close');
+    const last = [...(this.inProgress.get(req.socket) ?? [])].at(-1);
+    // Later requests are in progress otherwise, and closing the connection would cut them off.
+    if (res === last) res.setHeader('connection', 'close');
     const keyed = req.headers['idempotency-key'] !== undefined;
     sendProblem(res, reason, keyed ? withUnknownExecution() : {});
   }
@@ -277,8 +276,8 @@
   private closeAfter(socket: Socket, responses: ServerResponse[]): void {
     socket.pause();
     let remaining = responses.length;
+    announceClose(responses);
     for (const res of responses) {
-      if (!res.headersSent) res.setHeader('connection', 'close');
       res.once('close', () => {
         if (--remaining === 0) socket.destroySoon();
       });
@@ -286,6 +285,18 @@
   }
 }
 
+/**
+ * Announces the close of a connection in its last response only, because Node.js closes it after the
+ * response that announces it.
+ */
+function announceClose(responses: Iterable<ServerResponse>): void {
+  const unsent = [...responses].filter(res => !res.headersSent);
+  for (const res of unsent) {
+    if (res.hasHeader('connection')) res.removeHeader('connection');
+  }
+  unsent.at(-1)?.setHeader('connection', 'close');
+}
+
 function reasonOf(err: NodeJS.ErrnoException): RefusalReason {
   switch (err.code) {
     case 'HPE_HEADER_OVERFLOW':
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -1,27 +1,13 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import type {IncomingMessage, ServerResponse} from 'node:http';
 import {connect, type Socket} from 'node:net';
-import {test, type TestContext} from 'node:test';
+import {test} from 'node:test';
 import fc from 'fast-check';
-import {
-  CallerServer,
-  RouteHandler,
-} from '../../../src/connection/caller/caller-server.js';
-import {HealthHandler} from '../../../src/connection/caller/health-handler.js';
 import {HttpResponseSink} from '../../../src/connection/caller/http-response-sink.js';
 import {responseHeaders} from '../../../src/connection/caller/headers.js';
-import {readBody} from '../../../src/connection/caller/request-body.js';
-import {UnknownPathHandler} from '../../../src/connection/caller/unknown-path-handler.js';
-import {SystemClock} from '../../../src/process/clock.js';
-import {Logger} from '../../../src/process/logger.js';
-import {Metrics} from '../../../src/process/metrics.js';
-import {checkSettings} from '../../../src/process/settings.js';
 import {EngineServer} from '../../../stand-ins/index.js';
 import {authorization, startHosts} from '../../request/fixtures.js';
-
-/** Makes a request that never gets a response fail its own test. */
-const hangGuard = {timeout: 30_000};
+import {hangGuard, startServer} from './caller-fixture.js';
 
 const auth = `authorization: ${authorization}\r\n`;
 
@@ -42,50 +28,6 @@
   while ((await count()) > 0) await new Promise(r => setImmediate(r));
 }
 
-class TestHandler extends RouteHandler {
-  readonly serving: {req: IncomingMessage; res: ServerResponse}[] = [];
-  arrived: () => void = () => {};
-
-  override matches(path: string): boolean {
-    return path === '/test';
-  }
-
-  override async handle(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    if (req.headers['x-fault']) throw new Error('programming error');
-    await readBody(req, 1024);
-    this.serving.push({req, res});
-    this.arrived();
-  }
-}
-
-async function startServer(t: TestContext, callers = {}) {
-  const cfg = checkSettings({
-    host: 'h',
-    fleet: 'f',
-    zone: 'a',
-    region: 'r',
-    callers: {address: '127.0.0.1', port: 0, ...callers},
-    peers: {address: '127.0.0.1', port: 0, tls: {mode: 'plain'}},
-    platform: {logUrl: 'http://127.0.0.1:1'},
-  }).callers;
-  const metrics = new Metrics();
-  const handler = new TestHandler();
-  const logger = Logger.create('silent');
-  const server = new CallerServer(
-    cfg,
-    {clock: new SystemClock(), logger, metrics},
-    [new HealthHandler(metrics, () => true), handler],
-    new UnknownPathHandler(metrics),
-  );
-  const port = await server.listen();
-  t.after(() => server.close(0));
-  const arrival = () => new Promise<void>(r => (handler.arrived = r));
-  return {server, port, handler, metrics, arrival};
-}
-
 test('malformed bytes on raw sockets get a 4xx or a close, and leak no connection', async t => {
   const engine = new EngineServer();
   await engine.listen();
