Do not handle a caller's request on a connection that is closing

A request that follows a refusal on the same connection ran, and its caller got no response. The refusal of a pipelined request beyond the limit announces the close and waits for the responses before it; meanwhile further requests were handled as soon as some of those had ended. By reading, not by a test, the same held for a response that waited for a slow reader, and for a connection whose writing had ended.

A request on a connection whose close is announced, or which cannot be written to, is now not handled; its caller sends it again, as RFC 9112 (section 9.6) requires. After 16 of them the connection is not read until it closes, so that they do not fill the memory.

The test in pipelined-requests.test.ts failed on the former code (17 requests handled in place of 16) and passes now.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -56,6 +56,8 @@
   private readonly server: Server;
   /** Requests in progress, by connection. */
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
+  /** Numbers of requests that were not handled because their connection is closing. */
+  private readonly ignored = new WeakMap<Socket, number>();
   private sockets = 0;
   private draining = false;
   private onIdle: (() => void) | undefined;
@@ -102,7 +104,9 @@
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
       const length = Number(req.headers['content-length'] ?? 0);
-      if (length <= cfg.maxBodyBytes) res.writeContinue();
+      if (length <= cfg.maxBodyBytes && !this.isClosing(req.socket)) {
+        res.writeContinue();
+      }
       void this.route(req, res);
     });
     this.server.on('clientError', (err, socket) =>
@@ -169,6 +173,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    if (this.isClosing(req.socket)) return this.ignore(req);
     const pipelined = this.track(req.socket, res);
     // A connection reset by the caller is handled by the `close` event.
     res.on('error', () => {});
@@ -194,6 +199,26 @@
     }
   }
 
+  /** Whether no response to a further request can be sent on a connection. */
+  private isClosing(socket: Socket): boolean {
+    if (!socket.writable) return true;
+    const responses = [...(this.inProgress.get(socket) ?? [])];
+    return responses.some(
+      res => res.headersSent && res.getHeader('connection') === 'close',
+    );
+  }
+
+  /**
+   * Does not handle a request on a connection that is closing. Its caller has to send it again, as HTTP
+   * requires for requests after the response that announces the close (RFC 9112, section 9.6).
+   */
+  private ignore({socket}: IncomingMessage): void {
+    const count = (this.ignored.get(socket) ?? 0) + 1;
+    this.ignored.set(socket, count);
+    // Reading on shows whether the caller disconnects, but each request takes memory until the close.
+    if (count > maxPipelined) socket.pause();
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
--- a/test/connection/caller/pipelined-requests.test.ts
+++ b/test/connection/caller/pipelined-requests.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {test} from 'node:test';
 import {hangGuard, startServer, type TestHandler} from './caller-fixture.js';
@@ -116,3 +117,36 @@
     assert.equal(answers.filter(({text}) => text.includes('whole')).length, 3);
   },
 );
+
+// Guards against a request that runs although its response cannot be sent: the connection closes after a refusal that
+// waits for the responses before it.
+test(
+  'a request that follows a response with an announced close is not handled',
+  hangGuard,
+  async t => {
+    const running = await startServer(t);
+    const {handler} = running;
+    const {socket, request, responses} = await pipeline(running, 16);
+    socket.write(request);
+    while (!(await running.metrics.render()).includes('reason="overloaded"')) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    const [first, second] = handler.serving.map(({res}) => once(res, 'close'));
+    handler.serving[0].res.end('whole');
+    handler.serving[1].res.end('whole');
+    await Promise.all([first, second]);
+    const {socket: peer} = handler.serving[2].req;
+    const {bytesRead} = peer;
+    socket.write(request);
+    while (peer.bytesRead === bytesRead) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    await new Promise(resolve => setImmediate(resolve));
+    const handled = handler.serving.length;
+    for (const {res} of handler.serving.slice(2)) res.end('whole');
+    const answers = await responses();
+    assert.equal(handled, 16);
+    assert.equal(answers.filter(({text}) => text.includes('whole')).length, 16);
+    assert.match(answers[16].text, /"reason":"overloaded"/);
+  },
+);
