--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -56,6 +56,8 @@
   private readonly server: Server;
   /** Requests in progress, by connection. */
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
+  /** Numbers of requests that were not handled because their connection is closing. */
+  private readonly ignored = new WeakMap<Socket, number>();
   private sockets = 0;
   private draining = false;
   private onIdle: (() => void) | undefined;
@@ -102,7 +104,9 @@
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
       const length = Number(req.headers['content-length'] ?? 0);
-      if (length <= cfg.maxBodyBytes) res.writeContinue();
+      if (length <= cfg.maxBodyBytes && !this.isClosing(req.socket)) {
+        res.writeContinue();
+      }
       void this.route(req, res);
     });
     this.server.on('clientError', (err, socket) =>
@@ -144,11 +148,7 @@
    */
   async close(drainMs: number): Promise<number> {
     this.draining = true;
-    for (const responses of this.inProgress.values()) {
-      for (const res of responses) {
-        if (!res.headersSent) res.setHeader('connection', 'close');
-      }
-    }
+    for (const responses of this.inProgress.values()) announceClose(responses);
     if (this.inProgress.size > 0) await this.untilIdle(drainMs);
     const aborted = this.requests;
     const closed = new Promise<void>(resolve =>
@@ -173,6 +173,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
+    if (this.isClosing(req.socket)) return this.ignore(req);
     const pipelined = this.track(req.socket, res);
     // A connection reset by the caller is handled by the `close` event.
     res.on('error', () => {});
@@ -180,6 +181,7 @@
     const handler =
       this.handlers.find(candidate => candidate.matches(path)) ?? this.fallback;
     try {
+      if (this.draining) announceClose(this.inProgress.get(req.socket) ?? []);
       if (this.draining && !handler.servesWhileDraining) {
         this.refuse(req, res, 'draining');
       } else if (pipelined > maxPipelined) {
@@ -197,13 +199,35 @@
     }
   }
 
+  /** Whether no response to a further request can be sent on a connection. */
+  private isClosing(socket: Socket): boolean {
+    if (!socket.writable) return true;
+    const responses = [...(this.inProgress.get(socket) ?? [])];
+    return responses.some(
+      res => res.headersSent && res.getHeader('connection') === 'close',
+    );
+  }
+
+  /**
+   * Does not handle a request on a connection that is closing. Its caller has to send it again, as HTTP
+   * requires for requests after the response that announces the close (RFC 9112, section 9.6).
+   */
+  private ignore({socket}: IncomingMessage): void {
+    const count = (this.ignored.get(socket) ?? 0) + 1;
+    this.ignored.set(socket, count);
+    // Reading on shows whether the caller disconnects, but each request takes memory until the close.
+    if (count > maxPipelined) socket.pause();
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
     reason: RefusalReason,
   ): void {
     this.report(reason);
-    res.setHeader('connection', 'close');
+    const last = [...(this.inProgress.get(req.socket) ?? [])].at(-1);
+    // Later requests are in progress otherwise, and closing the connection would cut them off.
+    if (res === last) res.setHeader('connection', 'close');
     const keyed = req.headers['idempotency-key'] !== undefined;
     sendProblem(res, reason, keyed ? withUnknownExecution() : {});
   }
@@ -277,8 +301,8 @@
   private closeAfter(socket: Socket, responses: ServerResponse[]): void {
     socket.pause();
     let remaining = responses.length;
+    announceClose(responses);
     for (const res of responses) {
-      if (!res.headersSent) res.setHeader('connection', 'close');
       res.once('close', () => {
         if (--remaining === 0) socket.destroySoon();
       });
@@ -286,6 +310,18 @@
   }
 }
 
+/**
+ * Announces the close of a connection in its last response only, because Node.js closes it after the
+ * response that announces it.
+ */
+function announceClose(responses: Iterable<ServerResponse>): void {
+  const unsent = [...responses].filter(res => !res.headersSent);
+  for (const res of unsent) {
+    if (res.hasHeader('connection')) res.removeHeader('connection');
+  }
+  unsent.at(-1)?.setHeader('connection', 'close');
+}
+
 function reasonOf(err: NodeJS.ErrnoException): RefusalReason {
   switch (err.code) {
     case 'HPE_HEADER_OVERFLOW':
