Play planned work on processes and check LOST by the rule's own words

mixed.mjs excuses every request for 12 s after a SIGTERM, so no play of processes checked the rule on requests beside planned work, and callers that lost requests on connections of stopping hosts went unseen.

The stand-in draws the hosts' ports among those of outgoing connections, so a connection from 127.0.0.1 can hold the port of a host there between two of its processes. The play takes a block of ports below that range that is free on all addresses, and holds its first port while it runs.

--- /dev/null
+++ b/bench/processes/planned.mjs
@@ -0,0 +1,279 @@
+// Plays hosts as processes beside planned work alone: SIGTERM in series that overlap, SIGHUP and changes of the
+// configuration. Targets never fail, and callers send the next request the moment the last response ends, on the same
+// connection until it is closed. So each request must have an answer, but for those that lost-rule.ts excuses.
+//
+//   node scripts/bundle.js && node bench/processes/planned.mjs [--seeds 1,2] [--work term,hup,config] ...
+//
+// Exit code 1 if a rule was broken, 2 if a play could not run. ROOT names another checkout whose program and stand-ins
+// are played instead.
+import console from 'node:console';
+import {performance} from 'node:perf_hooks';
+import {clearTimeout, setTimeout} from 'node:timers';
+import {setTimeout as wait} from 'node:timers/promises';
+import {maxCutOnKeptConnections} from '../../dist/bench/processes/lost-rule.js';
+import {Observations} from '../../dist/bench/processes/observations.js';
+import {createRandom} from '../../dist/src/process/random.js';
+import {
+  describeLost,
+  isReady,
+  loadStandIns,
+  play,
+  playSeeds,
+  readOptions,
+} from './play.mjs';
+
+const usage = `node bench/processes/planned.mjs [options]
+  --seeds N,N      seeds to play, one after the other (1)
+  --work KINDS     of term, hup, config, silence (term,hup,config)
+  --hosts N        hosts (5)
+  --engines N      engines of streams; half as many plain targets (7)
+  --clients N      callers a host (12)
+  --seconds N      length of the traffic (50)
+  --polite SHARE   share of the callers that honour "Connection: close" (0.5)
+  --logs FOLDER    where the hosts' logs are kept if a play fails (a new folder)`;
+
+const args = readOptions(usage, {
+  work: {default: 'term,hup,config', of: ['term', 'hup', 'config', 'silence']},
+  hosts: {default: '5', least: 1, most: 60},
+  engines: {default: '7', least: 1, most: 20},
+  clients: {default: '12', least: 1, most: 100},
+  seconds: {default: '50', least: 15, most: 600},
+  polite: {default: '0.5', least: 0, most: 1},
+  logs: {},
+});
+const seeds = args.seeds.split(',');
+playSeeds(import.meta.url, seeds);
+const seed = seeds[0];
+const kinds = args.work.split(',');
+
+const {Channel, Engine, Fleet, ...deployment} = await loadStandIns();
+const {configuration, newId, plainHeaders, promptHeaders, routes} = deployment;
+
+const hostCount = Number(args.hosts);
+const engineCount = Number(args.engines);
+const plainCount = Math.ceil(engineCount / 2);
+const clientsPerHost = Number(args.clients);
+const trafficMs = Number(args.seconds) * 1000;
+const politeShare = Number(args.polite);
+/** Time at the end without new work, in milliseconds: longer than a stop. */
+const calmMs = 10_000;
+/** Hosts that serve at the least. */
+const minHosts = 2;
+const bounds = {
+  ...{graceMs: 8000, configApplyMs: 2000, lossSlackMs: 200, contactMs: 3000},
+};
+const zones = ['pokhara', 'beni', 'jomsom'];
+const random = createRandom(Number(seed));
+const pick = items => items[Math.floor(random() * items.length)];
+const between = (from, to) => from + random() * (to - from);
+
+const options = {Fleet, file: import.meta.url, seed, logs: args.logs};
+await play({...options, maxMs: trafficMs + 60_000}, async fleet => {
+  const startMs = performance.now();
+  const nowMs = () => performance.now() - startMs;
+  const log = [];
+  const note = text => log.push(`${(nowMs() / 1000).toFixed(2)} ${text}`);
+  const seen = new Observations(bounds);
+  const faults = [];
+
+  let silentUntilMs = 0;
+  const event = (id, number) => `id: ${number}\ndata: ${id}-${number}\n\n`;
+  const stream = (request, answer) => {
+    // The caller chose how long the stream takes.
+    const [count, stepMs] = request.body.toString().split(' ').map(Number);
+    answer.begin('200 OK', 'text/event-stream');
+    let number = Number(request.headers['last-event-id'] ?? 0);
+    let timer;
+    const step = () => {
+      const waitMs = silentUntilMs - nowMs();
+      if (waitMs > 0) {
+        timer = setTimeout(step, waitMs);
+        return;
+      }
+      if (++number > count) return answer.end();
+      answer.chunk(event(request.id, number));
+      timer = setTimeout(step, stepMs);
+    };
+    timer = setTimeout(step, stepMs);
+    answer.onStop = () => clearTimeout(timer);
+  };
+  const plain = (request, answer) => {
+    const timer = setTimeout(() => answer.whole('200 OK', 'done'), 25);
+    answer.onStop = () => clearTimeout(timer);
+  };
+  const runs = new Map();
+  const createEngine = i => {
+    const isStream = i < engineCount;
+    const id = `i-7f3a91${i.toString(16).padStart(2, '0')}`;
+    const service = (isStream ? routes.stream : routes.safe).service;
+    const record = (kind, {request}) => {
+      if (kind === 'reaches') seen.addArrival(request, id);
+      if (kind === 'runs') runs.set(request, seen.addRun(request, nowMs()));
+      if (kind === 'run ends') runs.get(request).toMs = nowMs();
+    };
+    const zone = zones[i % zones.length];
+    const run = isStream ? stream : plain;
+    return new Engine({id, service, zone, slots: 11, queue: 6, record, run});
+  };
+  await fleet.takePorts(hostCount);
+  const engines = Array.from({length: engineCount + plainCount}, (_, i) =>
+    createEngine(i),
+  );
+  for (const [i, engine] of engines.entries()) {
+    await engine.start(fleet.store, '127.0.0.1', fleet.targetPort(i));
+  }
+  const timeoutsOf = list => new Map(list.map(r => [r.name, r.timeoutMs]));
+  await fleet.start(hostCount, configuration);
+  // The first configuration is in force from the start and changes nothing.
+  seen.addConfiguration(
+    {fromMs: -Infinity, toMs: -Infinity},
+    timeoutsOf(configuration.routes),
+  );
+  const addresses = fleet.hosts.map(({front}) => front);
+
+  const stopping = new Set();
+  let isOver = false;
+  const watch = host => {
+    host.onEnd = ({code, signal, error}) => {
+      if (isOver) return;
+      if (stopping.delete(host) && code === 0) {
+        note(`${host.name} has ended`);
+      } else {
+        faults.push(`${host.name} ended: ${code} ${signal} ${error}`);
+      }
+      seen.addStart(host.front, nowMs());
+      watch(fleet.restart(host));
+    };
+  };
+  for (const host of fleet.hosts) watch(host);
+
+  let {version} = configuration;
+  const deeds = {
+    async term() {
+      const ready = [];
+      for (const host of fleet.hosts) {
+        if (host.ended || stopping.has(host)) continue;
+        if (await isReady(host)) ready.push(host);
+      }
+      if (ready.length <= minHosts) return;
+      const host = pick(ready);
+      stopping.add(host);
+      seen.addSigterm(host.front, nowMs());
+      note(`SIGTERM ${host.name}`);
+      host.child.kill('SIGTERM');
+      const {child} = host;
+      setTimeout(() => child.kill('SIGKILL'), bounds.graceMs).unref();
+    },
+    async hup() {
+      const host = pick(fleet.hosts);
+      // A process that has not yet installed its handler would end.
+      if (host.ended || !(await isReady(host)) || host.ended) return;
+      seen.addSighup(host.front, nowMs());
+      note(`SIGHUP ${host.name}`);
+      host.child.kill('SIGHUP');
+    },
+    async config() {
+      const timeoutMs = Math.round(between(12_000, 15_000));
+      const idleTimeoutMs = Math.round(between(4000, 16_000));
+      const changed = Object.values(routes).map(route =>
+        route.kind === 'streaming' ? {...route, timeoutMs} : route,
+      );
+      const fromMs = nowMs();
+      note(`configuration ${version + 1}`);
+      fleet.store.put('keyed.op', 'config', {
+        ...configuration,
+        version: ++version,
+        limits: {...configuration.limits, idleTimeoutMs},
+        routes: changed,
+      });
+      seen.addConfiguration({fromMs, toMs: nowMs()}, timeoutsOf(changed));
+    },
+    async silence() {
+      const forMs = between(800, 2000);
+      silentUntilMs = nowMs() + forMs;
+      note(`engines silent for ${Math.round(forMs)} ms`);
+      await wait(forMs + 2000);
+    },
+  };
+
+  const counts = {sent: 0, served: 0, refused: 0, cut: 0, connections: 0};
+  const callerRoutes = [
+    routes.resumable,
+    routes.stream,
+    routes.unsafe,
+    routes.safe,
+  ];
+  const caller = async address => {
+    const isPolite = random() < politeShare;
+    let channel = new Channel(address);
+    counts.connections++;
+    while (nowMs() < trafficMs) {
+      const id = newId(++counts.sent);
+      const route = pick(callerRoutes);
+      const isStream = route.kind === 'streaming';
+      const stepMs = Math.round(between(10, 200));
+      const count = Math.round(between(5, 45));
+      const headers = isStream ? promptHeaders : plainHeaders;
+      const deadlineMs = isStream ? 12_000 : 1000;
+      const isOnKeptConnection = channel.served > 0 && !channel.closed;
+      const number = channel.served + 1;
+      const sentMs = nowMs();
+      const answer = await channel.send({
+        path: `${route.pathPrefix}2f`,
+        headers: headers(id, deadlineMs),
+        body: isStream ? `${count} ${stepMs}` : 'plain',
+      });
+      const isAnswered = answer.complete;
+      if (!isAnswered) counts.cut++;
+      else if (answer.status < 300) counts.served++;
+      else counts.refused++;
+      const manners = isPolite ? 'honours' : 'ignores';
+      seen.addRequest({
+        ...{id, route: route.name, host: address, sentMs, endedMs: nowMs()},
+        ...{isAnswered, isOnKeptConnection, deadlineMs},
+        isExcusedByStore: isStream,
+        details: `${answer.how}, number ${number} of its connection, caller ${manners} Connection: close`,
+      });
+      const closes = answer.headers.connection === 'close';
+      if (channel.closed || (isPolite && closes)) {
+        channel.close();
+        await wait(50);
+        channel = new Channel(address);
+        counts.connections++;
+      }
+      if (isAnswered && answer.status >= 400) await wait(100);
+    }
+    channel.close();
+  };
+  const doWork = async kind => {
+    while (nowMs() < trafficMs - calmMs) {
+      await wait(kind === 'silence' ? between(1000, 3000) : between(200, 2700));
+      await deeds[kind]();
+    }
+  };
+  await Promise.all([
+    ...kinds.map(doWork),
+    ...addresses.flatMap(address =>
+      Array.from({length: clientsPerHost}, () => caller(address)),
+    ),
+  ]);
+  isOver = true;
+  for (const engine of engines) engine.close();
+
+  const lost = seen.findLost();
+  const beside = lost.filter(({kind}) => kind !== undefined);
+  const kept = lost.filter(({kind}) => kind === undefined);
+  const figures = Object.entries(counts).map(([name, n]) => `${name} ${n}`);
+  console.log(
+    `seed ${seed}: ${figures.join(', ')}; SIGTERM ${seen.countSigterms()}; ` +
+      `LOST beside planned work ${beside.length}, on kept connections ${kept.length}; FAULT ${faults.length}`,
+  );
+  const isBroken =
+    beside.length > 0 ||
+    kept.length > maxCutOnKeptConnections ||
+    faults.length > 0;
+  for (const item of lost) console.log(`  ${describeLost(item)}`);
+  for (const fault of faults) console.log(`  FAULT ${fault}`);
+  if (isBroken) console.log(log.map(line => `  . ${line}`).join('\n'));
+  return !isBroken;
+});
--- /dev/null
+++ b/bench/processes/play.mjs
@@ -0,0 +1,304 @@
+// Parts that the plays of processes share: options, seeds, free ports, the hosts' logs and the end of a play. The
+// processes, the store and the targets are the stand-ins of review/lib.
+import console from 'node:console';
+import {spawnSync} from 'node:child_process';
+import {once} from 'node:events';
+import {
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  mkdtempSync,
+  readdirSync,
+  renameSync,
+} from 'node:fs';
+import {get} from 'node:http';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join, relative} from 'node:path';
+import process from 'node:process';
+import {setTimeout} from 'node:timers';
+import {fileURLToPath, pathToFileURL, URL} from 'node:url';
+import {parseArgs} from 'node:util';
+
+/** Exit codes of a play. */
+const held = 0;
+const broken = 1;
+const couldNotRun = 2;
+
+const here = fileURLToPath(new URL('../../', import.meta.url));
+/** Checkout whose program and stand-ins are played. */
+const root = process.env.ROOT ?? here;
+
+function refuse(why) {
+  console.error(why);
+  process.exit(couldNotRun);
+}
+
+/**
+ * Reads the options of a play and ends the process if one is wrong.
+ *
+ * @param usage - Printed for `--help`.
+ * @param options - Options as `parseArgs` takes them. `least` makes an option a number that is at least so high, `most`
+ *   bounds it, `of` makes it a list of these words; `seeds` is a list of whole numbers.
+ */
+export function readOptions(usage, options) {
+  const config = {
+    ...options,
+    seeds: {default: '1', ...options.seeds},
+    help: {type: 'boolean', default: false},
+  };
+  const known = Object.entries(config).map(([name, option]) => [
+    name,
+    {type: option.type ?? 'string', default: option.default},
+  ]);
+  let values;
+  try {
+    values = parseArgs({options: Object.fromEntries(known)}).values;
+  } catch (err) {
+    refuse(err.message.split('\n')[0]);
+  }
+  if (values.help) {
+    console.log(usage);
+    process.exit(held);
+  }
+  for (const [name, {least, most = Infinity, of}] of Object.entries(options)) {
+    const text = values[name];
+    const number = Number(text);
+    if (
+      least !== undefined &&
+      !(text.trim() !== '' && number >= least && number <= most)
+    ) {
+      const bounds =
+        most === Infinity ? `${least} or more` : `${least} to ${most}`;
+      refuse(`--${name} must be a number, ${bounds}: "${text}"`);
+    }
+    const unknown = of && text.split(',').find(word => !of.includes(word));
+    if (unknown !== undefined) {
+      refuse(`--${name} must be a list of ${of.join(', ')}: "${unknown}"`);
+    }
+  }
+  const wrongSeed = values.seeds.split(',').find(seed => !/^\d+$/.test(seed));
+  if (wrongSeed !== undefined) {
+    refuse(`--seeds must be a list of whole numbers: "${wrongSeed}"`);
+  }
+  if (!existsSync(join(root, 'target', 'guavaseam.cjs'))) {
+    refuse('target/guavaseam.cjs is missing: run node scripts/bundle.js first');
+  }
+  return values;
+}
+
+/** Plays several seeds one after the other, since each play ends its process; returns if there is only one. */
+export function playSeeds(file, seeds) {
+  if (seeds.length === 1) return;
+  const rest = process.argv
+    .slice(2)
+    .filter(
+      (arg, i, all) => !arg.startsWith('--seeds') && all[i - 1] !== '--seeds',
+    );
+  const failed = seeds.filter(seed => {
+    const args = [fileURLToPath(file), ...rest, '--seeds', seed];
+    return (
+      spawnSync(process.execPath, args, {stdio: 'inherit'}).status !== held
+    );
+  });
+  console.log(
+    `${seeds.length} seeds, ${failed.length} failed${failed.length > 0 ? `: ${failed.join(', ')}` : ''}`,
+  );
+  process.exit(failed.length > 0 ? broken : held);
+}
+
+const lib = name =>
+  import(pathToFileURL(join(root, 'review', 'lib', `${name}.mjs`)).href);
+
+/** Loads the stand-ins. */
+export async function loadStandIns() {
+  const modules = ['client', 'deployment', 'engine', 'fleet'].map(lib);
+  return Object.assign({}, ...(await Promise.all(modules)));
+}
+
+/** Ports of a play, below those that the system gives to outgoing connections. */
+const firstPort = 12_000;
+const lastPort = 32_000;
+/** Ports of a play: one that marks the block as taken, four of a host, those between hosts, those of targets. */
+const blockSize = 64;
+const hostPorts = {front: 1, ready: 2, control: 3, metrics: 4, between: 16};
+const targetPorts = 32;
+
+/** Listens on a port; resolves to `undefined` if it is taken. */
+async function listen(ip, port) {
+  const server = createServer().listen(port, ip);
+  try {
+    await once(server, 'listening');
+    return server;
+  } catch (err) {
+    if (err.code === 'EADDRINUSE') return undefined;
+    throw err;
+  }
+}
+
+/** Takes a block of ports that are free on all addresses and keeps other plays from it. */
+async function takePorts(ips) {
+  for (let i = 0; i < 100; i++) {
+    const blocks = Math.floor((lastPort - firstPort) / blockSize);
+    const base = firstPort + blockSize * Math.floor(Math.random() * blocks);
+    const mark = await listen(ips[0], base);
+    if (!mark) continue;
+    const ports = Array.from({length: blockSize - 1}, (_, n) => base + 1 + n);
+    const servers = await Promise.all(
+      ips.flatMap(ip => ports.map(port => listen(ip, port))),
+    );
+    for (const server of servers) server?.close();
+    if (servers.every(server => server)) return {base, mark};
+    mark.close();
+  }
+  throw new Error('no block of ports is free');
+}
+
+/**
+ * Hosts on ports that nothing else takes while a host starts again. The ports that the stand-in draws are among those
+ * of outgoing connections, one of which may hold the port of a host on 127.0.0.1 between two of its processes.
+ */
+function createFleet(Fleet) {
+  return new (class extends Fleet {
+    starts = 0;
+
+    async start(count, configuration) {
+      if (!this.ports) await this.takePorts(count);
+      await super.start(count, configuration);
+    }
+
+    async takePorts(count) {
+      const ips = Array.from({length: count}, (_, i) => `127.0.0.${i + 1}`);
+      this.ports = await takePorts(ips);
+    }
+
+    /** Port of a target. */
+    targetPort(i) {
+      return this.ports.base + targetPorts + i;
+    }
+
+    spawn(settings) {
+      const {base} = this.ports;
+      const {ip} = settings;
+      const at = name => `${ip}:${base + hostPorts[name]}`;
+      const seedNodes = settings.seedNodes.map(
+        address => `${address.split(':')[0]}:${base + hostPorts.control}`,
+      );
+      const between = base + hostPorts.between;
+      return super.spawn(
+        {
+          ...settings,
+          listen: {
+            front: at('front'),
+            ready: at('ready'),
+            control: at('control'),
+          },
+          portRange: [between, between + 15],
+          seedNodes,
+        },
+        base + hostPorts.metrics,
+      );
+    }
+
+    restart(host) {
+      const name = `${host.name}-${++this.starts}.log`;
+      renameSync(host.log, join(this.folder, name));
+      return super.restart(host);
+    }
+
+    /** Copies the logs of all processes to a folder. */
+    keepLogs(folder) {
+      mkdirSync(folder, {recursive: true});
+      const files = readdirSync(this.folder).filter(name =>
+        name.endsWith('.log'),
+      );
+      for (const name of files) {
+        copyFileSync(join(this.folder, name), join(folder, name));
+      }
+    }
+
+    async stop() {
+      this.ports?.mark.close();
+      await super.stop();
+    }
+  })();
+}
+
+/** The command that plays a seed again. */
+function commandFor(file, seed) {
+  const rest = process.argv
+    .slice(2)
+    .filter(
+      (arg, i, all) => !arg.startsWith('--seeds') && all[i - 1] !== '--seeds',
+    );
+  const path = relative(here, fileURLToPath(file));
+  const checkout = process.env.ROOT ? [`ROOT=${process.env.ROOT}`] : [];
+  return [...checkout, 'node', path, ...rest, '--seeds', seed].join(' ');
+}
+
+/**
+ * Plays one seed and ends the process: exit code 0 if the rules held, 1 if one was broken, 2 if the play could not run.
+ * If it was not 0, the hosts' logs are kept.
+ *
+ * @param options - `Fleet`, the stand-in; `file`, the address of the play's module; `seed`; `logs`, the folder for
+ *   the logs, a new one if undefined; `maxMs`, the time after which the play is ended, in milliseconds.
+ * @param body - Plays on a fleet and resolves to whether the rules held.
+ */
+export async function play({Fleet, file, seed, logs, maxMs}, body) {
+  const fleet = createFleet(Fleet);
+  const finish = async code => {
+    if (code !== held) {
+      const folder = logs ?? mkdtempSync(join(tmpdir(), 'guavaseam-play-'));
+      fleet.keepLogs(folder);
+      console.log(`logs of the hosts: ${folder}`);
+      console.log(`play it again: ${commandFor(file, seed)}`);
+    }
+    await fleet.stop();
+    process.exit(code);
+  };
+  const interrupt = why => {
+    console.error(why);
+    void finish(couldNotRun);
+  };
+  process.once('SIGINT', () => interrupt('interrupted'));
+  process.once('SIGTERM', () => interrupt('ended'));
+  setTimeout(() => interrupt('took too long'), maxMs).unref();
+  let code = couldNotRun;
+  try {
+    code = (await body(fleet)) ? held : broken;
+  } catch (err) {
+    console.error(err);
+  }
+  await finish(code);
+}
+
+/** Whether a host says that it is ready. */
+export async function isReady(host) {
+  const req = get(`http://${host.ready}/api/readiness`, {agent: false});
+  try {
+    const [res] = await once(req, 'response');
+    res.resume();
+    return res.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Describes a lost request. */
+export function describeLost({req, kind, sinceSigtermMs}) {
+  const since =
+    sinceSigtermMs === undefined
+      ? 'no SIGTERM before'
+      : `${Math.round(sinceSigtermMs)} ms after SIGTERM`;
+  return [
+    `LOST ${req.id} ${req.route} ${req.host}`,
+    `sent at ${(req.sentMs / 1000).toFixed(2)} s`,
+    since,
+    `closed after ${Math.round(req.endedMs - req.sentMs)} ms`,
+    req.details,
+    req.isPassedOn
+      ? `passed on, ran ${req.runs.length} times`
+      : 'not passed on',
+    `counts ${kind ? `beside ${kind}` : 'on a kept connection'}`,
+  ].join(', ');
+}
