Hold the play of mixed disruptions to the rule on lost requests

mixed.mjs excused every request for 12 s after a SIGTERM and 6 s after a freeze, and allowed three lost requests in all. So it could not see the requests that callers lost on connections of stopping hosts.

It now uses lost-rule.ts: around planned work none is allowed, and only what the rule names is excused; a disruption of the store alone excuses streams only. The bound of three in a play remains for kept connections of hosts in touch, and a host is out of touch for contactMs only.

Both plays share options, seeds, ports and their end in play.mjs. A wrong option or a missing bundle is said in one line with exit code 2.

--- a/bench/processes/mixed.mjs
+++ b/bench/processes/mixed.mjs
@@ -1,35 +1,51 @@
 // Plays hosts as processes beside disruptions in series and checks rules from what callers and targets see. The processes,
-// the store and the targets are the stand-ins of review/lib.
+// the store and the targets are the stand-ins of review/lib. A request that ends without an answer counts as lost unless
+// lost-rule.ts excuses it.
 //
-//   node scripts/bundle.js && node bench/processes/mixed.mjs [SEED...]
+//   node scripts/bundle.js && node bench/processes/mixed.mjs [options] [SEED...]
 //
-// Exit code 1 if a rule was broken. ROOT names another checkout whose program and stand-ins are played instead.
+// Exit code 1 if a rule was broken, 2 if a play could not run. ROOT names another checkout whose program and stand-ins
+// are played instead.
 import console from 'node:console';
-import {spawnSync} from 'node:child_process';
 import {once} from 'node:events';
-import {join} from 'node:path';
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
 import {clearTimeout, setTimeout} from 'node:timers';
 import {setTimeout as wait} from 'node:timers/promises';
-import {fileURLToPath, pathToFileURL, URL} from 'node:url';
+import {maxCutOnKeptConnections} from '../../dist/bench/processes/lost-rule.js';
+import {Observations} from '../../dist/bench/processes/observations.js';
 import {createRandom} from '../../dist/src/process/random.js';
+import {
+  bounds,
+  describeLost,
+  loadStandIns,
+  play,
+  playSeeds,
+  readOptions,
+  recordTo,
+  timeoutsOf,
+} from './play.mjs';
 
-const root =
-  process.env.ROOT ?? fileURLToPath(new URL('../../', import.meta.url));
-const lib = name =>
-  import(pathToFileURL(join(root, 'review', 'lib', `${name}.mjs`)).href);
-const {Channel} = await lib('client');
-const {configuration, newId, plainHeaders, promptHeaders, routes} =
-  await lib('deployment');
-const {Engine, shed} = await lib('engine');
-const {play} = await lib('fleet');
+const usage = `node bench/processes/mixed.mjs [options] [SEED...]
+  --seeds N,N      seeds to play, one after the other (1,2,3)
+  --seconds N      length of the traffic (50)
+  --logs FOLDER    where the hosts' logs are kept if a play fails (a new folder)`;
+
+const args = readOptions(usage, {
+  seeds: {default: '1,2,3'},
+  seconds: {default: '50', least: 15, most: 600},
+  logs: {},
+});
+playSeeds(import.meta.url, args);
+const seed = args.seeds[0];
+
+const {Channel, Engine, Fleet, shed, ...deployment} = await loadStandIns();
+const {configuration, newId, plainHeaders, promptHeaders, routes} = deployment;
 
 const hostCount = 5;
 const engineCount = 6;
 const plainCount = 3;
 const clientsPerHost = 8;
-const trafficMs = 50_000;
+const trafficMs = Number(args.seconds) * 1000;
 /** Time at the end without new disruptions, in milliseconds. */
 const calmMs = 8000;
 const zones = ['pokhara', 'beni', 'jomsom'];
@@ -38,38 +54,22 @@
 /** Bound on the requests to a cold engine in a second: coldPerS x coldOver + coldSlack. */
 const coldPerSecond = 13 * 1.5 + 5;
 const coldMs = 3000;
-/** Time after a disruption for which it excuses a host, in milliseconds. */
-const excuseMs = 3000;
 
-const seeds = process.argv.slice(2);
-if (seeds.length > 1 || seeds.length === 0) {
-  // Each play ends its process, so several seeds are played one after the other.
-  let failed = 0;
-  for (const seed of seeds.length > 0 ? seeds : ['1', '2', '3']) {
-    const file = fileURLToPath(import.meta.url);
-    const {status} = spawnSync(process.execPath, [file, seed], {
-      stdio: 'inherit',
-    });
-    if (status !== 0) failed++;
-  }
-  process.exit(failed > 0 ? 1 : 0);
-}
-const random = createRandom(Number(seeds[0]));
+const random = createRandom(Number(seed));
 const pick = items => items[Math.floor(random() * items.length)];
 
-await play(async fleet => {
+const maxMs = trafficMs + 60_000;
+await play({Fleet, file: import.meta.url, args, maxMs}, async fleet => {
   const broken = new Map();
   const breaks = (rule, details) => {
     broken.set(rule, [...(broken.get(rule) ?? []), details]);
   };
-  /** Requests at targets that crashed or were reset meanwhile. */
-  const excused = new Set();
   const runs = new Map();
-  const troubledUntilMs = new Map();
   const startMs = performance.now();
+  const nowMs = () => performance.now() - startMs;
   const log = [];
-  const note = text =>
-    log.push(`${((performance.now() - startMs) / 1000).toFixed(2)} ${text}`);
+  const note = text => log.push(`${(nowMs() / 1000).toFixed(2)} ${text}`);
+  const seen = new Observations(bounds);
 
   const eventOf = (id, number) => `id: ${number}\ndata: ${id}-${number}\n\n`;
   const stream = (request, answer) => {
@@ -99,13 +99,17 @@
     answer.onStop = () => clearTimeout(timer);
   };
   const createEngine = (i, service, run) => {
+    const id = `i-7f3a91${i.toString(16).padStart(2, '0')}`;
+    const record = recordTo(seen, id, nowMs);
     const engine = new Engine({
-      id: `i-7f3a91${i.toString(16).padStart(2, '0')}`,
+      id,
       service,
       zone: zones[i % zones.length],
       slots: service === routes.stream.service ? 11 : 6,
       queue: 6,
-      record: (kind, {request}) => {
+      record: (kind, details) => {
+        record(kind, details);
+        const {request} = details;
         if (kind !== 'runs') return;
         runs.set(request, [...(runs.get(request) ?? []), engine.id]);
         const isCold = performance.now() < (engine.coldUntilMs ?? 0);
@@ -146,8 +150,14 @@
       createEngine(engineCount + i, routes.safe.service, plain),
     ),
   ];
-  for (const engine of engines) await engine.start(fleet.store, '127.0.0.1');
+  await fleet.takePorts(hostCount);
+  for (const [i, engine] of engines.entries()) {
+    await engine.start(fleet.store, '127.0.0.1', fleet.targetPort(i));
+  }
   await fleet.start(hostCount, configuration);
+  // The first configuration is in force from the start and changes nothing.
+  const first = timeoutsOf(configuration.routes);
+  seen.addConfiguration(-Infinity, first).toMs = -Infinity;
   const started = fleet.hosts;
   const addresses = started.map(({front}) => front);
   const expected = new Set();
@@ -159,49 +169,57 @@
     };
   };
   for (const host of started) watch(host);
-  const trouble = host =>
-    troubledUntilMs.set(host.front, performance.now() + excuseMs);
   const restart = async host => {
     if (!host.ended) await once(host.child, 'exit');
-    trouble(host);
     watch(fleet.restart(host));
   };
 
   let version = configuration.version;
-  const configure = change =>
-    fleet.store.put('keyed.op', 'config', {
-      ...configuration,
-      version: ++version,
-      ...change,
-    });
   let isAway = false;
+  /** Configurations that the store acknowledges when it is back. */
+  let unacknowledged = [];
+  const configure = change => {
+    const next = {...configuration, version: ++version, ...change};
+    const sent = seen.addConfiguration(nowMs(), timeoutsOf(next.routes));
+    fleet.store.put('keyed.op', 'config', next);
+    if (isAway) unacknowledged.push(sent);
+    else sent.toMs = nowMs();
+  };
   const disruptions = {
     async kill(host) {
       expected.add(host);
-      trouble(host);
+      const span = seen.addHostDisruption(host.front, nowMs());
       host.child.kill('SIGKILL');
       await restart(host);
+      span.toMs = nowMs();
+      seen.addStart(host.front, nowMs());
     },
     async stop(host) {
       expected.add(host);
-      troubledUntilMs.set(host.front, performance.now() + 12_000);
-      host.child.kill('SIGTERM');
+      seen.addSigterm(host.front, nowMs());
+      const {child} = host;
+      child.kill('SIGTERM');
+      setTimeout(() => child.kill('SIGKILL'), bounds.graceMs).unref();
       await restart(host);
+      seen.addStart(host.front, nowMs());
     },
     async freeze(host) {
+      const span = seen.addHostDisruption(host.front, nowMs());
       host.child.kill('SIGSTOP');
-      troubledUntilMs.set(host.front, performance.now() + 6000);
       await wait(500 + random() * 1500);
       if (!host.ended) host.child.kill('SIGCONT');
+      span.toMs = nowMs();
     },
     async hup(host) {
+      seen.addSighup(host.front, nowMs());
       host.child.kill('SIGHUP');
     },
     async crash() {
       const engine = pick(engines);
       if (engine.isDown) return;
       engine.isDown = true;
-      for (const {id} of engine.running) excused.add(id);
+      const span = seen.addTargetDisruption(engine.id, nowMs());
+      for (const {id} of engine.running) seen.addBreak(id);
       const byReset = random() < 0.5;
       for (const socket of [...engine.sockets]) {
         if (byReset) socket.resetAndDestroy();
@@ -211,13 +229,15 @@
       engine.coldUntilMs = performance.now() + coldMs;
       engine.coldRuns = [];
       await engine.restart(fleet.store);
+      span.toMs = nowMs();
       engine.isDown = false;
     },
     async reset() {
       const engine = pick(engines);
+      seen.addTargetDisruption(engine.id, nowMs()).toMs = nowMs();
       for (const {id, channel} of [...engine.running]) {
         if (random() < 0.5) continue;
-        excused.add(id);
+        seen.addBreak(id);
         channel.socket.resetAndDestroy();
       }
     },
@@ -239,10 +259,14 @@
     async storeAway() {
       if (isAway) return;
       isAway = true;
+      const span = seen.addStoreDisruption(nowMs());
       fleet.store.away = true;
       await wait(500 + random() * 2000);
       fleet.store.away = false;
       isAway = false;
+      span.toMs = nowMs();
+      for (const sent of unacknowledged) sent.toMs = nowMs();
+      unacknowledged = [];
     },
     async timeouts() {
       const timeoutMs = Math.round(3000 + random() * 9000);
@@ -276,19 +300,28 @@
   const kinds = [routes.resumable, routes.stream, routes.unsafe, routes.safe];
   const client = async address => {
     let channel = new Channel(address);
-    while (performance.now() - startMs < trafficMs) {
+    while (nowMs() < trafficMs) {
       const id = newId(++sent);
       const route = pick(kinds);
       const isStream = route.kind === 'streaming';
-      const wasKept = channel.served > 0 && !channel.closed;
-      const sentMs = performance.now();
+      const isOnKeptConnection = channel.served > 0 && !channel.closed;
+      const number = channel.served + 1;
+      const deadlineMs = isStream ? 12_000 : 1000;
+      const sentMs = nowMs();
       const headers = isStream ? promptHeaders : plainHeaders;
       const answer = await channel.send({
         path: `${route.pathPrefix}2f`,
-        headers: headers(id, isStream ? 12_000 : 1000),
+        headers: headers(id, deadlineMs),
         body: `prompt ${id}`,
       });
       const {status, complete, how} = answer;
+      seen.addRequest({
+        ...{id, route: route.name, host: address, sentMs, endedMs: nowMs()},
+        ...{isAnswered: complete, isOnKeptConnection, deadlineMs},
+        // A disruption of the store alone excuses no request of a plain route.
+        isExcusedByStore: isStream,
+        details: `${how}, number ${number} of its connection`,
+      });
       const text = answer.body.toString();
       const whole = Array.from({length: events}, (_, i) => eventOf(id, i + 1));
       const isWhole = text === (isStream ? whole.join('') : 'done');
@@ -303,12 +336,6 @@
       if (!mayRepeat && targets.length > 0 && [429, 503].includes(status)) {
         breaks('REFUSED', `${id} ${status}`);
       }
-      const troubledMs = troubledUntilMs.get(address) ?? -Infinity;
-      const isExcused = excused.has(id) || sentMs < troubledMs;
-      if (wasKept && !complete && targets.length > 0 && !isExcused) {
-        breaks('LOST', `${id} ${route.name} ${address} ${how} ${targets}`);
-        note(`LOST ${id} after ${Math.round(performance.now() - sentMs)} ms`);
-      }
       if (channel.closed) {
         await wait(50);
         channel = new Channel(address);
@@ -318,7 +345,7 @@
   };
   const disrupt = async () => {
     const names = Object.keys(disruptions);
-    while (performance.now() - startMs < trafficMs - calmMs) {
+    while (nowMs() < trafficMs - calmMs) {
       await wait(300 + random() * 1500);
       const name = pick(names);
       const free = fleet.hosts.filter(
@@ -328,8 +355,10 @@
       if (['kill', 'stop', 'freeze'].includes(name) && free.length < 4)
         continue;
       if (free.length === 0) continue;
-      note(name);
-      void disruptions[name](pick(free));
+      const host = pick(free);
+      const isOfHost = ['kill', 'stop', 'freeze', 'hup'].includes(name);
+      note(isOfHost ? `${name} ${host.front}` : name);
+      void disruptions[name](host);
     }
   };
   await Promise.all([
@@ -341,17 +370,22 @@
   for (const host of fleet.hosts) expected.add(host);
   for (const engine of engines) engine.close();
 
+  const lost = seen.findLost();
+  for (const item of lost) {
+    const rule = item.kind ? 'LOST beside planned work' : 'LOST when kept';
+    breaks(rule, describeLost(item));
+  }
   const counts = [...broken].map(([rule, list]) => `${rule} ${list.length}`);
   console.log(
-    `seed ${seeds[0]}: sent ${sent}, served ${served}, disruptions ${log.length}; ${counts.join(', ') || 'no rule broken'}`,
+    `seed ${seed}: sent ${sent}, served ${served}, disruptions ${log.length}; ${counts.join(', ') || 'no rule broken'}`,
   );
   for (const [rule, list] of broken) {
-    for (const details of list.slice(0, 4)) console.log(`  ${rule} ${details}`);
+    for (const details of list.slice(0, 8)) console.log(`  ${rule} ${details}`);
   }
-  // LOST allows three requests a host.
   const isBroken = [...broken].some(
-    ([rule, list]) => rule !== 'LOST' || list.length > 3,
+    ([rule, list]) =>
+      rule !== 'LOST when kept' || list.length > maxCutOnKeptConnections,
   );
   if (isBroken) console.log(log.map(line => `  ${line}`).join('\n'));
-  return isBroken ? 1 : 0;
+  return !isBroken;
 });
--- a/bench/processes/observations.ts
+++ b/bench/processes/observations.ts
@@ -44,7 +44,7 @@
 }
 
 /** A configuration, with the timeouts of its routes in milliseconds. */
-interface SeenConfiguration extends Span {
+interface SeenConfiguration extends OpenSpan {
   readonly timeouts: ReadonlyMap<string, number>;
 }
 
@@ -122,9 +122,14 @@
     return span;
   }
 
-  /** Records a configuration that was sent and acknowledged, with the timeouts of its routes. */
-  addConfiguration(span: Span, timeouts: ReadonlyMap<string, number>): void {
-    this.configurations.push({...span, timeouts});
+  /** Records that a configuration with these timeouts was sent; the play sets when it was acknowledged. */
+  addConfiguration(
+    fromMs: number,
+    timeouts: ReadonlyMap<string, number>,
+  ): OpenSpan {
+    const configuration = {fromMs, toMs: Infinity, timeouts};
+    this.configurations.push(configuration);
+    return configuration;
   }
 
   /** Records that a request reached a target. */
--- a/bench/processes/planned.mjs
+++ b/bench/processes/planned.mjs
@@ -14,12 +14,15 @@
 import {Observations} from '../../dist/bench/processes/observations.js';
 import {createRandom} from '../../dist/src/process/random.js';
 import {
+  bounds,
   describeLost,
   isReady,
   loadStandIns,
   play,
   playSeeds,
   readOptions,
+  recordTo,
+  timeoutsOf,
 } from './play.mjs';
 
 const usage = `node bench/processes/planned.mjs [options]
@@ -38,12 +41,11 @@
   engines: {default: '7', least: 1, most: 20},
   clients: {default: '12', least: 1, most: 100},
   seconds: {default: '50', least: 15, most: 600},
-  polite: {default: '0.5', least: 0, most: 1},
+  polite: {default: '0.5', least: 0, most: 1, whole: false},
   logs: {},
 });
-const seeds = args.seeds.split(',');
-playSeeds(import.meta.url, seeds);
-const seed = seeds[0];
+playSeeds(import.meta.url, args);
+const seed = args.seeds[0];
 const kinds = args.work.split(',');
 
 const {Channel, Engine, Fleet, ...deployment} = await loadStandIns();
@@ -59,16 +61,13 @@
 const calmMs = 10_000;
 /** Hosts that serve at the least. */
 const minHosts = 2;
-const bounds = {
-  ...{graceMs: 8000, configApplyMs: 2000, lossSlackMs: 200, contactMs: 3000},
-};
 const zones = ['pokhara', 'beni', 'jomsom'];
 const random = createRandom(Number(seed));
 const pick = items => items[Math.floor(random() * items.length)];
 const between = (from, to) => from + random() * (to - from);
 
-const options = {Fleet, file: import.meta.url, seed, logs: args.logs};
-await play({...options, maxMs: trafficMs + 60_000}, async fleet => {
+const maxMs = trafficMs + 60_000;
+await play({Fleet, file: import.meta.url, args, maxMs}, async fleet => {
   const startMs = performance.now();
   const nowMs = () => performance.now() - startMs;
   const log = [];
@@ -101,16 +100,11 @@
     const timer = setTimeout(() => answer.whole('200 OK', 'done'), 25);
     answer.onStop = () => clearTimeout(timer);
   };
-  const runs = new Map();
   const createEngine = i => {
     const isStream = i < engineCount;
     const id = `i-7f3a91${i.toString(16).padStart(2, '0')}`;
     const service = (isStream ? routes.stream : routes.safe).service;
-    const record = (kind, {request}) => {
-      if (kind === 'reaches') seen.addArrival(request, id);
-      if (kind === 'runs') runs.set(request, seen.addRun(request, nowMs()));
-      if (kind === 'run ends') runs.get(request).toMs = nowMs();
-    };
+    const record = recordTo(seen, id, nowMs);
     const zone = zones[i % zones.length];
     const run = isStream ? stream : plain;
     return new Engine({id, service, zone, slots: 11, queue: 6, record, run});
@@ -122,13 +116,10 @@
   for (const [i, engine] of engines.entries()) {
     await engine.start(fleet.store, '127.0.0.1', fleet.targetPort(i));
   }
-  const timeoutsOf = list => new Map(list.map(r => [r.name, r.timeoutMs]));
   await fleet.start(hostCount, configuration);
   // The first configuration is in force from the start and changes nothing.
-  seen.addConfiguration(
-    {fromMs: -Infinity, toMs: -Infinity},
-    timeoutsOf(configuration.routes),
-  );
+  const first = timeoutsOf(configuration.routes);
+  seen.addConfiguration(-Infinity, first).toMs = -Infinity;
   const addresses = fleet.hosts.map(({front}) => front);
 
   const stopping = new Set();
@@ -152,7 +143,7 @@
     async term() {
       const ready = [];
       for (const host of fleet.hosts) {
-        if (host.ended || stopping.has(host)) continue;
+        if (stopping.has(host)) continue;
         if (await isReady(host)) ready.push(host);
       }
       if (ready.length <= minHosts) return;
@@ -167,7 +158,7 @@
     async hup() {
       const host = pick(fleet.hosts);
       // A process that has not yet installed its handler would end.
-      if (host.ended || !(await isReady(host)) || host.ended) return;
+      if (!(await isReady(host))) return;
       seen.addSighup(host.front, nowMs());
       note(`SIGHUP ${host.name}`);
       host.child.kill('SIGHUP');
@@ -178,7 +169,7 @@
       const changed = Object.values(routes).map(route =>
         route.kind === 'streaming' ? {...route, timeoutMs} : route,
       );
-      const fromMs = nowMs();
+      const change = seen.addConfiguration(nowMs(), timeoutsOf(changed));
       note(`configuration ${version + 1}`);
       fleet.store.put('keyed.op', 'config', {
         ...configuration,
@@ -186,7 +177,7 @@
         limits: {...configuration.limits, idleTimeoutMs},
         routes: changed,
       });
-      seen.addConfiguration({fromMs, toMs: nowMs()}, timeoutsOf(changed));
+      change.toMs = nowMs();
     },
     async silence() {
       const forMs = between(800, 2000);
@@ -196,7 +187,9 @@
     },
   };
 
-  const counts = {sent: 0, served: 0, refused: 0, cut: 0, connections: 0};
+  const counts = {
+    ...{sent: 0, served: 0, refused: 0, cut: 0, unreached: 0, connections: 0},
+  };
   const callerRoutes = [
     routes.resumable,
     routes.stream,
@@ -224,7 +217,8 @@
         body: isStream ? `${count} ${stepMs}` : 'plain',
       });
       const isAnswered = answer.complete;
-      if (!isAnswered) counts.cut++;
+      if (answer.how === 'ECONNREFUSED') counts.unreached++;
+      else if (!isAnswered) counts.cut++;
       else if (answer.status < 300) counts.served++;
       else counts.refused++;
       const manners = isPolite ? 'honours' : 'ignores';
@@ -272,7 +266,7 @@
     beside.length > 0 ||
     kept.length > maxCutOnKeptConnections ||
     faults.length > 0;
-  for (const item of lost) console.log(`  ${describeLost(item)}`);
+  for (const item of lost) console.log(`  LOST ${describeLost(item)}`);
   for (const fault of faults) console.log(`  FAULT ${fault}`);
   if (isBroken) console.log(log.map(line => `  . ${line}`).join('\n'));
   return !isBroken;
--- a/bench/processes/play.mjs
+++ b/bench/processes/play.mjs
@@ -25,6 +25,14 @@
 const broken = 1;
 const couldNotRun = 2;
 
+/** Bounds that the stand-in of the platform gives to the hosts, in milliseconds. */
+export const bounds = {
+  graceMs: 8000,
+  configApplyMs: 2000,
+  lossSlackMs: 200,
+  contactMs: 3000,
+};
+
 const here = fileURLToPath(new URL('../../', import.meta.url));
 /** Checkout whose program and stand-ins are played. */
 const root = process.env.ROOT ?? here;
@@ -34,17 +42,25 @@
   process.exit(couldNotRun);
 }
 
+function checkNumber(name, text, {least, most, whole = true}) {
+  const number = Number(text);
+  const isNumber = /^[\d.]+$/.test(text) && number >= least && number <= most;
+  if (isNumber && (Number.isInteger(number) || !whole)) return;
+  const kind = whole ? 'whole number' : 'number';
+  refuse(`--${name} must be a ${kind}, ${least} to ${most}: "${text}"`);
+}
+
 /**
  * Reads the options of a play and ends the process if one is wrong.
  *
  * @param usage - Printed for `--help`.
- * @param options - Options as `parseArgs` takes them. `least` makes an option a number that is at least so high, `most`
- *   bounds it, `of` makes it a list of these words; `seeds` is a list of whole numbers.
+ * @param options - Options as `parseArgs` takes them. `least` and `most` make an option a number within these bounds,
+ *   a whole one unless `whole` is false; `of` makes it a list of these words. `seeds` is a list of whole numbers.
  */
 export function readOptions(usage, options) {
   const config = {
     ...options,
-    seeds: {default: '1', ...options.seeds},
+    seeds: options.seeds ?? {default: '1'},
     help: {type: 'boolean', default: false},
   };
   const known = Object.entries(config).map(([name, option]) => [
@@ -53,25 +69,24 @@
   ]);
   let values;
   try {
-    values = parseArgs({options: Object.fromEntries(known)}).values;
+    const parsed = parseArgs({
+      options: Object.fromEntries(known),
+      allowPositionals: true,
+    });
+    values = parsed.values;
+    if (parsed.positionals.length > 0) {
+      values.seeds = parsed.positionals.join(',');
+    }
   } catch (err) {
-    refuse(err.message.split('\n')[0]);
+    refuse(/^[^.\n]*/.exec(err.message)[0]);
   }
   if (values.help) {
     console.log(usage);
     process.exit(held);
   }
-  for (const [name, {least, most = Infinity, of}] of Object.entries(options)) {
+  for (const [name, {most, of, ...option}] of Object.entries(options)) {
     const text = values[name];
-    const number = Number(text);
-    if (
-      least !== undefined &&
-      !(text.trim() !== '' && number >= least && number <= most)
-    ) {
-      const bounds =
-        most === Infinity ? `${least} or more` : `${least} to ${most}`;
-      refuse(`--${name} must be a number, ${bounds}: "${text}"`);
-    }
+    if (most !== undefined) checkNumber(name, text, {most, ...option});
     const unknown = of && text.split(',').find(word => !of.includes(word));
     if (unknown !== undefined) {
       refuse(`--${name} must be a list of ${of.join(', ')}: "${unknown}"`);
@@ -84,27 +99,30 @@
   if (!existsSync(join(root, 'target', 'guavaseam.cjs'))) {
     refuse('target/guavaseam.cjs is missing: run node scripts/bundle.js first');
   }
-  return values;
+  const changed = known.filter(
+    ([name, option]) => name !== 'seeds' && values[name] !== option.default,
+  );
+  const rest = changed.flatMap(([name]) => [`--${name}`, values[name]]);
+  return {...values, seeds: values.seeds.split(','), rest};
 }
 
-/** Plays several seeds one after the other, since each play ends its process; returns if there is only one. */
-export function playSeeds(file, seeds) {
+/**
+ * Plays several seeds one after the other, since each play ends its process; returns if there is only one.
+ *
+ * @param file - Address of the play's module.
+ * @param args - What {@link readOptions} returned.
+ */
+export function playSeeds(file, {seeds, rest}) {
   if (seeds.length === 1) return;
-  const rest = process.argv
-    .slice(2)
-    .filter(
-      (arg, i, all) => !arg.startsWith('--seeds') && all[i - 1] !== '--seeds',
-    );
-  const failed = seeds.filter(seed => {
+  const codes = seeds.map(seed => {
     const args = [fileURLToPath(file), ...rest, '--seeds', seed];
-    return (
-      spawnSync(process.execPath, args, {stdio: 'inherit'}).status !== held
-    );
+    return spawnSync(process.execPath, args, {stdio: 'inherit'}).status;
   });
-  console.log(
-    `${seeds.length} seeds, ${failed.length} failed${failed.length > 0 ? `: ${failed.join(', ')}` : ''}`,
-  );
-  process.exit(failed.length > 0 ? broken : held);
+  const failed = seeds.filter((_, i) => codes[i] !== held);
+  const list = failed.length > 0 ? `: ${failed.join(', ')}` : '';
+  console.log(`${seeds.length} seeds, ${failed.length} failed${list}`);
+  if (failed.length === 0) process.exit(held);
+  process.exit(codes.includes(broken) ? broken : couldNotRun);
 }
 
 const lib = name =>
@@ -225,33 +243,37 @@
 }
 
 /** The command that plays a seed again. */
-function commandFor(file, seed) {
-  const rest = process.argv
-    .slice(2)
-    .filter(
-      (arg, i, all) => !arg.startsWith('--seeds') && all[i - 1] !== '--seeds',
-    );
+function commandFor(file, {seeds, rest}) {
   const path = relative(here, fileURLToPath(file));
   const checkout = process.env.ROOT ? [`ROOT=${process.env.ROOT}`] : [];
-  return [...checkout, 'node', path, ...rest, '--seeds', seed].join(' ');
+  return [...checkout, 'node', path, ...rest, '--seeds', seeds[0]].join(' ');
 }
 
 /**
  * Plays one seed and ends the process: exit code 0 if the rules held, 1 if one was broken, 2 if the play could not run.
  * If it was not 0, the hosts' logs are kept.
  *
- * @param options - `Fleet`, the stand-in; `file`, the address of the play's module; `seed`; `logs`, the folder for
- *   the logs, a new one if undefined; `maxMs`, the time after which the play is ended, in milliseconds.
+ * @param options - `Fleet`, the stand-in; `file`, the address of the play's module; `args`, what {@link readOptions}
+ *   returned; `maxMs`, the time after which the play is ended, in milliseconds.
  * @param body - Plays on a fleet and resolves to whether the rules held.
  */
-export async function play({Fleet, file, seed, logs, maxMs}, body) {
+export async function play({Fleet, file, args, maxMs}, body) {
   const fleet = createFleet(Fleet);
+  let isFinishing = false;
   const finish = async code => {
+    if (isFinishing) return;
+    isFinishing = true;
     if (code !== held) {
-      const folder = logs ?? mkdtempSync(join(tmpdir(), 'guavaseam-play-'));
-      fleet.keepLogs(folder);
-      console.log(`logs of the hosts: ${folder}`);
-      console.log(`play it again: ${commandFor(file, seed)}`);
+      const folder = args.logs
+        ? join(args.logs, `seed-${args.seeds[0]}`)
+        : mkdtempSync(join(tmpdir(), 'guavaseam-play-'));
+      try {
+        fleet.keepLogs(folder);
+        console.log(`logs of the hosts: ${folder}`);
+      } catch (err) {
+        console.error(`the logs of the hosts are lost: ${err.message}`);
+      }
+      console.log(`play it again: ${commandFor(file, args)}`);
     }
     await fleet.stop();
     process.exit(code);
@@ -272,13 +294,29 @@
   await finish(code);
 }
 
+/** Records what a target sees; pass it to the target as `record`. */
+export function recordTo(seen, target, nowMs) {
+  const runs = new Map();
+  return (kind, {request}) => {
+    if (kind === 'reaches') seen.addArrival(request, target);
+    if (kind === 'runs') runs.set(request, seen.addRun(request, nowMs()));
+    if (kind === 'run ends') runs.get(request).toMs = nowMs();
+  };
+}
+
+/** Timeouts of routes by name, in milliseconds. */
+export function timeoutsOf(routes) {
+  return new Map(routes.map(({name, timeoutMs}) => [name, timeoutMs]));
+}
+
 /** Whether a host says that it is ready. */
 export async function isReady(host) {
+  if (host.ended) return false;
   const req = get(`http://${host.ready}/api/readiness`, {agent: false});
   try {
     const [res] = await once(req, 'response');
     res.resume();
-    return res.statusCode === 200;
+    return res.statusCode === 200 && !host.ended;
   } catch {
     return false;
   }
@@ -291,7 +329,7 @@
       ? 'no SIGTERM before'
       : `${Math.round(sinceSigtermMs)} ms after SIGTERM`;
   return [
-    `LOST ${req.id} ${req.route} ${req.host}`,
+    `${req.id} ${req.route} ${req.host}`,
     `sent at ${(req.sentMs / 1000).toFixed(2)} s`,
     since,
     `closed after ${Math.round(req.endedMs - req.sentMs)} ms`,
