--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -5,11 +5,12 @@
   chooseService,
   type RouteTable,
 } from '../../version/deployment/route-table.js';
+import type {Organisation} from '../../version/deployment/types.js';
 import {
-  requestKinds,
-  type Organisation,
-} from '../../version/deployment/types.js';
-import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+  computeDeadlineAtMs,
+  type AdmittedRequest,
+  type GatewayRequestParts,
+} from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
 import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
@@ -23,8 +24,6 @@
 
 /** Retry-After of a host that stops, in milliseconds; other hosts take the request at once. */
 const stoppingRetryAfterMs = 50;
-/** Multiple of a route's mean response time that most of its responses stay below. */
-const longResponseFactor = 3;
 
 /** Dependencies of the handler. */
 export interface GatewayHandlerParts extends GatewayRequestParts {
@@ -83,6 +82,9 @@
     if (head.headerBytes > limits.maxHeaderBytes) {
       return this.refuse(req, res, head, 'headersTooLarge');
     }
+    if (head.exceedsTokenLimit) {
+      return this.refuse(req, res, head, 'tooManyTokens');
+    }
     const route = routes.route(head.hosts[0], url.split('?', 1)[0]);
     const service = route && chooseService(route, this.parts.random());
     if (!route || service === undefined) {
@@ -108,7 +110,7 @@
         tokensPerEvent: routes.service(service)?.engine?.tokensPerEvent ?? 1,
         arrivedMs,
       };
-      if (this.stopsTooSoon(admitted)) {
+      if (this.mayBeCutOff(admitted)) {
         return this.refuse(req, res, head, 'stopping', stoppingRetryAfterMs);
       }
       const request = new GatewayRequest(this.parts, admitted, res, done =>
@@ -119,12 +121,21 @@
     });
   }
 
-  /** Checks whether a response would probably be cut off, because this host stops. */
-  private stopsTooSoon({route}: AdmittedRequest): boolean {
-    const {clock, stats, stopsAtMs} = this.parts;
-    const isStream = route.kind === requestKinds.stream;
-    const neededMs = stats.slotMs(route.name, isStream) * longResponseFactor;
-    return clock.nowMs() + neededMs > stopsAtMs();
+  /**
+   * Records a request that arrived on a connection that this host had ended.
+   *
+   * @param req - Request that is not handled.
+   */
+  discard(req: IncomingMessage): void {
+    const {decisions, metrics, wire} = this.parts;
+    const {requestId} = wire.readCaller(req.rawHeaders);
+    metrics.requestDiscarded();
+    decisions.log('requestDiscarded', {request: requestId});
+  }
+
+  /** Checks whether a response might be cut off, because this host stops before the deadline of the request. */
+  private mayBeCutOff(request: AdmittedRequest): boolean {
+    return computeDeadlineAtMs(request) > this.parts.stopsAtMs();
   }
 
   private refuse(
@@ -134,13 +145,13 @@
     name: RefusalName,
     retryAfterMs?: number,
   ): void {
-    const {decisions, isDraining, metrics} = this.parts;
+    const {closesAfter, decisions, metrics} = this.parts;
     metrics.refused(name);
     decisions.log('gatewayRefused', {request: head.requestId, reason: name});
     // The parser would take the unread rest of a body for the next request, so the connection closes.
     const isUnread = !req.complete && name === 'bodyTooLarge';
     req.resume();
-    sendRefusal(res, name, retryAfterMs, isUnread || isDraining());
+    sendRefusal(res, name, retryAfterMs, closesAfter(res, isUnread));
   }
 }
 
