Notice a caller that leaves after bytes that are no request

A target worked on for a caller that had left, if a part of another request, or bytes that are none, had arrived behind the request in progress (GONE).

Cause: since responses that are due are sent first, the connection was not read any more after such bytes, so its end was not seen. The end within a request itself is reported by the parser as an error of the same kind.

Change: the connection is read on, and errors that the parser repeats are ignored. An end within a request ends the connection, as an end after a complete request does. A request whose body exceeded the time limit is paused instead, so that it is not handled when the rest of it arrives (no test: the time limit is on the clock of Node.js).

Measured: both cases of 'a caller that leaves after ...' fail without the change. 'more bytes that are no request do not cut off the response before' passes with and without it.

--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -11,6 +11,8 @@
   /** Responses in progress, in the order of their requests. */
   private readonly responses: ServerResponse[] = [];
   private accepts = true;
+  /** Whether the parser cannot continue. */
+  private isInputRejected = false;
   /** Bytes received up to the end of the last request; more than that are the start of another one. */
   private requestBytes = 0;
   /** Time since which no request is in progress, in milliseconds. */
@@ -94,16 +96,25 @@
     return true;
   }
 
+  /** Whether bytes that are no request have arrived. */
+  get hasRejectedInput(): boolean {
+    return this.isInputRejected;
+  }
+
   /**
-   * Accepts no more requests, because the bytes that arrive are none. A request whose body is incomplete never ends.
+   * Accepts no more requests, because the bytes that arrive are none. A request whose body is incomplete is not handled.
    *
    * @returns Whether a response to a complete request, or the rest of a response, has to be sent first.
    */
   rejectInput(): boolean {
     this.accepts = false;
-    const pending = this.responses.filter(
-      res => res.req.complete || res.headersSent,
-    );
+    this.isInputRejected = true;
+    const pending: ServerResponse[] = [];
+    for (const res of this.responses) {
+      if (res.req.complete || res.headersSent) pending.push(res);
+      // The rest of a body may still arrive after a timeout.
+      else res.req.pause();
+    }
     this.responses.splice(0, Infinity, ...pending);
     return pending.length > 0;
   }
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -214,11 +214,15 @@
       socket.destroy();
       return;
     }
-    // The parser cannot continue after the invalid bytes.
-    socket.pause();
+    // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
+    if (connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
     this.parts.onEnded(connectionEnds.noRequest);
-    if (hasResponses) return;
+    if (hasResponses) {
+      // The caller has left within a request.
+      if (err.code === 'HPE_INVALID_EOF_STATE') socket.end();
+      return;
+    }
     const status = protocolErrorStatus[err.code ?? ''] ?? '400 Bad Request';
     socket.write(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
--- a/test/gateway/unusual-callers.test.ts
+++ b/test/gateway/unusual-callers.test.ts
@@ -66,6 +66,7 @@
   return {...started, caller, left, open, target, untilTargetHas};
 }
 
+const withLength = `Content-Length: ${event.length}`;
 const chunked = 'Transfer-Encoding: chunked';
 
 // Guards against a request that is passed on while a response is sent that ends with the connection, because HTTP/1.0 has no
@@ -87,3 +88,34 @@
   assert.match(caller.received, /connection: close/i);
   assert.deepEqual(target.requests, ['first']);
 });
+
+// Guards against a target that works on for a caller that has left: bytes that are no request, or a part of one, had arrived.
+for (const [what, bytes] of Object.entries({
+  'a part of a request': 'POST /stream/a HT',
+  'bytes that are no request': 'no request\r\n\r\n',
+})) {
+  test(`a caller that leaves after ${what} ends the request before`, async t => {
+    const {caller, left, untilTargetHas} = await startStreaming(t, withLength);
+    caller.socket.write(requestText('first'));
+    await untilTargetHas('first');
+    caller.socket.write(bytes);
+    await settle();
+    caller.socket.destroy();
+    await until(() => left.has('first'), 'the target is released');
+  });
+}
+
+// Guards against a response that is cut off, or another one in its place, because the parser reports one error many times.
+test('more bytes that are no request do not cut off the response before', async t => {
+  const {caller, open, untilTargetHas} = await startStreaming(t, withLength);
+  caller.socket.write(requestText('first'));
+  await untilTargetHas('first');
+  for (let i = 0; i < 3; i++) {
+    caller.socket.write('no request\r\n\r\n');
+    await settle();
+  }
+  open.get('first')?.write(event);
+  await until(() => caller.ended, 'the connection ended');
+  assert.ok(caller.received.endsWith(event));
+  assert.doesNotMatch(caller.received, / 400 /);
+});
