Move a stalled request only if a refusal elsewhere can be made up for

A request whose target was silent was moved as soon as one retry was left in the budget. If the next target refused it, the second retry was missing: a stream was cut and a plain request got a 502, although the first target would have gone on. The same happened if the request had meanwhile become one that is not sent again because it crashes targets.

A move now takes two retries from the budget, and returns the second one when the next target begins to respond or the request ends. A request that may not be sent again is not moved.

The test "a stream is moved only if the budget allows for a refusal there" fails on the code before: the stream ends after its first event.

--- a/src/process/limits/service-retry-budget.ts
+++ b/src/process/limits/service-retry-budget.ts
@@ -42,13 +42,14 @@
   }
 
   /**
-   * Takes a retry if the budget allows one.
+   * Takes retries if the budget allows them.
    *
    * @param service - Service of the request.
    * @param nowMs - Monotonic time, in milliseconds.
-   * @returns Whether the request may be retried; if so, the retry was taken from the budget.
+   * @param count - Number of retries to take.
+   * @returns Whether the retries were taken from the budget; none is taken otherwise.
    */
-  take(service: string, nowMs: number): boolean {
+  take(service: string, nowMs: number, count = 1): boolean {
     const current = this.current(service, nowMs);
     let requests = 0;
     let retries = 0;
@@ -60,11 +61,21 @@
     const allowed =
       usableShare *
       (retryRatio * requests + retrySlack / Math.max(1, this.hosts()));
-    if (retries + 1 > allowed) return false;
-    current.retries++;
+    if (retries + count > allowed) return false;
+    current.retries += count;
     return true;
   }
 
+  /**
+   * Returns a retry that was taken and not used.
+   *
+   * @param service - Service of the request.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  giveBack(service: string, nowMs: number): void {
+    this.current(service, nowMs).retries--;
+  }
+
   private current(service: string, nowMs: number): Slice {
     const sliceMs = this.bounds.retryWindowMs / slicesPerWindow;
     const passed = Math.floor((nowMs - this.sliceStartMs) / sliceMs);
--- a/src/request/gateway/attempt-tracker.ts
+++ b/src/request/gateway/attempt-tracker.ts
@@ -29,6 +29,8 @@
 export class Attempts {
   private count = 0;
   private runs = 0;
+  /** Whether a retry was taken from the budget for the case that the target of a moved request refuses it. */
+  private hasSpare = false;
   private readonly excludedTargets = new Set<string>();
 
   /**
@@ -68,6 +70,32 @@
     return this.allows(this.runs + 1, nowMs);
   }
 
+  /**
+   * Takes what a move to another target may use from the budget: the retry, and a second one in case that target refuses
+   * the request. Excludes the present target.
+   *
+   * @param target - Id of the target that stalled.
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   * @returns Whether the request may be moved.
+   */
+  takeMove(target: string, nowMs: number): boolean {
+    if (!this.share.take(this.request.service, nowMs, 2)) return false;
+    this.hasSpare = true;
+    this.excludedTargets.add(target);
+    return true;
+  }
+
+  /**
+   * Returns the retry that was taken for a refusal, because the target runs the request or the request has ended.
+   *
+   * @param nowMs - Time on the process's clock, in milliseconds.
+   */
+  returnSpare(nowMs: number): void {
+    if (!this.hasSpare) return;
+    this.hasSpare = false;
+    this.share.giveBack(this.request.service, nowMs);
+  }
+
   /**
    * Takes a retry from the budget and excludes the target of the failed attempt, unless this host withheld the request.
    *
@@ -79,12 +107,17 @@
   takeRetry(why: GatewayRetryReason, target: string, nowMs: number): boolean {
     if (why === 'withheld') this.count--;
     if (!this.allows(this.runs, nowMs)) return false;
-    const isFree = isFreeRetry(why);
-    if (!isFree && !this.share.take(this.request.service, nowMs)) return false;
+    if (!isFreeRetry(why) && !this.takeFromBudget(nowMs)) return false;
     if (why !== 'withheld') this.excludedTargets.add(target);
     return true;
   }
 
+  private takeFromBudget(nowMs: number): boolean {
+    if (!this.hasSpare) return this.share.take(this.request.service, nowMs);
+    this.hasSpare = false;
+    return true;
+  }
+
   private allows(runs: number, nowMs: number): boolean {
     return (
       runs < this.request.route.maxRuns &&
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -127,7 +127,8 @@
     const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
     if (sinceMs < stallTimeoutMs(route, this.relay.started)) return;
     attempt.recordStall(sinceMs);
-    if (!this.isRetryable()) return;
+    // A request that may not be sent again goes on where it runs.
+    if (!this.isRetryable() || this.blocked) return;
     const {attempts, parts, request} = this;
     this.reserved = reserveRetry(parts, request, attempts, attempt.target);
     if (this.reserved) attempt.exchange.abort();
@@ -182,6 +183,7 @@
     attempt?.recordHead(head);
     if (!attempt || head.notRun) return;
     this.mayHaveRun = true;
+    this.attempts.returnSpare(this.parts.clock.nowMs());
     if (this.relay.begin(head)) return;
     const reason = `status ${head.status} does not continue the stream`;
     attempt.exchange.reject(reason, exchangeFailures.noContinuation);
@@ -390,6 +392,7 @@
     if (this.done) return;
     this.done = true;
     this.cancelTimer();
+    this.attempts.returnSpare(this.parts.clock.nowMs());
     this.relay.stop();
     this.onDone(this);
   }
--- a/src/request/gateway/stalled-attempt.ts
+++ b/src/request/gateway/stalled-attempt.ts
@@ -7,8 +7,8 @@
 import type {Attempts} from './attempt-tracker.js';
 
 /**
- * Takes what a retry of a stalled attempt needs, a slot elsewhere and a retry from the budget, before the attempt is aborted:
- * its target may only pause, and a response must not end because of that.
+ * Takes what a retry of a stalled attempt needs, a slot elsewhere and retries from the budget, before the attempt is
+ * aborted: its target may only pause, and a response must not end because of that.
  *
  * @param parts - Dependencies of requests.
  * @param request - Request whose attempt stalled.
@@ -32,7 +32,7 @@
   });
   const target = pool.takeSlot(slotRequest, nowMs);
   if (typeof target === 'string') return undefined;
-  if (attempts.takeRetry('aborted', id, nowMs)) return target;
+  if (attempts.takeMove(id, nowMs)) return target;
   pool.release(target, outcomes.cancelled, request.head.promptTokens);
   return undefined;
 }
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -2,7 +2,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {test, type TestContext} from 'node:test';
 import {feeds} from '../../src/connection/store/shared-store.js';
-import {configuration, sendRequest, startHttpTarget} from './gateway-fakes.js';
+import {
+  bounds,
+  configuration,
+  sendRequest,
+  startHttpTarget,
+} from './gateway-fakes.js';
 import {
   advanceClock,
   startWithTargets,
@@ -27,6 +32,8 @@
 
 /** What a test of {@link startStreams} sets. */
 interface StreamOptions extends StartOptions {
+  readonly targets?: number;
+  readonly bounds?: Partial<typeof bounds>;
   /** Responds to a request that resumes a stream. */
   readonly onResume?: (req: IncomingMessage, res: ServerResponse) => void;
 }
@@ -41,7 +48,7 @@
       res.end(event(2));
     });
   const targets = await Promise.all(
-    Array.from({length: 2}, () =>
+    Array.from({length: options.targets ?? 2}, () =>
       startHttpTarget((req, res) => {
         const lastEventId = req.headers['last-event-id']?.toString();
         runs.push({res, lastEventId});
@@ -51,7 +58,12 @@
       }),
     ),
   );
-  const started = await startWithTargets(t, targets, {}, options);
+  const started = await startWithTargets(
+    t,
+    targets,
+    {bounds: {...bounds, ...options.bounds}},
+    options,
+  );
   const {clock, store, port} = started;
   store.put(feeds.orders, {
     kind: 'configuration',
@@ -74,6 +86,11 @@
   return {clock, port, runs, open, resumed};
 }
 
+function refuseRun(_req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(503, {'x-not-executed': '1'});
+  res.end();
+}
+
 // Guards against a stream that runs again elsewhere, at the risk of being cut there, because a sound target is silent for a
 // second or so.
 test('a stream whose target pauses for a second or so stays there', async t => {
@@ -101,6 +118,35 @@
   );
 });
 
+// Guards against a stream that is cut because the target to which it was moved refuses it and no other retry is left.
+test('a stream is moved only if the budget allows for a refusal there', async t => {
+  const {clock, open, resumed} = await startStreams(t, {
+    bounds: {retryRatio: 0, retrySlack: 1.5},
+    onResume: refuseRun,
+  });
+  const {response, run} = await open();
+  await advanceClock(clock, longSilenceMs);
+  run.res.end(event(2));
+  const {body, complete} = await response;
+  assert.equal(body, event(1) + event(2));
+  assert.equal(complete, true);
+  assert.equal(resumed().length, 0);
+});
+
+// Guards against a budget that is used up by retries which were set aside for refusals that did not happen.
+test('a retry set aside for a refusal returns to the budget when the target begins to respond', async t => {
+  const {clock, open, resumed} = await startStreams(t, {
+    targets: 4,
+    bounds: {retryRatio: 0, retrySlack: 4},
+  });
+  for (let i = 0; i < 2; i++) {
+    const {response} = await open();
+    await advanceClock(clock, longSilenceMs);
+    assert.equal((await response).complete, true);
+  }
+  assert.equal(resumed().length, 2);
+});
+
 // Guards against a stream that is cut because no slot is free at once, although its caller would wait.
 test('a stream whose target breaks off waits for a slot until its caller leaves', async t => {
   const {clock, open, resumed} = await startStreams(t, {slots: 1});
