Don't take the silence of a slow caller for that of its target

While a caller reads slowly, the host pauses the target and gets no events. After the stall timeout the target was recorded as failed, and a resumable stream was moved to another one, which read the prompt again for a caller that still did not read.

The time now counts only while the target can send: not while it is paused, and from the moment at which the caller reads on.

The test fails on the code before: the stream runs twice.

--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -124,7 +124,8 @@
     if (this.ticket && this.failIfBlocked()) return;
     const {route} = this.request;
     if (!attempt || attempt.stalled || attempt.endChecked) return;
-    const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
+    const sinceMs =
+      nowMs - Math.max(attempt.startMs, this.relay.readableSinceMs);
     if (sinceMs < stallTimeoutMs(route, this.relay.started)) return;
     attempt.recordStall(sinceMs);
     // A request that may not be sent again goes on where it runs.
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -34,6 +34,8 @@
 
   private readonly batch: EventBatch;
   private awaitsDrain = false;
+  /** Time at which the caller read on after the target was paused, in milliseconds. */
+  private drainedAtMs = -Infinity;
 
   /**
    * @param res - Response to the caller.
@@ -65,6 +67,15 @@
     return this.clock.nowMs() - this.lastAtMs;
   }
 
+  /**
+   * Time on the process's clock since which the target could have sent an event and did not, in milliseconds. It is
+   * infinite while the target is paused because the caller reads slowly.
+   */
+  get readableSinceMs(): number {
+    if (this.awaitsDrain) return Infinity;
+    return Math.max(this.lastAtMs ?? 0, this.drainedAtMs);
+  }
+
   /** Id of the last complete event sent, if events have ids. */
   get lastEventId(): string | undefined {
     // Few streams are resumed, so the events are parsed for ids only on demand.
@@ -193,6 +204,7 @@
     this.awaitsDrain = true;
     this.res.once('drain', () => {
       this.awaitsDrain = false;
+      this.drainedAtMs = this.clock.nowMs();
       this.flow.resume();
     });
   }
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {connect} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {
@@ -162,3 +164,31 @@
   assert.equal(body, event(1) + event(2));
   assert.equal(complete, true);
 });
+
+// Guards against a sound target that is blamed, and left, because the caller reads slowly.
+test('a stream stays at its target while its caller does not read', async t => {
+  const {clock, port, runs, resumed} = await startStreams(t, {
+    bounds: {eventDelayMs: 0},
+  });
+  const socket = connect(port, '127.0.0.1');
+  socket.write(
+    'POST /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: slow\r\nContent-Length: 0\r\n\r\n',
+  );
+  await once(socket, 'data');
+  socket.pause();
+  const [{res}] = runs;
+  const filler = 'x'.repeat(100_000);
+  // All buffers on the way are full once a write stays unsent for a while.
+  let id = 2;
+  for (let unsent = 0; unsent < 200;) {
+    if (res.writableNeedDrain) unsent++;
+    else {
+      unsent = 0;
+      res.write(`id: ${id++}\ndata: ${filler}\n\n`);
+    }
+    await new Promise(setImmediate);
+  }
+  await advanceClock(clock, longSilenceMs);
+  assert.equal(resumed().length, 0);
+  socket.destroy();
+});
