Don't take the standstill of a host for the silence of its targets

When a host did not run for a time (its share of the processor was used up, it was stopped, or one task took long), the check for stalled targets ran before what the targets had sent meanwhile was read. Requests of plain services, whose targets count as stalled after 250 ms, were aborted and run again although their response was there.

A check that comes more than an interval late is skipped: the next one comes after the input was read. Of two checks in a row at least one is carried out.

The test fails on the code before: the request runs twice.

--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -14,6 +14,7 @@
 import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {sendRefusal} from './refuse-request.js';
+import {LateChecks} from './stalled-attempt.js';
 import type {CallerHead} from './wire-format.js';
 
 /** Interval at which open requests are checked for stalled targets, in milliseconds. */
@@ -47,8 +48,10 @@
   /** Starts the periodic check for stalled targets. */
   start(): void {
     const {clock} = this.parts;
+    const lateness = new LateChecks(checkIntervalMs, clock.nowMs());
     this.cancelCheck = every(clock, checkIntervalMs, () => {
       const nowMs = clock.nowMs();
+      if (lateness.skips(nowMs)) return;
       for (const request of [...this.open]) request.check(nowMs);
     });
   }
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -4,6 +4,7 @@
 import {connect} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {feeds} from '../../src/connection/store/shared-store.js';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
   bounds,
   configuration,
@@ -32,6 +33,20 @@
   readonly lastEventId: string | undefined;
 }
 
+/** Clock that can pass without timers or input being handled, as when the process is stopped. */
+class StoppableClock extends ManualClock {
+  private stoppedMs = 0;
+
+  override nowMs(): number {
+    return super.nowMs() + this.stoppedMs;
+  }
+
+  /** Passes time in which nothing runs. */
+  stop(ms: number): void {
+    this.stoppedMs += ms;
+  }
+}
+
 /** What a test of {@link startStreams} sets. */
 interface StreamOptions extends StartOptions {
   readonly targets?: number;
@@ -54,6 +69,7 @@
       startHttpTarget((req, res) => {
         const lastEventId = req.headers['last-event-id']?.toString();
         runs.push({res, lastEventId});
+        if (req.url === '/safe/a') return;
         if (lastEventId !== undefined) return onResume(req, res);
         res.writeHead(200, streamType);
         res.write(event(1));
@@ -165,6 +181,22 @@
   assert.equal(complete, true);
 });
 
+// Guards against requests that run again elsewhere, although their target has responded, because the host itself did not run.
+test('a request stays at its target when the host was stopped for a time', async t => {
+  const clock = new StoppableClock();
+  const {port, runs} = await startStreams(t, {clock});
+  const response = sendRequest(port, '/safe/a');
+  while (runs.length === 0) await new Promise(setImmediate);
+  clock.stop(800);
+  clock.advance(100);
+  runs[0].res.end('done');
+  await advanceClock(clock, 1000);
+  for (const {res} of runs.slice(1)) res.end('done');
+  const {status, body} = await response;
+  assert.deepEqual([status, body], [200, 'done']);
+  assert.equal(runs.length, 1);
+});
+
 // Guards against a sound target that is blamed, and left, because the caller reads slowly.
 test('a stream stays at its target while its caller does not read', async t => {
   const {clock, port, runs, resumed} = await startStreams(t, {
