Answer 500 if a host's metrics or state cannot be rendered

An exception while metrics or the state for other hosts are rendered ended the process (FAULT): it was an uncaught exception or an unhandled rejection of the request handler of StateServer. It is now a response with 500 and a warning of the process. No such exception was observed; the fault was found by reading.

--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {
   Endpoint,
   GatewaySettings,
@@ -28,16 +28,24 @@
     metrics: () => Promise<string>,
     readonly forHosts = true,
   ) {
-    this.server = createServer((req, res) => {
-      if (req.url === statePath) {
+    const render = async (path: string | undefined, res: ServerResponse) => {
+      if (path === statePath) {
+        const text = JSON.stringify(copy());
         res.setHeader('content-type', 'application/json');
-        res.end(JSON.stringify(copy()));
-      } else if (req.url === metricsPath) {
-        void metrics().then(text => res.end(text));
-      } else {
-        res.statusCode = 404;
-        res.end();
+        return text;
       }
+      if (path === metricsPath) return await metrics();
+      res.statusCode = 404;
+      return '';
+    };
+    this.server = createServer((req, res) => {
+      void render(req.url, res)
+        .catch((err: Error) => {
+          process.emitWarning(err);
+          res.statusCode = 500;
+          return err.message;
+        })
+        .then(text => res.end(text));
     });
   }
 
