Keep an entry host running when connections cannot be accepted

An error of accepting a connection, for example without free file descriptors in the whole system, is reported by an event of the server. The listener for errors of the start took the first one; the second had no listener and ended the process (FAULT). Found by reading; not observed on a host.

CallerServer now listens as the servers of gateways do, and such errors are warnings of the process. The test in caller-server.test.ts failed on the former code with the second error and passes now.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,6 +11,7 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
+import {listenOnce} from '../http/listen.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
 
 /** Handles the requests for one path or a group of paths. */
@@ -131,13 +132,9 @@
    *
    * @returns The port that the server listens on.
    */
-  listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.cfg.port, this.cfg.address, () => {
-        resolve((this.server.address() as AddressInfo).port);
-      });
-    });
+  async listen(): Promise<number> {
+    await listenOnce(this.server, this.cfg);
+    return (this.server.address() as AddressInfo).port;
   }
 
   /**
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
+import {once, type EventEmitter} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import fc from 'fast-check';
@@ -198,6 +198,17 @@
   assert.equal(await closed, 0);
 });
 
+// Guards against a host that ends by itself because two connections in a row could not be accepted.
+test('the server survives errors of accepting connections', async t => {
+  const {server, port} = await startServer(t);
+  const {server: listener} = server as unknown as {server: EventEmitter};
+  listener.emit('error', new Error('accept ENFILE'));
+  listener.emit('error', new Error('accept ENFILE'));
+  const health =
+    'GET /healthz HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n';
+  assert.match(await exchange(port, health), /^HTTP\/1\.1 200 /);
+});
+
 test('a drain ends at its timeout', async t => {
   const {server, port, arrival} = await startServer(t);
   const arrived = arrival();
