Do not run a caller's request that was refused while its body arrived

A request whose body came too late got 408 with execution not-run, and could run nevertheless: the connection was read until the refusal had been sent, which takes time if the caller reads slowly, and the body could become complete.

The connection is not read any more once the refusal is written. The test in pipelined-requests.test.ts, in which the refusal waits, failed on the former code (the request ran) and passes now.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -281,6 +281,8 @@
       socket.destroy();
       return;
     }
+    // The rest of the request could arrive before the refusal is sent, and it would run.
+    socket.pause();
     const reason = reasonOf(err);
     this.report(reason);
     const {status, headers, body} = createProblem(reason);
--- a/test/connection/caller/pipelined-requests.test.ts
+++ b/test/connection/caller/pipelined-requests.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
-import {connect} from 'node:net';
+import {once, type EventEmitter} from 'node:events';
+import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {hangGuard, startServer, type TestHandler} from './caller-fixture.js';
 
@@ -150,3 +150,49 @@
     assert.match(answers[16].text, /"reason":"overloaded"/);
   },
 );
+
+// Guards against a request that runs although it was refused as not run: its body became complete while the refusal of
+// bytes that are no request, or that came too late, had not left the host yet.
+test(
+  'a request that is refused while its body arrives does not run afterwards',
+  hangGuard,
+  async t => {
+    const {server, port, handler, metrics} = await startServer(t);
+    const {server: listener} = server as unknown as {server: EventEmitter};
+    const connected = once(listener, 'connection') as Promise<[Socket]>;
+    const socket = connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', chunk => (received += chunk.toString('latin1')));
+    socket.on('error', () => {});
+    const closed = new Promise(resolve => socket.once('close', resolve));
+    const [peer] = await connected;
+    socket.write(
+      'POST /test HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n\r\nab',
+    );
+    while (!(await metrics.render()).includes('caller_requests 1')) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    // A connection whose buffers are full sends the refusal some time later.
+    const {end} = peer;
+    let send = () => {};
+    peer.end = (...args: unknown[]) => {
+      send = () => end.apply(peer, args as Parameters<typeof end>);
+      return peer;
+    };
+    const err = Object.assign(new Error('timeout'), {
+      code: 'ERR_HTTP_REQUEST_TIMEOUT',
+    });
+    listener.emit('clientError', err, peer);
+    socket.write('cd');
+    for (let turn = 0; turn < 20; turn++) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    send();
+    await closed;
+    assert.match(
+      received,
+      /"reason":"request-timeout","retryable":true,"execution":"not-run"/,
+    );
+    assert.equal(handler.serving.length, 0);
+  },
+);
