--- a/test/gateway/queued-retry.test.ts
+++ b/test/gateway/queued-retry.test.ts
@@ -27,7 +27,7 @@
     t,
     [first],
     {},
-    new RejectedWireFormat(),
+    {wire: new RejectedWireFormat()},
   );
   const metric = async (line: string) => {
     const {body} = await sendRequest(settings.peers?.port ?? 0, '/metrics', {
@@ -56,7 +56,7 @@
     t,
     [first],
     {},
-    new RejectedWireFormat(),
+    {wire: new RejectedWireFormat()},
   );
   const response = sendRequest(port, '/safe/a');
   store.put(feeds.targets, targetChange('i-1', second.address));
