Limit the numbers in messages and state copies of other hosts

Callers saw: nothing so far. Two hosts that report loads of 1e308 make the load of a target infinite; once they are gone it is NaN, and the target is compared with NaN from then on. A state copy was applied as it came, so that a missing field ended the task that copies it with a TypeError.

Cause: decodeGossip() accepted every finite number, the codec of statements also infinite ones, and fetchState() cast the parsed JSON to a state copy.

Evidence: two properties of peer-numbers.test.ts failed: a message was decoded with -1e17 in its first number, and the load of a target was not 0 after all hosts that reported it were gone.

Change: numbers of messages must be exact as integers, and counts, durations and loads within number-limits.ts; entries of lists that are not are skipped as before.

--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -3,6 +3,7 @@
   Endpoint,
   GatewaySettings,
 } from '../../process/gateway-settings.js';
+import {decodeStateCopy} from '../../version/deployment/state-copy-codec.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
 
@@ -81,6 +82,7 @@
  * @param endpoint - Where it listens.
  * @returns The copy, or `undefined` if the host gave none.
  * @throws {@link CallError}
+ * @throws SyntaxError - If the copy is not valid.
  */
 export async function fetchState(
   endpoint: Endpoint,
@@ -93,7 +95,7 @@
       timeoutMs: answerTimeoutMs,
     });
     if (status !== 200) return undefined;
-    return JSON.parse(body.toString('utf8')) as StateCopy;
+    return decodeStateCopy(body.toString('utf8'));
   } finally {
     await caller.close();
   }
--- a/src/process/fleet/gossip-message.ts
+++ b/src/process/fleet/gossip-message.ts
@@ -7,11 +7,18 @@
   isTargetAddress,
   isTargetId,
 } from '../../version/deployment/addresses.js';
-import type {
-  FeedUpdate,
-  TargetUpdate,
+import {
+  maxAgeMs,
+  type FeedUpdate,
+  type TargetUpdate,
 } from '../../version/deployment/feed-update.js';
 import {emptyReport, type CrashReport} from '../crashes/crash-report.js';
+import {
+  isNumberWithin,
+  maxCount,
+  maxDurationMs,
+  maxStatedMs,
+} from '../number-limits.js';
 import type {StatementReport} from '../pool/target-statements.js';
 import {decodeCrashReport, encodeCrashReport} from './crash-codec.js';
 import {decodeStatements, encodeStatements} from './statement-codec.js';
@@ -210,8 +217,18 @@
   };
 }
 
+/** Whether a value is a number that is exact as an integer, so that sums with it stay finite. */
 function isNumber(value: unknown): value is number {
-  return typeof value === 'number' && Number.isFinite(value);
+  return isNumberWithin(
+    value,
+    Number.MAX_SAFE_INTEGER,
+    Number.MIN_SAFE_INTEGER,
+  );
+}
+
+/** Limits an age to what an update can state. */
+function limitAgeMs(ms: number): number {
+  return Math.min(Math.max(0, ms), maxAgeMs);
 }
 
 function entriesOf(value: unknown): [string, unknown][] {
@@ -231,9 +248,8 @@
 function decodeEcho(value: unknown): Echo | undefined {
   if (!Array.isArray(value)) return undefined;
   const [incarnation, sentAtMs, heldMs] = value as unknown[];
-  if (!isNumber(incarnation) || !isNumber(sentAtMs) || !isNumber(heldMs)) {
-    return undefined;
-  }
+  if (!isNumber(incarnation) || !isNumber(sentAtMs)) return undefined;
+  if (!isNumberWithin(heldMs, maxDurationMs)) return undefined;
   return {incarnation, sentAtMs, heldMs};
 }
 
@@ -253,11 +269,11 @@
   const changes = rows.flatMap(row => decodeChange(row) ?? []);
   return {
     orders,
-    ordersAgeMs,
+    ordersAgeMs: limitAgeMs(ordersAgeMs),
     ordersReadAtMs: isNumber(ordersReadAtMs) ? ordersReadAtMs : 0,
     configuration: isNumber(configuration) ? configuration : 0,
     targets,
-    targetsAgeMs,
+    targetsAgeMs: limitAgeMs(targetsAgeMs),
     targetsReadAtMs: isNumber(targetsReadAtMs) ? targetsReadAtMs : 0,
     digest,
     changes,
@@ -268,9 +284,8 @@
   if (!Array.isArray(row)) return undefined;
   const [offset, id, keepMs, service, address, zone, version, ...numbers] =
     row as unknown[];
-  if (!isNumber(offset) || !isNumber(keepMs) || typeof id !== 'string') {
-    return undefined;
-  }
+  if (!isNumber(offset) || typeof id !== 'string') return undefined;
+  if (!isNumberWithin(keepMs, maxDurationMs)) return undefined;
   if (row.length === 3) return {offset, id, keepMs};
   const [slots, draining, coldMs, bornMs] = numbers;
   if (
@@ -278,9 +293,9 @@
     typeof address !== 'string' ||
     typeof zone !== 'string' ||
     typeof version !== 'string' ||
-    !isNumber(slots) ||
-    !isNumber(coldMs) ||
-    !isNumber(bornMs)
+    !isNumberWithin(slots, maxCount) ||
+    !isNumberWithin(coldMs, maxStatedMs) ||
+    !isNumberWithin(bornMs, Number.MAX_SAFE_INTEGER)
   ) {
     return undefined;
   }
@@ -304,7 +319,11 @@
   for (const [id, row] of entriesOf(value)) {
     if (!Array.isArray(row)) continue;
     const [load, pendingPromptTokens, tokenMs] = row as unknown[];
-    if (isNumber(load) && isNumber(pendingPromptTokens) && isNumber(tokenMs)) {
+    if (
+      isNumberWithin(load, maxCount) &&
+      isNumberWithin(pendingPromptTokens, maxCount) &&
+      isNumberWithin(tokenMs, maxDurationMs)
+    ) {
       reports[id] = {load, pendingPromptTokens, tokenMs};
     }
   }
@@ -321,9 +340,9 @@
       const [name, requests, failures, logLatencySum] = row as unknown[];
       if (
         typeof name === 'string' &&
-        isNumber(requests) &&
-        isNumber(failures) &&
-        isNumber(logLatencySum)
+        isNumberWithin(requests, maxCount) &&
+        isNumberWithin(failures, maxCount) &&
+        isNumberWithin(logLatencySum, maxCount)
       ) {
         cells[name] = {requests, failures, logLatencySum};
       }
--- a/src/process/fleet/statement-codec.ts
+++ b/src/process/fleet/statement-codec.ts
@@ -1,4 +1,5 @@
-import {roundAgeMs} from '../../version/deployment/feed-update.js';
+import {maxAgeMs, roundAgeMs} from '../../version/deployment/feed-update.js';
+import {isNumberWithin, maxCount} from '../number-limits.js';
 import type {StatementReport} from '../pool/target-statements.js';
 
 /**
@@ -34,7 +35,8 @@
   if (!Array.isArray(row)) return undefined;
   const [target, bornMs, ageMs, limit, leaving] = row as unknown[];
   if (typeof target !== 'string') return undefined;
-  if (typeof bornMs !== 'number' || typeof ageMs !== 'number') return undefined;
-  const limitPerSecond = typeof limit === 'number' ? limit : undefined;
+  if (!isNumberWithin(bornMs, Number.MAX_SAFE_INTEGER)) return undefined;
+  if (!isNumberWithin(ageMs, maxAgeMs)) return undefined;
+  const limitPerSecond = isNumberWithin(limit, maxCount) ? limit : undefined;
   return {target, bornMs, leaving: leaving === 1, limitPerSecond, ageMs};
 }
