--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -3,6 +3,7 @@
   Endpoint,
   GatewaySettings,
 } from '../../process/gateway-settings.js';
+import {decodeStateCopy} from '../../version/deployment/state-copy-codec.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
 import {listenOnce} from '../http/listen.js';
@@ -88,6 +89,7 @@
  * @param endpoint - Where it listens.
  * @returns The copy, or `undefined` if the host gave none.
  * @throws {@link CallError}
+ * @throws SyntaxError - If the copy is not valid.
  */
 export async function fetchState(
   endpoint: Endpoint,
@@ -100,7 +102,7 @@
       timeoutMs: answerTimeoutMs,
     });
     if (status !== 200) return undefined;
-    return JSON.parse(body.toString('utf8')) as StateCopy;
+    return decodeStateCopy(body.toString('utf8'));
   } finally {
     await caller.close();
   }
