Count no request that found nobody listening, and name starved plays

The rule counts a request that a process has read; of these nothing was sent. A request whose connection is established counts as before, a reset connection too.

A response that has begun can't end otherwise; one that has not begun still counts.

Each play prints for how long it was held up, and a host that still ran at the end of the grace period is named so, still as a failure.

--- a/bench/processes/observations.ts
+++ b/bench/processes/observations.ts
@@ -21,6 +21,8 @@
   readonly host: string;
   readonly sentMs: number;
   readonly endedMs: number;
+  readonly isConnected: boolean;
+  readonly hasBegun: boolean;
   readonly isAnswered: boolean;
   readonly isOnKeptConnection: boolean;
   /** The caller's deadline, in milliseconds. */
--- a/bench/processes/play.mjs
+++ b/bench/processes/play.mjs
@@ -16,6 +16,7 @@
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join, relative} from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout} from 'node:timers';
 import {fileURLToPath, pathToFileURL, URL} from 'node:url';
@@ -312,6 +313,13 @@
   };
 }
 
+/** Measures for how long the play itself was held up, by which it may see the end of a request too late. */
+export function measureStalls() {
+  const histogram = monitorEventLoopDelay();
+  histogram.enable();
+  return {longestMs: () => Math.round(histogram.max / 1e6)};
+}
+
 /** Timeouts of routes by name, in milliseconds. */
 export function timeoutsOf(routes) {
   return new Map(routes.map(({name, timeoutMs}) => [name, timeoutMs]));
