Do not reset an ended connection on bytes that are no request

What callers saw (by a test; no report): a caller that read slowly lost the rest of a response that the host had sent, if bytes that are no request followed it.

Cause: a connection that the host had ended was destroyed on the first such bytes. The next ones reset it, and the system drops what it has not delivered.

Change: the bytes are ignored until the connection closes after the response, as requests are that arrive there.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -210,12 +210,12 @@
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
   private onProtocolError(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
-    if (!connection || !socket.writable || err.code === 'ECONNRESET') {
+    if (!connection || err.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
     // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
-    if (connection.hasRejectedInput) return;
+    if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
     this.parts.onEnded(connectionEnds.noRequest);
     if (hasResponses) {
--- a/test/gateway/unusual-callers.test.ts
+++ b/test/gateway/unusual-callers.test.ts
@@ -3,7 +3,7 @@
 import {connect, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {startRawTarget} from './gateway-fakes.js';
-import {startWithTargets} from './started-gateway.js';
+import {advanceClock, startWithTargets} from './started-gateway.js';
 
 /** Number of turns of the event loop within which a host reacts to bytes on loopback, and many more. */
 const maxTurns = 3000;
@@ -54,12 +54,12 @@
     allowHalfOpen: true,
   });
   t.after(() => socket.destroy());
-  const caller = {socket, received: '', ended: false};
+  const caller = {socket, received: '', ended: false, wasReset: false};
   socket.on('data', (chunk: Buffer) => {
     caller.received += chunk.toString('latin1');
   });
   socket.on('end', () => (caller.ended = true));
-  socket.on('error', () => {});
+  socket.on('error', () => (caller.wasReset = true));
   await once(socket, 'connect');
   const untilTargetHas = (id: string) =>
     until(() => open.has(id), `the target got ${id}`);
@@ -119,3 +119,30 @@
   assert.ok(caller.received.endsWith(event));
   assert.doesNotMatch(caller.received, / 400 /);
 });
+
+// Guards against a response of which a slow caller loses the rest, because bytes behind it reset the connection.
+test('bytes that are no request do not cut off a response that a slow caller still reads', async t => {
+  // More than the buffer of the caller holds, and less than both: the host has sent all.
+  const length = 1_000_000;
+  const {caller, clock, gateway, open, untilTargetHas} = await startStreaming(
+    t,
+    `Content-Length: ${length}`,
+  );
+  const stopping = gateway.stop();
+  caller.socket.write(requestText('first'));
+  await untilTargetHas('first');
+  caller.socket.pause();
+  const data = 'x'.repeat(998);
+  open.get('first')?.write(`${data}\n\n`.repeat(length / 1000));
+  for (let i = 0; i < 3; i++) {
+    await settle();
+    caller.socket.write('no request\r\n\r\n');
+  }
+  await settle();
+  caller.socket.resume();
+  await until(() => caller.ended || caller.wasReset, 'the connection ended');
+  assert.equal(caller.wasReset, false);
+  assert.equal(caller.received.split(data).length, 1 + length / 1000);
+  await advanceClock(clock, 10_000);
+  await stopping;
+});
