--- a/test/gateway/gateway-path.test.ts
+++ b/test/gateway/gateway-path.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import type {Socket} from 'node:net';
 import {test} from 'node:test';
+import {decodeRecord} from '../../platform/records.js';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {
   sendRequest,
@@ -56,6 +57,24 @@
   assert.deepEqual(target.requests, []);
 });
 
+// Guards against a header that makes the load of a target infinite and, once the request has ended, NaN.
+test('a request that states more tokens than a number can hold is refused', async t => {
+  const target = await startHttpTarget((_req, res) => res.end('ran'));
+  const {port} = await startWithTargets(t, [target]);
+  const many = '9'.repeat(400);
+  const all: Record<string, string>[] = [
+    {'x-token-count': `${many},1`},
+    {'x-token-count': `1,${many}`},
+    {'x-prompt-prefix': `5c1e:10,91bd:${many}`},
+  ];
+  for (const headers of all) {
+    const {status, body} = await sendRequest(port, '/plain/a', {headers});
+    assert.equal(status, 400);
+    assert.match(body, /more tokens than any target could process/);
+  }
+  assert.deepEqual(target.requests, []);
+});
+
 // Guards against a caller that receives the response of another one over a shared connection.
 test('a response to another request is not delivered', async t => {
   const target = await startRawTarget((socket, id) =>
@@ -251,6 +270,34 @@
   assert.equal(await status('key'), 401);
 });
 
+// Guards against serving everybody once the last organisation is removed.
+test('a configuration with an empty list of organisations refuses all keys', async t => {
+  const target = await startHttpTarget((req, res) => res.end('ran'));
+  const {port, store} = await startWithTargets(t, [target]);
+  const newer = decodeRecord(feeds.orders, {
+    key: 'config',
+    value: Buffer.from(
+      JSON.stringify({
+        version: 2,
+        routes: [
+          {host: 'h.example', pathPrefix: '/keyed/', service: 's'},
+          {host: 'h.example', pathPrefix: '/open/', service: 's', public: true},
+        ],
+        tenants: [],
+      }),
+    ),
+  });
+  store.put(feeds.orders, newer);
+  const headers = {'x-key': 'key'};
+  const status = async (path: string) =>
+    (await sendRequest(port, path, {headers})).status;
+  while ((await status('/open/a')) !== 200);
+  const {length} = target.requests;
+  assert.equal(await status('/keyed/a'), 401);
+  assert.equal((await sendRequest(port, '/keyed/a')).status, 401);
+  assert.equal(target.requests.length, length);
+});
+
 // Guards against a caller that gets an event without end: parts of it were relayed until the deadline.
 test('a stream whose event has no end is continued on another target', async t => {
   let endless: Socket | undefined;
--- a/test/gateway/started-gateway.ts
+++ b/test/gateway/started-gateway.ts
@@ -1,5 +1,6 @@
 import type {TestContext} from 'node:test';
 import type {GatewaySettings} from '../../src/process/gateway-settings.js';
+import type {WireFormat} from '../../src/request/gateway/wire-format.js';
 import {feeds} from '../../src/connection/store/shared-store.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
@@ -10,19 +11,31 @@
 } from './gateway-fakes.js';
 import {MemoryStore} from './memory-store.js';
 
+/** What {@link startWithTargets} overrides. */
+export interface StartOptions {
+  readonly clock?: ManualClock;
+  /** Slots of each target. */
+  readonly slots?: number;
+  readonly wire?: WireFormat;
+}
+
 /** Starts a gateway host with targets; both are stopped at the end of the test. */
 export async function startWithTargets(
   t: TestContext,
   targets: readonly FakeTarget[],
   change: Partial<GatewaySettings> = {},
+  {clock = new ManualClock(), slots, wire}: StartOptions = {},
 ) {
-  const clock = new ManualClock();
   const store = new MemoryStore();
   store.put(feeds.orders, {kind: 'configuration', configuration});
   targets.forEach((target, i) =>
-    store.put(feeds.targets, targetChange(`i-${i}`, target.address)),
+    store.put(feeds.targets, targetChange(`i-${i}`, target.address, slots)),
   );
-  const {gateway, settings} = await startGateway(store, {clock, change});
+  const {gateway, settings} = await startGateway(store, {
+    clock,
+    change,
+    wire,
+  });
   t.after(async () => {
     const stopped = gateway.stop();
     await advanceClock(clock, 10_000);
