Reset the connection of an HTTP/1.0 response that is broken off

Cause: HTTP/1.0 has no chunked bodies, so a response without a length ends with the connection, and the host closed it in the ordinary way.

Change: the connection is reset, as CallerServer does.

Measured: 'an HTTP/1.0 stream that is broken off resets its connection' fails without the change. Not changed: closeAll() at the end of a stop closes such connections in the ordinary way.

--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -362,6 +362,9 @@
       request: this.request.head.requestId,
     });
     this.relay.flush();
+    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
+    const {req, socket} = this.res;
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
     this.res.destroy();
     this.finish();
   }
--- a/test/gateway/unusual-callers.test.ts
+++ b/test/gateway/unusual-callers.test.ts
@@ -146,3 +146,17 @@
   await advanceClock(clock, 10_000);
   await stopping;
 });
+
+// Guards against a stream that looks complete although its target broke it off: without a length, only a reset shows it.
+test('an HTTP/1.0 stream that is broken off resets its connection', async t => {
+  const {caller, open, untilTargetHas} = await startStreaming(t, chunked);
+  const text = requestText('first', '1.0');
+  // A route whose streams are not resumed.
+  caller.socket.write(text.replace('/stream/', '/plain/'));
+  await untilTargetHas('first');
+  open.get('first')?.write(`f\r\n${event}\r\n`);
+  await until(() => caller.received.includes(event), 'the event arrived');
+  open.get('first')?.destroy();
+  await until(() => caller.ended || caller.wasReset, 'the connection closed');
+  assert.equal(caller.wasReset, true);
+});
