Move the tests of partitions to a file of their own

The two tests in which a deployment is cut move to crash-partitions.test.ts with all their seeds; what both files share moves to sound-traffic.ts.

--- a/test/process/crashes/crash-control.test.ts
+++ b/test/process/crashes/crash-control.test.ts
@@ -4,35 +4,12 @@
 import {
   connectionEnds,
   CrashSimulation,
-  type SimulatedRequest,
   type SimulationOptions,
 } from './simulated-crashes.js';
+import {common, seeds, soundTraffic} from './sound-traffic.js';
 
 /** Time after which all hosts must refuse what has crashed targets often enough, in milliseconds. */
 const contactMs = 3000;
-const seeds = Array.from(
-  {length: Number(process.env.SEEDS ?? 6)},
-  (_, i) => 20261204 + i,
-);
-/** One prompt part that all requests of a route share. */
-const common = 'pcommon';
-
-let next = 0;
-
-/** A sound request with a part of its own, one of 40 documents and the common part. */
-function soundRequest(random: () => number): SimulatedRequest {
-  const document = `pdocument${Math.floor(random() * 40)}`;
-  const workMs = 50 + Math.floor(random() * 1500);
-  return {fingerprints: [`r${next++}`, document, common], workMs, maxRuns: 2};
-}
-
-/** Sends sound requests at a rate through random hosts. */
-function soundTraffic(sim: CrashSimulation, perSecond: number): () => void {
-  return () => {
-    if (sim.random() < perSecond / 100) sim.send(soundRequest(sim.random));
-  };
-}
-
 /** Starts hosts that serve sound requests over a network that loses and delays messages. */
 async function startBusy(
   hosts: number,
@@ -189,30 +166,6 @@
   }
 });
 
-// Guards against blame by hosts that are cut off from targets, which start again behind the cut.
-test('a cut that resets connections to targets, of which some restart behind it, convicts nobody', async () => {
-  for (const seed of seeds) {
-    const ends = connectionEnds.byReset;
-    const sim = new CrashSimulation({hosts: 12, targets: 40, seed, ends});
-    const traffic = () => sim.send({...soundRequest(sim.random), maxRuns: 3});
-    for (let cut = 0; cut < 2; cut++) {
-      await sim.run(2000, traffic);
-      sim.setSplit(true);
-      await sim.run(2000, traffic);
-      for (const target of sim.targets.slice(cut * 4, cut * 4 + 4)) {
-        sim.crash(target);
-      }
-      await sim.run(2000, traffic);
-      sim.setSplit(false);
-      await sim.run(3000, traffic);
-    }
-    await sim.run(3000, traffic);
-    assert.equal(sim.sound.refused, 0, `seed ${seed}`);
-    const blocked = new Set(sim.hosts.flatMap(h => [...h.crashes.blocked]));
-    assert.equal(blocked.size, 0, `seed ${seed}: ${[...blocked].join(' ')}`);
-  }
-});
-
 // Guards against refusing the callers of a service whose targets crash for reasons of their own.
 test('requests of a service that loses 30 % of its targets again and again are not refused', async () => {
   for (const seed of seeds) {
@@ -253,25 +206,6 @@
   }
 });
 
-// Guards against blame by hosts that hear each other but are cut off from the targets of other zones: connections that were
-// idle are reset when they are used, so that each retry seems to crash another target.
-test('a cut between two halves of a deployment convicts nobody', async () => {
-  // With the last seed one request was reset at three targets within 25 ms.
-  for (const seed of new Set([...seeds, 20261212])) {
-    const sim = new CrashSimulation({hosts: 12, targets: 40, seed});
-    const traffic = () => sim.send({...soundRequest(sim.random), maxRuns: 3});
-    for (let cut = 0; cut < 2; cut++) {
-      await sim.run(2000, traffic);
-      sim.setSplit(true);
-      await sim.run(2000, traffic);
-      sim.setSplit(false);
-    }
-    await sim.run(3000, traffic);
-    const blocked = new Set(sim.hosts.flatMap(h => [...h.crashes.blocked]));
-    assert.equal(blocked.size, 0, `seed ${seed}: ${[...blocked].join(' ')}`);
-  }
-});
-
 // Guards against taking the planned end of a target for a crash.
 test('the requests that a leaving target breaks are no suspects', async () => {
   const sim = new CrashSimulation({hosts: 2, targets: 8, seed: 1});
@@ -326,6 +260,7 @@
 test('10,000 different requests and made-up parts fill neither a message nor the memory', async () => {
   const sim = new CrashSimulation({hosts: 2, targets: 40, seed: 4});
   const random = createRandom(4);
+  let next = 0;
   for (let i = 0; i < 3; i++) {
     sim.send({fingerprints: ['rpoison'], deadly: true, workMs: 20});
     await sim.run(500);
