Draw the ports of the demo below those of outgoing connections

The test of the demo failed once with "No address added out of total 1 resolved": the demo drew its ports from those that the system gives to outgoing connections, and one was taken before the host listened, beside plays of processes. Ports are now drawn below that range and tried.

The test failed once more with exit code 1 and nothing on stderr, so it now prints the output of the demo.

--- a/src/demo/demo-fleet.ts
+++ b/src/demo/demo-fleet.ts
@@ -1,7 +1,9 @@
-import {createServer, type AddressInfo} from 'node:net';
+import {randomInt} from 'node:crypto';
+import {createServer} from 'node:net';
 import {request} from 'undici';
 import type {Clock} from '../process/clock.js';
 import {checkSettings} from '../process/settings.js';
+import {listenOnce} from '../connection/http/listen.js';
 import {createHost, type Host} from '../wiring.js';
 import type {Example} from './example.js';
 import {ExampleStandIns} from './example-stand-ins.js';
@@ -92,14 +94,23 @@
   }
 }
 
+/** Ports below those that systems give to outgoing connections, which could take one until its host listens. */
+const firstPort = 20_000;
+const portCount = 10_000;
+/** Number of ports that are tried. */
+const portAttempts = 20;
+
 /** Hosts have to know each other's ports before any of them listens. */
-function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+async function freePort(): Promise<number> {
+  for (let attempt = 1; ; attempt++) {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => {
-      const {port} = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
+    try {
+      const port = firstPort + randomInt(portCount);
+      await listenOnce(server, {address: '127.0.0.1', port});
+      await new Promise(resolve => server.close(resolve));
+      return port;
+    } catch (err) {
+      if (attempt === portAttempts) throw err;
+    }
+  }
 }
--- a/test/commands/demo.test.ts
+++ b/test/commands/demo.test.ts
@@ -18,7 +18,10 @@
 test('a short demo exits with every request completed or refused, none lost or duplicate', async () => {
   const runs = exampleNames.map(async name => {
     const args = ['dist/src/main.js', 'demo', name, '--seconds', '2'];
-    const {stdout} = await run(process.execPath, args);
+    const {stdout} = await run(process.execPath, args).catch(
+      (err: Error & {stdout: string}) =>
+        assert.fail(`${err.message}\n${err.stdout}`),
+    );
     const last = stdout.trimEnd().split('\n').at(-1) ?? '';
     assert.match(last, /^demo: \d+ requests, .* duplicate$/, stdout);
     const counts = last.match(/\d+/g)?.map(Number) ?? [];
