--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -30,9 +30,12 @@
 } from './response-sampling.js';
 import {ResponseRelay} from './response-relay.js';
 import type {Ticket} from './dispatcher.js';
-import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
-import {recordCallerLeft, refuseRequest} from './refuse-request.js';
+import {
+  recordCallerLeft,
+  refuseRequest,
+  returnAfterMs,
+} from './refuse-request.js';
 import {reserveRetry} from './stalled-attempt.js';
 import {TargetAttempt} from './target-attempt.js';
 import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
@@ -383,13 +386,7 @@
   }
 
   private returnMs(waitMs: number): number {
-    const {clock, dispatcher, random} = this.parts;
-    const backlogMs = dispatcher.backlogMs(this.request.service);
-    return computeRetryAfterMs(
-      Math.max(waitMs, backlogMs),
-      this.deadlineAtMs - clock.nowMs(),
-      random(),
-    );
+    return returnAfterMs(this.parts, this.request, this.deadlineAtMs, waitMs);
   }
 
   private finish(): void {
--- a/src/request/gateway/refuse-request.ts
+++ b/src/request/gateway/refuse-request.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import {computeRetryAfterMs} from './wait-policy.js';
 import {refusalReasons, type RefusalName} from './refusal-reasons.js';
 
 /**
@@ -35,6 +36,28 @@
   sendRefusal(res, name, retryAfterMs, closesAfter(res));
 }
 
+/**
+ * Computes after which time the caller of a refused request should come back.
+ *
+ * @param parts - Dependencies of requests.
+ * @param request - Request that is refused.
+ * @param deadlineAtMs - Its deadline on the process's clock, in milliseconds.
+ * @param waitMs - Time until it could be accepted, in milliseconds.
+ * @returns Time in milliseconds.
+ */
+export function returnAfterMs(
+  {clock, dispatcher, random}: GatewayRequestParts,
+  {service}: AdmittedRequest,
+  deadlineAtMs: number,
+  waitMs: number,
+): number {
+  return computeRetryAfterMs(
+    Math.max(waitMs, dispatcher.backlogMs(service)),
+    deadlineAtMs - clock.nowMs(),
+    random(),
+  );
+}
+
 /**
  * Records that the connection of an open request closed, so that its response cannot be sent.
  *
