--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -207,15 +207,19 @@
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
   private onProtocolError(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
-    if (!connection || !socket.writable || err.code === 'ECONNRESET') {
+    if (!connection || err.code === 'ECONNRESET') {
       socket.destroy();
       return;
     }
-    // The parser cannot continue after the invalid bytes.
-    socket.pause();
+    // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
+    if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
     this.parts.onEnded(connectionEnds.noRequest);
-    if (hasResponses) return;
+    if (hasResponses) {
+      // The caller has left within a request.
+      if (err.code === 'HPE_INVALID_EOF_STATE') socket.end();
+      return;
+    }
     const status = protocolErrorStatus[err.code ?? ''] ?? '400 Bad Request';
     socket.write(
       `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -1,8 +1,9 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {
   Endpoint,
   GatewaySettings,
 } from '../../process/gateway-settings.js';
+import {decodeStateCopy} from '../../version/deployment/state-copy-codec.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
 import {listenOnce} from '../http/listen.js';
@@ -28,16 +29,24 @@
     metrics: () => Promise<string>,
     readonly forHosts = true,
   ) {
-    this.server = createServer((req, res) => {
-      if (req.url === statePath) {
+    const render = async (path: string | undefined, res: ServerResponse) => {
+      if (path === statePath) {
+        const text = JSON.stringify(copy());
         res.setHeader('content-type', 'application/json');
-        res.end(JSON.stringify(copy()));
-      } else if (req.url === metricsPath) {
-        void metrics().then(text => res.end(text));
-      } else {
-        res.statusCode = 404;
-        res.end();
+        return text;
       }
+      if (path === metricsPath) return await metrics();
+      res.statusCode = 404;
+      return '';
+    };
+    this.server = createServer((req, res) => {
+      void render(req.url, res)
+        .catch((err: Error) => {
+          process.emitWarning(err);
+          res.statusCode = 500;
+          return err.message;
+        })
+        .then(text => res.end(text));
     });
   }
 
@@ -80,6 +89,7 @@
  * @param endpoint - Where it listens.
  * @returns The copy, or `undefined` if the host gave none.
  * @throws {@link CallError}
+ * @throws SyntaxError - If the copy is not valid.
  */
 export async function fetchState(
   endpoint: Endpoint,
@@ -92,7 +102,7 @@
       timeoutMs: answerTimeoutMs,
     });
     if (status !== 200) return undefined;
-    return JSON.parse(body.toString('utf8')) as StateCopy;
+    return decodeStateCopy(body.toString('utf8'));
   } finally {
     await caller.close();
   }
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -30,9 +30,12 @@
 } from './response-sampling.js';
 import {ResponseRelay} from './response-relay.js';
 import type {Ticket} from './dispatcher.js';
-import {computeRetryAfterMs} from './wait-policy.js';
 import type {RefusalName} from './refusal-reasons.js';
-import {recordCallerLeft, refuseRequest} from './refuse-request.js';
+import {
+  recordCallerLeft,
+  refuseRequest,
+  returnAfterMs,
+} from './refuse-request.js';
 import {reserveRetry} from './stalled-attempt.js';
 import {TargetAttempt} from './target-attempt.js';
 import {Attempts, isFreeRetry, stallTimeoutMs} from './attempt-tracker.js';
@@ -124,10 +127,12 @@
     if (this.ticket && this.failIfBlocked()) return;
     const {route} = this.request;
     if (!attempt || attempt.stalled || attempt.endChecked) return;
-    const sinceMs = nowMs - Math.max(attempt.startMs, this.relay.lastAtMs ?? 0);
+    const sinceMs =
+      nowMs - Math.max(attempt.startMs, this.relay.readableSinceMs);
     if (sinceMs < stallTimeoutMs(route, this.relay.started)) return;
     attempt.recordStall(sinceMs);
-    if (!this.isRetryable()) return;
+    // A request that may not be sent again goes on where it runs.
+    if (!this.isRetryable() || this.blocked) return;
     const {attempts, parts, request} = this;
     this.reserved = reserveRetry(parts, request, attempts, attempt.target);
     if (this.reserved) attempt.exchange.abort();
@@ -182,6 +187,7 @@
     attempt?.recordHead(head);
     if (!attempt || head.notRun) return;
     this.mayHaveRun = true;
+    this.attempts.returnSpare(this.parts.clock.nowMs());
     if (this.relay.begin(head)) return;
     const reason = `status ${head.status} does not continue the stream`;
     attempt.exchange.reject(reason, exchangeFailures.noContinuation);
@@ -230,9 +236,9 @@
   /** Distinguishes the end of a response without a length from that of its target, which also closes the connection. */
   private checkOpenEnd(attempt: TargetAttempt): void {
     attempt.endChecked = true;
-    this.parts.crashWatch.check(attempt.target.entry, crashed => {
+    this.parts.crashWatch.check(attempt.target.entry, hasEnded => {
       if (this.attempt !== attempt) return;
-      if (crashed) this.onFailure(exchangeFailures.cutOff, 'target crashed');
+      if (hasEnded) this.onFailure(exchangeFailures.cutOff, 'target ended');
       else this.onEnd();
     });
   }
@@ -362,6 +368,9 @@
       request: this.request.head.requestId,
     });
     this.relay.flush();
+    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
+    const {req, socket} = this.res;
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
     this.res.destroy();
     this.finish();
   }
@@ -377,19 +386,14 @@
   }
 
   private returnMs(waitMs: number): number {
-    const {clock, dispatcher, random} = this.parts;
-    const backlogMs = dispatcher.backlogMs(this.request.service);
-    return computeRetryAfterMs(
-      Math.max(waitMs, backlogMs),
-      this.deadlineAtMs - clock.nowMs(),
-      random(),
-    );
+    return returnAfterMs(this.parts, this.request, this.deadlineAtMs, waitMs);
   }
 
   private finish(): void {
     if (this.done) return;
     this.done = true;
     this.cancelTimer();
+    this.attempts.returnSpare(this.parts.clock.nowMs());
     this.relay.stop();
     this.onDone(this);
   }
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -1,8 +1,16 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {connect} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {feeds} from '../../src/connection/store/shared-store.js';
-import {configuration, sendRequest, startHttpTarget} from './gateway-fakes.js';
+import {ManualClock} from '../../stand-ins/manual-clock.js';
+import {
+  bounds,
+  configuration,
+  sendRequest,
+  startHttpTarget,
+} from './gateway-fakes.js';
 import {
   advanceClock,
   startWithTargets,
@@ -25,8 +33,24 @@
   readonly lastEventId: string | undefined;
 }
 
+/** Clock that can pass without timers or input being handled, as when the process is stopped. */
+class StoppableClock extends ManualClock {
+  private stoppedMs = 0;
+
+  override nowMs(): number {
+    return super.nowMs() + this.stoppedMs;
+  }
+
+  /** Passes time in which nothing runs. */
+  stop(ms: number): void {
+    this.stoppedMs += ms;
+  }
+}
+
 /** What a test of {@link startStreams} sets. */
 interface StreamOptions extends StartOptions {
+  readonly targets?: number;
+  readonly bounds?: Partial<typeof bounds>;
   /** Responds to a request that resumes a stream. */
   readonly onResume?: (req: IncomingMessage, res: ServerResponse) => void;
 }
@@ -41,17 +65,23 @@
       res.end(event(2));
     });
   const targets = await Promise.all(
-    Array.from({length: 2}, () =>
+    Array.from({length: options.targets ?? 2}, () =>
       startHttpTarget((req, res) => {
         const lastEventId = req.headers['last-event-id']?.toString();
         runs.push({res, lastEventId});
+        if (req.url === '/safe/a') return;
         if (lastEventId !== undefined) return onResume(req, res);
         res.writeHead(200, streamType);
         res.write(event(1));
       }),
     ),
   );
-  const started = await startWithTargets(t, targets, {}, options);
+  const started = await startWithTargets(
+    t,
+    targets,
+    {bounds: {...bounds, ...options.bounds}},
+    options,
+  );
   const {clock, store, port} = started;
   store.put(feeds.orders, {
     kind: 'configuration',
@@ -74,6 +104,11 @@
   return {clock, port, runs, open, resumed};
 }
 
+function refuseRun(_req: IncomingMessage, res: ServerResponse): void {
+  res.writeHead(503, {'x-not-executed': '1'});
+  res.end();
+}
+
 // Guards against a stream that runs again elsewhere, at the risk of being cut there, because a sound target is silent for a
 // second or so.
 test('a stream whose target pauses for a second or so stays there', async t => {
@@ -101,6 +136,35 @@
   );
 });
 
+// Guards against a stream that is cut because the target to which it was moved refuses it and no other retry is left.
+test('a stream is moved only if the budget allows for a refusal there', async t => {
+  const {clock, open, resumed} = await startStreams(t, {
+    bounds: {retryRatio: 0, retrySlack: 1.5},
+    onResume: refuseRun,
+  });
+  const {response, run} = await open();
+  await advanceClock(clock, longSilenceMs);
+  run.res.end(event(2));
+  const {body, complete} = await response;
+  assert.equal(body, event(1) + event(2));
+  assert.equal(complete, true);
+  assert.equal(resumed().length, 0);
+});
+
+// Guards against a budget that is used up by retries which were set aside for refusals that did not happen.
+test('a retry set aside for a refusal returns to the budget when the target begins to respond', async t => {
+  const {clock, open, resumed} = await startStreams(t, {
+    targets: 4,
+    bounds: {retryRatio: 0, retrySlack: 4},
+  });
+  for (let i = 0; i < 2; i++) {
+    const {response} = await open();
+    await advanceClock(clock, longSilenceMs);
+    assert.equal((await response).complete, true);
+  }
+  assert.equal(resumed().length, 2);
+});
+
 // Guards against a stream that is cut because no slot is free at once, although its caller would wait.
 test('a stream whose target breaks off waits for a slot until its caller leaves', async t => {
   const {clock, open, resumed} = await startStreams(t, {slots: 1});
@@ -116,3 +180,49 @@
   assert.equal(body, event(1) + event(2));
   assert.equal(complete, true);
 });
+
+// Guards against requests that run again elsewhere, although their target has responded, because the host itself did not run.
+test('a request stays at its target when the host was stopped for a time', async t => {
+  const clock = new StoppableClock();
+  const {port, runs} = await startStreams(t, {clock});
+  const response = sendRequest(port, '/safe/a');
+  while (runs.length === 0) await new Promise(setImmediate);
+  clock.stop(800);
+  clock.advance(100);
+  runs[0].res.end('done');
+  // The response is read before the next check.
+  for (let i = 0; i < 50; i++) await new Promise(setImmediate);
+  await advanceClock(clock, 1000);
+  for (const {res} of runs.slice(1)) res.end('done');
+  const {status, body} = await response;
+  assert.deepEqual([status, body], [200, 'done']);
+  assert.equal(runs.length, 1);
+});
+
+// Guards against a sound target that is blamed, and left, because the caller reads slowly.
+test('a stream stays at its target while its caller does not read', async t => {
+  const {clock, port, runs, resumed} = await startStreams(t, {
+    bounds: {eventDelayMs: 0},
+  });
+  const socket = connect(port, '127.0.0.1');
+  socket.write(
+    'POST /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: slow\r\nContent-Length: 0\r\n\r\n',
+  );
+  await once(socket, 'data');
+  socket.pause();
+  const [{res}] = runs;
+  const filler = 'x'.repeat(100_000);
+  // All buffers on the way are full once a write stays unsent for a while.
+  let id = 2;
+  for (let unsent = 0; unsent < 200;) {
+    if (res.writableNeedDrain) unsent++;
+    else {
+      unsent = 0;
+      res.write(`id: ${id++}\ndata: ${filler}\n\n`);
+    }
+    await new Promise(setImmediate);
+  }
+  await advanceClock(clock, longSilenceMs);
+  assert.equal(resumed().length, 0);
+  socket.destroy();
+});
