Test the handlers of signals without a race at the end of a process

'stand-ins end in order when signals arrive in series' failed twice beside load: its second SIGTERM arrived when the process was at its exit, where Node.js has given the handlers back. The test sent it to a process that nothing held in its stop; so did the test of entry hosts. Both now send SIGHUP and one SIGTERM. That a later signal does not end a process during its stop is tested where something holds the stop (the gateway, 2.6 s), and for the handlers themselves: 'the handlers of signals stay after the first signal'.

--- a/test/package/signals.test.ts
+++ b/test/package/signals.test.ts
@@ -8,6 +8,7 @@
 import {createInterface} from 'node:readline';
 import {test, type TestContext} from 'node:test';
 import {events, type EventName} from '../../src/process/events/catalogue.js';
+import {handleSignals} from '../../src/process/signals.js';
 import {freePort} from '../gateway/gateway-fakes.js';
 
 const address = '127.0.0.1';
@@ -185,11 +186,11 @@
     const args = ['dist/src/main.js', 'entry', '--settings', file];
     const program = new Program(t, args, 'stderr');
     await program.logged('hostStarted');
+    // Nothing holds the drain, so a second SIGTERM could find the process at its exit, where Node.js no longer handles
+    // signals. That the handlers stay is tested below, and by the gateway above.
     program.send('SIGHUP');
     program.send('SIGTERM');
     await program.logged('drainStarted');
-    program.send('SIGTERM');
-    program.send('SIGINT');
     assert.deepEqual(await program.exited, [0, null]);
   },
 );
@@ -202,9 +203,27 @@
     const args = ['dist/src/main.js', 'stand-ins', '--log', '0'];
     const program = new Program(t, args, 'stdout');
     await program.printed(line => line.startsWith('stand-ins are listening'));
-    for (const signal of ['SIGHUP', 'SIGTERM', 'SIGTERM'] as const) {
-      program.send(signal);
-    }
+    program.send('SIGHUP');
+    program.send('SIGTERM');
     assert.deepEqual(await program.exited, [0, null]);
   },
 );
+
+// Guards against a second signal that ends a process while it stops.
+test('the handlers of signals stay after the first signal', async () => {
+  const signals = ['SIGHUP', 'SIGTERM', 'SIGINT'] as const;
+  const before = signals.map(signal => process.listeners(signal));
+  const stopRequested = handleSignals();
+  const added = signals.map((signal, i) =>
+    process.listeners(signal).filter(each => !before[i].includes(each)),
+  );
+  for (const [i, signal] of signals.entries()) {
+    assert.equal(added[i].length, 1);
+    for (const handler of added[i]) handler(signal);
+  }
+  await stopRequested;
+  for (const [i, signal] of signals.entries()) {
+    assert.ok(process.listeners(signal).includes(added[i][0]), signal);
+    process.removeListener(signal, added[i][0]);
+  }
+});
