Draw the ports of tests below those of outgoing connections

The port is one that the kernel assigns, and plays of processes open hundreds of connections a second beside it; what held it is not on record.

The ports of all tests came from the same range, as did those of the demo. Both draw them from one function now, below that range: stand-ins/free-port.ts.

--- a/src/demo/demo-fleet.ts
+++ b/src/demo/demo-fleet.ts
@@ -1,9 +1,7 @@
-import {randomInt} from 'node:crypto';
-import {createServer} from 'node:net';
 import {request} from 'undici';
 import type {Clock} from '../process/clock.js';
 import {checkSettings} from '../process/settings.js';
-import {listenOnce} from '../connection/http/listen.js';
+import {freePort} from '../../stand-ins/free-port.js';
 import {createHost, type Host} from '../wiring.js';
 import type {Example} from './example.js';
 import {ExampleStandIns} from './example-stand-ins.js';
@@ -37,6 +35,7 @@
    */
   async start(timeoutMs: number): Promise<void> {
     await this.standIns.start();
+    // Hosts have to know each other's ports before any of them listens.
     const ports = await Promise.all(this.example.hosts.map(() => freePort()));
     this.example.hosts.forEach((file, i) => this.list(file, ports[i]));
     for (const [i, file] of this.example.hosts.entries()) {
@@ -93,24 +92,3 @@
     }
   }
 }
-
-/** Ports below those that systems give to outgoing connections, which could take one until its host listens. */
-const firstPort = 20_000;
-const portCount = 10_000;
-/** Number of ports that are tried. */
-const portAttempts = 20;
-
-/** Hosts have to know each other's ports before any of them listens. */
-async function freePort(): Promise<number> {
-  for (let attempt = 1; ; attempt++) {
-    const server = createServer();
-    try {
-      const port = firstPort + randomInt(portCount);
-      await listenOnce(server, {address: '127.0.0.1', port});
-      await new Promise(resolve => server.close(resolve));
-      return port;
-    } catch (err) {
-      if (attempt === portAttempts) throw err;
-    }
-  }
-}
--- a/test/gateway/state-server.test.ts
+++ b/test/gateway/state-server.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {StateServer} from '../../src/connection/peer/state-server.js';
-import {freePort} from './gateway-fakes.js';
+import {freePort} from '../../stand-ins/free-port.js';
 
 async function start(t: TestContext, ...parts: [() => never, () => never]) {
   const port = await freePort();
--- a/test/package/signals.test.ts
+++ b/test/package/signals.test.ts
@@ -9,7 +9,7 @@
 import {test, type TestContext} from 'node:test';
 import {events, type EventName} from '../../src/process/events/catalogue.js';
 import {handleSignals} from '../../src/process/signals.js';
-import {freePort} from '../gateway/gateway-fakes.js';
+import {freePort} from '../../stand-ins/free-port.js';
 
 const address = '127.0.0.1';
 /** Makes a process that never ends fail its own test. */
