Answer the requests that are open at the end of a stop

What callers saw: a request on a kept connection of a stopping host got neither a response nor a refusal; the connection was closed when the host's time to stop was over. It had waited for a slot since before the signal, or its target had sent nothing yet.

Cause: the end of a stop closed all connections, whatever their requests had got. The deadline ends a request with a refusal, the end of the process did not. Class: a bound on the life of the process that ends a request without passing through the end of the request.

Change: at the end of its drain a host ends the requests that are still open as their deadline would: 503 as not run while they wait, 504 (stoppedRunning) when a target may have run them. Waiting requests go first, since the slots of the others would otherwise be given to them. A begun response is still cut off.

--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -374,6 +374,8 @@
     // Later requests come on connections that were kept for other ones; other hosts take them as well.
     stopsAtMs = endMs;
     await server.drain(endMs);
+    handler.endOpenRequests();
+    await server.drain(endMs + stopMarginMs / 4);
     leaving = true;
     gossip.send();
     // Without this, others would count this host for some time, but an unreachable store loses nothing.
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -60,6 +60,15 @@
     this.cancelCheck();
   }
 
+  /** Ends all open requests, because the host ends. Those without a begun response get a refusal. */
+  endOpenRequests(): void {
+    const end = (request: GatewayRequest) =>
+      request.expire('stopping', 'stoppedRunning');
+    // The slots that running requests release would otherwise go to the waiting ones, which would be sent.
+    [...this.open].filter(request => request.isWaiting).forEach(end);
+    [...this.open].forEach(end);
+  }
+
   /**
    * Routes, authenticates and reads a request, then serves or refuses it.
    *
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -91,6 +91,11 @@
     res.on('error', () => {}); // 'close' follows.
   }
 
+  /** Whether it waits for a slot. */
+  get isWaiting(): boolean {
+    return this.ticket !== undefined;
+  }
+
   /** Charges the quota and requests a slot; refuses the request if its quota is used up. */
   start(): void {
     const {clock, quotas, retryBudget} = this.parts;
@@ -111,7 +116,7 @@
       }
     }
     this.cancelTimer = clock.after(Math.max(0, this.deadlineAtMs - nowMs), () =>
-      this.onDeadline(),
+      this.expire('expiredWaiting', 'expiredRunning'),
     );
     this.requestSlot();
   }
@@ -125,11 +130,11 @@
   check(nowMs: number): void {
     const {attempt} = this;
     if (this.ticket && this.failIfBlocked()) return;
-    const {route} = this.request;
     if (!attempt || attempt.stalled || attempt.endChecked) return;
     const sinceMs =
       nowMs - Math.max(attempt.startMs, this.relay.readableSinceMs);
-    if (sinceMs < stallTimeoutMs(route, this.relay.started)) return;
+    if (sinceMs < stallTimeoutMs(this.request.route, this.relay.started))
+      return;
     attempt.recordStall(sinceMs);
     // A request that may not be sent again goes on where it runs.
     if (!this.isRetryable() || this.blocked) return;
@@ -212,7 +217,8 @@
     if (!attempt || !head) return;
     if (head.notRun) {
       this.release(outcomes.refused, attemptEnds.other);
-      return this.onTargetRefusal(attempt.target);
+      const isRetried = this.retry('refused', attempt.target);
+      return isRetried ? undefined : this.failWith('targetsRefuse');
     }
     if (!this.relay.isComplete(head.framed)) {
       return this.onFailure(exchangeFailures.cutOff, 'ended within an event');
@@ -269,10 +275,6 @@
     attempt.checkCrash(failure, proceed);
   }
 
-  private onTargetRefusal(target: PooledTarget): void {
-    if (!this.retry('refused', target)) this.failWith('targetsRefuse');
-  }
-
   /** Fingerprint for which the request must not be sent, because targets crashed under it. */
   private get blocked() {
     return this.parts.crashWatch.blockedAmong(this.request.fingerprints);
@@ -335,13 +337,13 @@
     this.failWith('noSlot');
   }
 
-  private onDeadline(): void {
+  /** Ends the request before its response is complete; `unsent` is its refusal if no target has received it. */
+  expire(unsent: RefusalName, running: RefusalName): void {
     if (this.done) return;
     const waiting = this.attempt === undefined;
     this.abandon();
     if (this.relay.started) this.abortResponse();
-    else if (waiting && !this.mayHaveRun) this.refuse('expiredWaiting');
-    else this.refuse('expiredRunning');
+    else this.refuse(waiting && !this.mayHaveRun ? unsent : running);
   }
 
   private callerLeft(): void {
@@ -367,11 +369,7 @@
     this.parts.decisions.log('responseAborted', {
       request: this.request.head.requestId,
     });
-    this.relay.flush();
-    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
-    const {req, socket} = this.res;
-    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
-    this.res.destroy();
+    this.relay.abort();
     this.finish();
   }
 
--- a/src/request/gateway/refusal-reasons.ts
+++ b/src/request/gateway/refusal-reasons.ts
@@ -25,6 +25,10 @@
     status: 504,
     text: 'the time ended while a target worked',
   },
+  stoppedRunning: {
+    status: 504,
+    text: 'the host stopped while a target worked',
+  },
   crashesTargets: {
     status: 503,
     text: 'targets crashed each time they ran such a request',
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -151,9 +151,13 @@
     return true;
   }
 
-  /** Sends events that were received but not sent yet, before the response is aborted. */
-  flush(): void {
+  /** Cuts the response off after the events that were received. */
+  abort(): void {
     this.batch.flush();
+    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
+    const {req, socket} = this.res;
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    this.res.destroy();
   }
 
   /** Stops sending, because the caller's connection is closed. */
