Repeat the cancellation of a preempted request until it is confirmed

Cause: a preempted request is queued again only after its engine has confirmed the cancellation; one confirmation that took longer than 500 ms ended the request. Class: giving up a request that has time left because one message is late.

The new test failed before.

--- a/src/request/attempt-loop.ts
+++ b/src/request/attempt-loop.ts
@@ -17,6 +17,8 @@
 
 /** Maximum number of retries of one request; requeues after a preemption are not counted. */
 const maxRetries = 4;
+/** Maximum number of further cancellations of an attempt whose engine has not confirmed that it stopped. */
+const maxCancelRetries = 5;
 
 /** Dependencies of an attempt. */
 export interface AttemptParts {
@@ -127,7 +129,7 @@
       case 'refuse':
         throw this.refused(decision.reason);
       case 'requeue':
-        if (!result.confirmedStopped) throw this.refused('retries-exhausted');
+        await this.untilStopped(result);
         this.parts.metrics.retry('preempted');
         await this.waitAfterPreemption();
         return undefined;
@@ -142,7 +144,7 @@
     result: AttemptResult,
     grant: Grant,
   ): Promise<void> {
-    if (!result.confirmedStopped) throw this.refused('retries-exhausted');
+    await this.untilStopped(result);
     if (decision.kind === 'retry') this.parts.metrics.retry(decision.reason);
     this.retries++;
     if (!this.avoid.includes(grant.target.name)) {
@@ -151,6 +153,19 @@
     await this.sleep(backoffMs(this.retries, this.parts.random));
   }
 
+  /**
+   * Waits for the confirmation that an attempt has stopped at its engine. A busy engine, or a busy host, is late with it;
+   * the request still has the time to its deadline.
+   */
+  private async untilStopped(result: AttemptResult): Promise<void> {
+    let stopped = result.confirmedStopped;
+    for (let tries = 1; !stopped; tries++) {
+      if (tries > maxCancelRetries) throw this.refused('retries-exhausted');
+      await this.sleep(backoffMs(tries, this.parts.random));
+      stopped = await result.confirmStopped();
+    }
+  }
+
   /**
    * Backs off from the second preemption on, so that a request that keeps losing its slot does not
    * load the group owner.
--- a/src/request/attempt-run.ts
+++ b/src/request/attempt-run.ts
@@ -35,6 +35,8 @@
   readonly mayHaveRun: boolean;
   /** Whether the attempt is certain to have stopped at the target, so that another may start. */
   readonly confirmedStopped: boolean;
+  /** Cancels the attempt once more, and returns whether it is certain to have stopped. */
+  readonly confirmStopped: () => Promise<boolean>;
 }
 
 /**
@@ -112,6 +114,10 @@
         relay: this.relay,
         mayHaveRun: this.mayHaveRun,
         confirmedStopped: this.confirmedStopped,
+        confirmStopped: async () => {
+          await this.confirmStopped();
+          return this.confirmedStopped;
+        },
       };
     } finally {
       cancelTimer();
--- a/test/request/attempt-fakes.ts
+++ b/test/request/attempt-fakes.ts
@@ -33,6 +33,8 @@
   readonly calls: string[] = [];
   down = false;
   cancelConfirmed = true;
+  /** Number of cancellations that are not confirmed in time before {@link cancelConfirmed} applies. */
+  lateCancels = 0;
 
   constructor(
     private readonly steps: Step[],
@@ -60,6 +62,10 @@
 
   override async cancel(id: string): Promise<boolean> {
     this.calls.push(`cancel ${id}`);
+    if (this.lateCancels > 0) {
+      this.lateCancels--;
+      return false;
+    }
     return this.cancelConfirmed;
   }
 
--- a/test/request/attempt-loop.test.ts
+++ b/test/request/attempt-loop.test.ts
@@ -140,6 +140,26 @@
   assert.deepEqual(t.dispatcher.requests[1].avoid, []);
 });
 
+// Guards against a request that is refused with unknown execution because its engine was late to confirm its cancellation.
+test('a preempted request is requeued when the engine confirms its cancellation late', async () => {
+  const t = setUp([() => 'hang', () => response(200, sse, [event(0)])], {
+    budget: 0,
+  });
+  t.client.lateCancels = 2;
+  const running = t.run();
+  await tick();
+  t.dispatcher.preempt[0].abort();
+  const {complete} = await running;
+  assert.ok(complete);
+  assert.deepEqual(t.client.calls, [
+    'send r',
+    'cancel r',
+    'cancel r',
+    'cancel r',
+    'send r-1',
+  ]);
+});
+
 test('the owner is informed of a relayed stream, but not of a buffered response', async () => {
   const stream = setUp([() => response(200, sse, [event(0), event(1)])]);
   await stream.run();
