Report requests whose responses have not ended when they should have

What callers saw: requests without an answer or refusal, or a response that was cut, on the grown deployment; nothing in logs or metrics told whether the host had forgotten the request, closed its connection or given up a stream.

Change: the handler tracks each request from the arrival of its head until its response ends. A request that is open 500 ms after its deadline, that is complete and neither admitted nor refused, or that is finished without a response is counted and logged once with its state (7308); in tests it throws. responseAborted (7304) carries the state that led to it: why, attempts, what forbade the last retry, target, silence. Connections that Node.js closes by its timeouts are counted by reason.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -40,6 +40,17 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** Finds the reason for which a connection with a protocol error ends; Node.js reports its timeouts in the same way. */
+function protocolErrorEnd(
+  {code}: NodeJS.ErrnoException,
+  {bytesRead}: Socket,
+): ConnectionEnd {
+  if (code !== 'ERR_HTTP_REQUEST_TIMEOUT') return connectionEnds.noRequest;
+  return bytesRead === 0
+    ? connectionEnds.unusedTimeout
+    : connectionEnds.requestTimeout;
+}
+
 /** What a {@link GatewayServer} needs. */
 export interface GatewayServerParts {
   readonly clock: Clock;
@@ -84,6 +95,7 @@
     });
     this.server.on('connection', socket => this.onConnection(socket));
     this.server.on('request', (req, res) => this.onRequest(req, res));
+    this.server.on('timeout', socket => this.onIdleTimeout(socket));
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
     );
@@ -204,6 +216,14 @@
     onRequest(req, res);
   }
 
+  /** Closes a connection whose idle timeout has passed; with this listener, Node.js does not close it. */
+  private onIdleTimeout(socket: Socket): void {
+    const isBusy = this.connections.get(socket)?.isBusy ?? false;
+    const {idleTimeout, timeoutInRequest} = connectionEnds;
+    this.parts.onEnded(isBusy ? timeoutInRequest : idleTimeout);
+    socket.destroy();
+  }
+
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
   private onProtocolError(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
@@ -214,7 +234,7 @@
     // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
     if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
-    this.parts.onEnded(connectionEnds.noRequest);
+    this.parts.onEnded(protocolErrorEnd(err, socket));
     if (hasResponses) {
       // The caller has left within a request.
       if (err.code === 'HPE_INVALID_EOF_STATE') socket.end();
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -27,6 +27,7 @@
 import {Dispatcher} from './request/gateway/dispatcher.js';
 import {GatewayHandler} from './request/gateway/gateway-handler.js';
 import {RouteStats} from './request/gateway/route-stats.js';
+import type {OverdueSink} from './request/gateway/open-request-check.js';
 import type {WireFormat} from './request/gateway/wire-format.js';
 import {DeploymentState} from './version/deployment/deployment-state.js';
 import {RolloutController} from './version/deployment/rollout-controller.js';
@@ -58,6 +59,7 @@
   readonly wire: WireFormat;
   readonly clock?: Clock;
   readonly logger?: Logger;
+  readonly overdueSink?: OverdueSink;
 }
 
 /** A gateway host: accepts requests of callers and forwards them to targets. */
@@ -196,6 +198,7 @@
     decisions,
     crashWatch: crashes.watch,
     routes: () => routes,
+    overdueSink: overrides.overdueSink,
     closesAfter: (res, isRequired) => server.closesAfter(res, isRequired),
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -156,6 +156,11 @@
     level: 'info',
     message: 'request not run because its connection was ended before',
   },
+  requestOverdue: {
+    id: 7308,
+    level: 'error',
+    message: 'response to a request has not ended when it should have',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -1,5 +1,6 @@
 import {Gauge} from 'prom-client';
 import type {ExchangeFailure} from '../connection/gateway/exchange.js';
+import type {OverdueKind} from '../request/gateway/open-request-check.js';
 import type {RefusalName} from '../request/gateway/refusal-reasons.js';
 
 /** Why a request is retried. */
@@ -12,6 +13,14 @@
   idle: 'idle',
   /** The response that announced the end of the connection was sent. */
   lastResponse: 'last-response',
+  /** No request came within the idle timeout, and none was in progress. */
+  idleTimeout: 'idle-timeout',
+  /** No byte came on a new connection within the header timeout. */
+  unusedTimeout: 'unused-timeout',
+  /** A request did not arrive completely within the header timeout or the time limit of requests. */
+  requestTimeout: 'request-timeout',
+  /** The idle timeout passed although a request was in progress or a part of one had arrived. */
+  timeoutInRequest: 'timeout-in-request',
   /** The bytes of the caller are no request. */
   noRequest: 'no-request',
   /** The host stopped while a response was in progress. */
@@ -62,6 +71,11 @@
     'guavaseam_gateway_answers_broken_total',
     'Responses aborted after a part was delivered',
   );
+  private readonly overdueRequests = this.counter(
+    'guavaseam_gateway_requests_overdue_total',
+    'Requests whose response had not ended when it should have, by kind',
+    ['kind'],
+  );
   private readonly discarded = this.counter(
     'guavaseam_gateway_requests_discarded_total',
     'Requests that arrived on a connection that this host had ended; they are not run',
@@ -128,6 +142,11 @@
     this.broken.inc();
   }
 
+  /** @param kind - How the request is open although its response should have ended. */
+  requestOverdue(kind: OverdueKind): void {
+    this.overdueRequests.inc({kind});
+  }
+
   /** Counts a request that arrived on a connection that this host had ended. */
   requestDiscarded(): void {
     this.discarded.inc();
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -102,7 +102,7 @@
  * Share of the burst that callers' retries leave to first attempts. First attempts can still meet their
  * objective; while an organisation exceeds its quota, either they or the retries are refused anyway.
  */
-export const retryQuotaReserve = 0.3;
+const retryQuotaReserve = 0.3;
 
 /**
  * Computes how much of its organisation's quota a request uses.
@@ -117,6 +117,28 @@
     : organisation.plainTokens;
 }
 
+/**
+ * Charges a request to the quota of its organisation, if it has one.
+ *
+ * @param quotas - Quotas of all organisations.
+ * @param request - Request with its organisation.
+ * @param units - What it uses, from {@link quotaUnits}.
+ * @param nowMs - Time on the process's clock, in milliseconds.
+ * @returns Time until the quota covers it, in milliseconds; 0 if it was charged.
+ */
+export function takeQuota(
+  quotas: QuotaBuckets,
+  request: AdmittedRequest,
+  units: number,
+  nowMs: number,
+): number {
+  const {organisation} = request;
+  if (!organisation || organisation.ratePerSecond <= 0) return 0;
+  const {name, ratePerSecond: rate, burst} = organisation;
+  const reserve = priorWaitMs(request) > 0 ? retryQuotaReserve : 0;
+  return quotas.take(name, {rate, burst}, units, nowMs, reserve);
+}
+
 /**
  * Estimates how many tokens a request will generate.
  *
--- a/src/request/gateway/attempt-tracker.ts
+++ b/src/request/gateway/attempt-tracker.ts
@@ -2,6 +2,7 @@
 import type {ServiceRetryBudget} from '../../process/limits/service-retry-budget.js';
 import type {Route} from '../../version/deployment/types.js';
 import type {AdmittedRequest} from './admitted-request.js';
+import type {RequestState} from './open-request-check.js';
 import {streamPatienceMs} from './wait-policy.js';
 
 /** Maximum number of times that one request is sent, including attempts that a target refused. */
@@ -32,6 +33,8 @@
   /** Whether a retry was taken from the budget for the case that the target of a moved request refuses it. */
   private hasSpare = false;
   private readonly excludedTargets = new Set<string>();
+  /** Failure that was not retried last, and what forbade it. */
+  private lastDenied: string | undefined;
 
   /**
    * @param request - Request with its route's limits.
@@ -49,6 +52,12 @@
     return this.excludedTargets;
   }
 
+  /** State for logs, with what forbade the last retry that was not made. */
+  get state(): RequestState {
+    const {count, excludedTargets, lastDenied, runs} = this;
+    return {attempts: count, runs, excluded: [...excludedTargets], lastDenied};
+  }
+
   /** Counts an attempt that is sent. */
   sent(): void {
     this.count++;
@@ -106,8 +115,14 @@
    */
   takeRetry(why: GatewayRetryReason, target: string, nowMs: number): boolean {
     if (why === 'withheld') this.count--;
-    if (!this.allows(this.runs, nowMs)) return false;
-    if (!isFreeRetry(why) && !this.takeFromBudget(nowMs)) return false;
+    if (!this.allows(this.runs, nowMs)) {
+      this.lastDenied = `${why}: limits of the request`;
+      return false;
+    }
+    if (!isFreeRetry(why) && !this.takeFromBudget(nowMs)) {
+      this.lastDenied = `${why}: budget`;
+      return false;
+    }
     if (why !== 'withheld') this.excludedTargets.add(target);
     return true;
   }
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -12,13 +12,19 @@
   type GatewayRequestParts,
 } from './admitted-request.js';
 import {GatewayRequest} from './gateway-request.js';
+import {
+  OpenRequestCheck,
+  LoggingOverdueSink,
+  type OpenRequest,
+  type OverdueSink,
+} from './open-request-check.js';
 import {requestFingerprints} from './request-fingerprints.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {sendRefusal} from './refuse-request.js';
 import {LateChecks} from './stalled-attempt.js';
 import type {CallerHead} from './wire-format.js';
 
-/** Interval at which open requests are checked for stalled targets, in milliseconds. */
+/** Interval at which open requests are checked for stalled targets and overdue responses, in milliseconds. */
 const checkIntervalMs = 100;
 /** Retry-After of a host that has no configuration yet, in milliseconds. */
 const notConfiguredRetryAfterMs = 500;
@@ -29,22 +35,30 @@
 /** Dependencies of the handler. */
 export interface GatewayHandlerParts extends GatewayRequestParts {
   readonly routes: () => RouteTable | undefined;
+  /** Receives requests whose responses should have ended; logs them by default. */
+  readonly overdueSink?: OverdueSink;
 }
 
 /** Admits callers' requests and tracks the open ones. */
 export class GatewayHandler {
   private readonly open = new Set<GatewayRequest>();
+  private readonly openCheck: OpenRequestCheck;
   private cancelCheck: Cancel = () => {};
 
   /** @param parts - Dependencies, shared with each request. */
-  constructor(private readonly parts: GatewayHandlerParts) {}
+  constructor(private readonly parts: GatewayHandlerParts) {
+    const {decisions, metrics, overdueSink} = parts;
+    this.openCheck = new OpenRequestCheck(
+      overdueSink ?? new LoggingOverdueSink(metrics, decisions),
+    );
+  }
 
   /** Number of requests that were admitted and have not ended. */
   get openRequests(): number {
     return this.open.size;
   }
 
-  /** Starts the periodic check for stalled targets. */
+  /** Starts the periodic check for stalled targets and overdue responses. */
   start(): void {
     const {clock} = this.parts;
     const lateness = new LateChecks(checkIntervalMs, clock.nowMs());
@@ -52,10 +66,11 @@
       const nowMs = clock.nowMs();
       if (lateness.skips(nowMs)) return;
       for (const request of [...this.open]) request.check(nowMs);
+      this.openCheck.check(nowMs);
     });
   }
 
-  /** Stops the periodic check for stalled targets. */
+  /** Stops the periodic check. */
   stop(): void {
     this.cancelCheck();
   }
@@ -70,10 +85,12 @@
     const arrivedMs = this.parts.clock.nowMs();
     const routes = this.parts.routes();
     const head = this.parts.wire.readCaller(req.rawHeaders);
+    const {requestId} = head;
+    const tracked: OpenRequest = {requestId, arrivedMs, req, res};
+    this.openCheck.add(tracked);
     if (!routes) {
       return this.refuse(
-        req,
-        res,
+        tracked,
         head,
         'notConfigured',
         notConfiguredRetryAfterMs,
@@ -81,30 +98,30 @@
     }
     const {limits} = routes.configuration;
     const url = req.url ?? '/';
-    if (head.hosts.length !== 1) return this.refuse(req, res, head, 'badHost');
+    if (head.hosts.length !== 1) return this.refuse(tracked, head, 'badHost');
     if (head.headerBytes > limits.maxHeaderBytes) {
-      return this.refuse(req, res, head, 'headersTooLarge');
+      return this.refuse(tracked, head, 'headersTooLarge');
     }
     if (head.exceedsTokenLimit) {
-      return this.refuse(req, res, head, 'tooManyTokens');
+      return this.refuse(tracked, head, 'tooManyTokens');
     }
     const route = routes.route(head.hosts[0], url.split('?', 1)[0]);
     const service = route && chooseService(route, this.parts.random());
     if (!route || service === undefined) {
-      return this.refuse(req, res, head, 'noRoute');
+      return this.refuse(tracked, head, 'noRoute');
     }
     let organisation: Organisation | undefined;
     if (routes.needsKeys && !route.isPublic) {
       organisation = routes.organisation(head.apiKey ?? '');
-      if (!organisation) return this.refuse(req, res, head, 'unknownKey');
+      if (!organisation) return this.refuse(tracked, head, 'unknownKey');
     }
     const {maxBodyBytes} = limits;
     if ((head.bodyLength ?? 0) > maxBodyBytes) {
-      return this.refuse(req, res, head, 'bodyTooLarge');
+      return this.refuse(tracked, head, 'bodyTooLarge');
     }
     const method = req.method ?? 'GET';
     readBody(req, maxBodyBytes, body => {
-      if (!body) return this.refuse(req, res, head, 'bodyTooLarge');
+      if (!body) return this.refuse(tracked, head, 'bodyTooLarge');
       const content = {head, method, url, body, service, organisation};
       const admitted = {
         ...content,
@@ -114,11 +131,13 @@
         arrivedMs,
       };
       if (this.mayBeCutOff(admitted)) {
-        return this.refuse(req, res, head, 'stopping', stoppingRetryAfterMs);
+        return this.refuse(tracked, head, 'stopping', stoppingRetryAfterMs);
       }
-      const request = new GatewayRequest(this.parts, admitted, res, done =>
-        this.open.delete(done),
-      );
+      const request = new GatewayRequest(this.parts, admitted, res, done => {
+        this.open.delete(done);
+        this.openCheck.end(tracked, this.parts.clock.nowMs());
+      });
+      tracked.admitted = request;
       this.open.add(request);
       request.start();
     });
@@ -142,19 +161,20 @@
   }
 
   private refuse(
-    req: IncomingMessage,
-    res: ServerResponse,
+    request: OpenRequest,
     head: CallerHead,
     name: RefusalName,
     retryAfterMs?: number,
   ): void {
-    const {closesAfter, decisions, metrics} = this.parts;
+    const {clock, closesAfter, decisions, metrics} = this.parts;
+    const {req, res} = request;
     metrics.refused(name);
     decisions.log('gatewayRefused', {request: head.requestId, reason: name});
     // The parser would take the unread rest of a body for the next request, so the connection closes.
     const isUnread = !req.complete && name === 'bodyTooLarge';
     req.resume();
     sendRefusal(res, name, retryAfterMs, closesAfter(res, isUnread));
+    this.openCheck.end(request, clock.nowMs());
   }
 }
 
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -16,8 +16,7 @@
 import {requestKinds} from '../../version/deployment/types.js';
 import {
   computeDeadlineAtMs,
-  retryQuotaReserve,
-  priorWaitMs,
+  takeQuota,
   toWaitingRequest,
   quotaUnits,
   type AdmittedRequest,
@@ -30,8 +29,10 @@
 } from './response-sampling.js';
 import {ResponseRelay} from './response-relay.js';
 import type {Ticket} from './dispatcher.js';
+import type {RequestState} from './open-request-check.js';
 import type {RefusalName} from './refusal-reasons.js';
 import {
+  abortResponse,
   recordCallerLeft,
   refuseRequest,
   returnAfterMs,
@@ -43,7 +44,8 @@
 
 /** Serves one admitted request until its response ends. */
 export class GatewayRequest {
-  private readonly deadlineAtMs: number;
+  /** Deadline on the process's clock, in milliseconds. */
+  readonly deadlineAtMs: number;
   private readonly routeAllowsRetry: boolean;
   private readonly attempts: Attempts;
   private readonly relay: ResponseRelay;
@@ -94,22 +96,11 @@
   /** Charges the quota and requests a slot; refuses the request if its quota is used up. */
   start(): void {
     const {clock, quotas, retryBudget} = this.parts;
-    const {organisation, service} = this.request;
     const nowMs = clock.nowMs();
     if (this.res.destroyed) return this.finish();
-    retryBudget.request(service, nowMs);
-    if (organisation && organisation.ratePerSecond > 0) {
-      const waitMs = quotas.take(
-        organisation.name,
-        {rate: organisation.ratePerSecond, burst: organisation.burst},
-        this.units,
-        nowMs,
-        priorWaitMs(this.request) > 0 ? retryQuotaReserve : 0,
-      );
-      if (waitMs > 0) {
-        return this.refuse('overQuota', this.returnMs(waitMs));
-      }
-    }
+    retryBudget.request(this.request.service, nowMs);
+    const waitMs = takeQuota(quotas, this.request, this.units, nowMs);
+    if (waitMs > 0) return this.refuse('overQuota', this.returnMs(waitMs));
     this.cancelTimer = clock.after(Math.max(0, this.deadlineAtMs - nowMs), () =>
       this.onDeadline(),
     );
@@ -138,6 +129,21 @@
     if (this.reserved) attempt.exchange.abort();
   }
 
+  /** State for logs. */
+  get state(): RequestState {
+    const {attempt, attempts, mayHaveRun, relay, reserved, ticket} = this;
+    return {
+      waiting: ticket !== undefined,
+      ...attempt?.state,
+      ...attempts.state,
+      reserved: reserved?.entry.id,
+      mayHaveRun,
+      events: relay.events,
+      silentMs: relay.silentMs,
+      retryable: this.isRetryable(),
+    };
+  }
+
   private requestSlot(): void {
     if (this.failIfBlocked()) return;
     const slotRequest = toWaitingRequest(
@@ -292,7 +298,7 @@
 
   /** Ends the request without another attempt; the refusal applies if no target can have run it. */
   private failWith(refusal: RefusalName, returnMs = this.returnMs(0)): void {
-    if (this.relay.started) this.abortResponse();
+    if (this.relay.started) this.abortResponse(refusal, this.state);
     else if (this.mayHaveRun) this.refuse('targetFailed');
     else this.refuse(refusal, returnMs);
   }
@@ -338,8 +344,9 @@
   private onDeadline(): void {
     if (this.done) return;
     const waiting = this.attempt === undefined;
+    const {state} = this;
     this.abandon();
-    if (this.relay.started) this.abortResponse();
+    if (this.relay.started) this.abortResponse('deadline', state);
     else if (waiting && !this.mayHaveRun) this.refuse('expiredWaiting');
     else this.refuse('expiredRunning');
   }
@@ -362,16 +369,9 @@
     attempt.exchange.abort();
   }
 
-  private abortResponse(): void {
-    this.parts.metrics.responseAborted();
-    this.parts.decisions.log('responseAborted', {
-      request: this.request.head.requestId,
-    });
+  private abortResponse(why: string, state: RequestState): void {
     this.relay.flush();
-    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
-    const {req, socket} = this.res;
-    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
-    this.res.destroy();
+    abortResponse(this.parts, this.request, this.res, {why, ...state});
     this.finish();
   }
 
--- a/src/request/gateway/refuse-request.ts
+++ b/src/request/gateway/refuse-request.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import type {RequestState} from './open-request-check.js';
 import {computeRetryAfterMs} from './wait-policy.js';
 import {refusalReasons, type RefusalName} from './refusal-reasons.js';
 
@@ -78,6 +79,34 @@
   });
 }
 
+/**
+ * Cuts off a response of which the caller has received a part, and logs the state that led to it.
+ *
+ * @param parts - Dependencies of requests.
+ * @param request - Request whose response is cut off.
+ * @param res - Response to the caller.
+ * @param state - Why it is cut off, and the attempts before that.
+ */
+export function abortResponse(
+  {clock, decisions, metrics}: GatewayRequestParts,
+  {arrivedMs, head, route, service}: AdmittedRequest,
+  res: ServerResponse,
+  state: RequestState,
+): void {
+  metrics.responseAborted();
+  decisions.log('responseAborted', {
+    request: head.requestId,
+    route: route.name,
+    service,
+    heldMs: Math.round(clock.nowMs() - arrivedMs),
+    ...state,
+  });
+  // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
+  const {req, socket} = res;
+  if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+  res.destroy();
+}
+
 /**
  * Sends a refusal as JSON, with its status and the time after which to retry.
  *
--- a/src/request/gateway/target-attempt.ts
+++ b/src/request/gateway/target-attempt.ts
@@ -16,6 +16,7 @@
   type PooledTarget,
 } from '../../process/pool/pooled-target.js';
 import type {AdmittedRequest, GatewayRequestParts} from './admitted-request.js';
+import type {RequestState} from './open-request-check.js';
 import type {ResponseHead} from './wire-format.js';
 
 /** Failures with which the connection of a crashed target ends. */
@@ -151,6 +152,21 @@
     });
   }
 
+  /** State for logs. */
+  get state(): RequestState {
+    const {endChecked, head, mayHaveArrived, stalled, target, withheld} = this;
+    const sinceMs = Math.round(this.parts.clock.nowMs() - this.startMs);
+    return {
+      target: target.entry.id,
+      sinceMs,
+      mayHaveArrived,
+      status: head?.status,
+      stalled,
+      withheld,
+      endChecked,
+    };
+  }
+
   /** Whether the target may have run the request. */
   get mayHaveArrived(): boolean {
     return this.exchange.mayHaveArrived;
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -16,6 +16,7 @@
   GatewaySettings,
 } from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
+import {ThrowingOverdueSink} from '../../src/request/gateway/open-request-check.js';
 import type {WireFormat} from '../../src/request/gateway/wire-format.js';
 import type {DeploymentState} from '../../src/version/deployment/deployment-state.js';
 import {StateFeed} from '../../src/version/deployment/state-feed.js';
@@ -152,6 +153,7 @@
     wire: options.wire ?? new PlatformWireFormat(),
     clock: options.clock,
     logger: Logger.create('silent'),
+    overdueSink: new ThrowingOverdueSink(),
   });
   await gateway.start();
   while (
