Read the input that has arrived before an idle connection is closed

What callers saw: a request on a kept connection that got neither a response nor a refusal; its connection was reset.

Cause: a host that did not run for some time (a freeze, or too little processor time) finds the idle timeout of a connection due when it runs again. Node.js runs timers before it reads sockets and destroys the connection with the request that arrived meanwhile. Class: a timer is taken for a sign that nothing arrived, although the process did not look.

Change: sockets are read before a connection counts as idle; if bytes have arrived it stays open.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -14,6 +14,7 @@
 import type {CallerLimits} from '../../version/deployment/types.js';
 import {listenOnce} from '../http/listen.js';
 import {CallerConnection} from './caller-connection.js';
+import {inputRead} from './input-read.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -95,7 +96,7 @@
     });
     this.server.on('connection', socket => this.onConnection(socket));
     this.server.on('request', (req, res) => this.onRequest(req, res));
-    this.server.on('timeout', socket => this.onIdleTimeout(socket));
+    this.server.on('timeout', socket => void this.onIdleTimeout(socket));
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
     );
@@ -217,7 +218,10 @@
   }
 
   /** Closes a connection whose idle timeout has passed; with this listener, Node.js does not close it. */
-  private onIdleTimeout(socket: Socket): void {
+  private async onIdleTimeout(socket: Socket): Promise<void> {
+    const {bytesRead} = socket;
+    await inputRead();
+    if (socket.destroyed || socket.bytesRead > bytesRead) return;
     const isBusy = this.connections.get(socket)?.isBusy ?? false;
     const {idleTimeout, timeoutInRequest} = connectionEnds;
     this.parts.onEnded(isBusy ? timeoutInRequest : idleTimeout);
