Apply a longer idle timeout to connections that are idle already

What callers saw: beside a change of the configuration, a request on a kept connection that got neither a response nor a refusal.

Cause: Node.js sets the timer of an idle connection when its last response ends. A configuration with a longer idle timeout did not reach it, so the host closed connections that callers may still use. Class: a limit is copied when a wait begins, and the wait outlives the limit.

Change: when the timer of Node.js is due, the time of idleness is compared with the limit in force, and the timer is set again if it has not passed. A shorter limit applies from the next response on, as before. The test of the timeouts runs on the system's clock, which the comparison needs; its checks are the same.

--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -16,7 +16,7 @@
   /** Bytes received up to the end of the last request; more than that are the start of another one. */
   private requestBytes = 0;
   /** Time since which no request is in progress, in milliseconds. */
-  private idleSinceMs: number;
+  idleSinceMs: number;
 
   /**
    * @param socket - Connection to the caller.
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -221,10 +221,16 @@
   private async onIdleTimeout(socket: Socket): Promise<void> {
     const {bytesRead} = socket;
     await inputRead();
-    if (socket.destroyed || socket.bytesRead > bytesRead) return;
-    const isBusy = this.connections.get(socket)?.isBusy ?? false;
+    const connection = this.connections.get(socket);
+    if (!connection || socket.bytesRead > bytesRead) return;
+    // The timer was set by the limits of its time.
+    const leftMs =
+      connection.idleSinceMs +
+      this.server.keepAliveTimeout -
+      this.parts.clock.nowMs();
+    if (leftMs > 0) return void socket.setTimeout(leftMs);
     const {idleTimeout, timeoutInRequest} = connectionEnds;
-    this.parts.onEnded(isBusy ? timeoutInRequest : idleTimeout);
+    this.parts.onEnded(connection.isBusy ? timeoutInRequest : idleTimeout);
     socket.destroy();
   }
 
--- a/test/gateway/connection-timeouts.test.ts
+++ b/test/gateway/connection-timeouts.test.ts
@@ -4,12 +4,12 @@
 import {connect} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {GatewayServer} from '../../src/connection/gateway/gateway-server.js';
+import {SystemClock} from '../../src/process/clock.js';
 import {
   connectionEnds,
   type ConnectionEnd,
 } from '../../src/process/gateway-metrics.js';
 import {freePort} from '../../stand-ins/free-port.js';
-import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {configuration} from './gateway-fakes.js';
 
 const head = 'GET /plain/a HTTP/1.1\r\nHost: h.example\r\n';
@@ -24,7 +24,7 @@
   const server = new GatewayServer(
     {address: '127.0.0.1', port},
     {
-      clock: new ManualClock(),
+      clock: new SystemClock(),
       onRequest,
       onDiscarded: () => assert.fail('a request was discarded'),
       onEnded: reason => ends.push(reason),
