--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -14,6 +14,7 @@
 import type {CallerLimits} from '../../version/deployment/types.js';
 import {listenOnce} from '../http/listen.js';
 import {CallerConnection} from './caller-connection.js';
+import {inputRead} from './input-read.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -40,6 +41,17 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** Finds the reason for which a connection with a protocol error ends; Node.js reports its timeouts in the same way. */
+function protocolErrorEnd(
+  {code}: NodeJS.ErrnoException,
+  {bytesRead}: Socket,
+): ConnectionEnd {
+  if (code !== 'ERR_HTTP_REQUEST_TIMEOUT') return connectionEnds.noRequest;
+  return bytesRead === 0
+    ? connectionEnds.unusedTimeout
+    : connectionEnds.requestTimeout;
+}
+
 /** What a {@link GatewayServer} needs. */
 export interface GatewayServerParts {
   readonly clock: Clock;
@@ -84,6 +96,7 @@
     });
     this.server.on('connection', socket => this.onConnection(socket));
     this.server.on('request', (req, res) => this.onRequest(req, res));
+    this.server.on('timeout', socket => void this.onIdleTimeout(socket));
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
     );
@@ -204,6 +217,23 @@
     onRequest(req, res);
   }
 
+  /** Closes a connection whose idle timeout has passed; with this listener, Node.js does not close it. */
+  private async onIdleTimeout(socket: Socket): Promise<void> {
+    const {bytesRead} = socket;
+    await inputRead();
+    const connection = this.connections.get(socket);
+    if (!connection || socket.bytesRead > bytesRead) return;
+    // The timer was set by the limits of its time.
+    const leftMs =
+      connection.idleSinceMs +
+      this.server.keepAliveTimeout -
+      this.parts.clock.nowMs();
+    if (leftMs > 0) return void socket.setTimeout(leftMs);
+    const {idleTimeout, timeoutInRequest} = connectionEnds;
+    this.parts.onEnded(connection.isBusy ? timeoutInRequest : idleTimeout);
+    socket.destroy();
+  }
+
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
   private onProtocolError(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.connections.get(socket);
@@ -214,7 +244,7 @@
     // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
     if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
-    this.parts.onEnded(connectionEnds.noRequest);
+    this.parts.onEnded(protocolErrorEnd(err, socket));
     if (hasResponses) {
       // The caller has left within a request.
       if (err.code === 'HPE_INVALID_EOF_STATE') socket.end();
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -151,13 +151,9 @@
     return true;
   }
 
-  /** Cuts the response off after the events that were received. */
-  abort(): void {
+  /** Sends events that were received but not sent yet, before the response is aborted. */
+  flush(): void {
     this.batch.flush();
-    // HTTP/1.0 responses may end with the connection; only a reset marks one as incomplete.
-    const {req, socket} = this.res;
-    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
-    this.res.destroy();
   }
 
   /** Stops sending, because the caller's connection is closed. */
