Accept the connections that are open already before a host stops listening

What callers saw: first requests of new connections that were reset by a stopping host.

Cause: the end of listening resets connections that wait to be accepted. Node.js accepts one connection in a turn of the event loop, and the timer that ends listening runs before sockets are read, so a host that is busy or did not run resets requests that came long before. Same class as the idle timeout: a timer acts before earlier input is read.

Evidence: the test in late-timers.test.ts failed before (connect ECONNRESET).

Change: drain() accepts until a turn of the event loop brings no connection, then stops listening.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -76,6 +76,8 @@
 export class GatewayServer {
   private readonly server: Server;
   private readonly connections = new Map<Socket, CallerConnection>();
+  /** Number of connections accepted since the start. */
+  private accepted = 0;
   /** Whether each connection is closed at the end of its next response. */
   private closes = false;
 
@@ -148,6 +150,7 @@
    */
   async drain(endMs: number): Promise<void> {
     const {clock} = this.parts;
+    await this.acceptWaiting(endMs);
     this.server.close();
     for (;;) {
       this.closeIdle();
@@ -159,6 +162,15 @@
     }
   }
 
+  /** Accepts the connections that are open already; the end of listening would reset them. */
+  private async acceptWaiting(endMs: number): Promise<void> {
+    let before: number;
+    do {
+      before = this.accepted;
+      await inputRead();
+    } while (this.accepted > before && this.parts.clock.nowMs() < endMs);
+  }
+
   /** Stops accepting connections and closes all, also those with a request in progress. */
   closeAll(): void {
     this.server.close();
@@ -181,6 +193,7 @@
     const {clock} = this.parts;
     const connection = new CallerConnection(socket, clock.nowMs());
     this.connections.set(socket, connection);
+    this.accepted++;
     let cancelLinger = () => {};
     // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
     // that arrive then reset the connection, and the caller may lose the response.
