Read the input that has arrived before a stopping host ends idle connections

What callers saw: a request on a kept connection of a stopping host that was discarded, although it was sent before the end of the connection.

Cause: the check for idle connections runs from a timer, before sockets are read. A connection whose next request has arrived counts as idle, and the request is then discarded because its connection is ended.

Evidence: the test in late-timers.test.ts failed before.

Change: sockets are read before each check.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -153,6 +153,7 @@
     await this.acceptWaiting(endMs);
     this.server.close();
     for (;;) {
+      await inputRead();
       this.closeIdle();
       const isOpen = [...this.connections.values()].some(
         connection => connection.isOpen || connection.hasResponses,
