Show what callers that do not behave do to a host

Bodies far over the limit are read on without end, on all addresses of a host; chunks of one byte from many connections leave ordinary callers without an answer; connections and requests ahead are not bounded. An entry host holds bodies without a bound on their sum as well.

--- a/test/crowds/bodies.ts
+++ b/test/crowds/bodies.ts
@@ -33,20 +33,35 @@
   }
 }
 
-/** A body of a number of bytes in chunks of a size, without the last chunk. */
-export function* chunks(count: number, chunkBytes: number): Source {
+/**
+ * A body of a number of bytes in chunks, without the last chunk.
+ *
+ * @param count - Size of the body, in bytes.
+ * @param chunkBytes - Size of a chunk, in bytes.
+ * @param partBytes - Size up to which chunks are sent together, in bytes.
+ */
+export function* chunks(
+  count: number,
+  chunkBytes: number,
+  partBytes = part.length,
+): Source {
   const chunk = Buffer.concat([
     Buffer.from(`${chunkBytes.toString(16)}\r\n`),
     part.subarray(0, chunkBytes),
     Buffer.from('\r\n'),
   ]);
-  const perPart = Math.max(1, Math.floor(part.length / chunk.length));
+  const perPart = Math.max(1, Math.floor(partBytes / chunk.length));
   const several = Buffer.concat(Array<Buffer>(perPart).fill(chunk));
   let left = Math.floor(count / chunkBytes);
   for (; left >= perPart; left -= perPart) yield several;
   for (; left > 0; left--) yield chunk;
 }
 
+/** A body in chunks that is far over the limit and does not end. */
+export function endlessChunks(): Source {
+  return chunks(endlessBytes, part.length, 16 * part.length);
+}
+
 /** Sources one after the other. */
 export function* inOrder(...sources: readonly Source[]): Source {
   for (const source of sources) yield* source;
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -18,6 +18,9 @@
   received = 0;
   readonly socket: Socket;
   readonly closed: Promise<unknown>;
+  /** Resolves once the first part was taken or the connection is closed. */
+  readonly started: Promise<unknown>;
+  private onStarted = () => {};
   private readonly parts: Iterator<Buffer>;
 
   /**
@@ -35,6 +38,7 @@
     this.parts = source[Symbol.iterator]();
     this.socket = connect({...address, noDelay: true});
     this.socket.on('error', () => {});
+    this.started = new Promise<void>(resolve => (this.onStarted = resolve));
     this.closed = new Promise(resolve => this.socket.once('close', resolve));
     this.socket.once('close', () => (this.done = true));
     if (reads) {
@@ -48,6 +52,19 @@
     return this.socket.bytesWritten - this.socket.writableLength;
   }
 
+  /** Waits for the first line of an answer; empty if the connection is closed without one. */
+  async firstLine(): Promise<string> {
+    let text = '';
+    const complete = new Promise<void>(resolve =>
+      this.socket.on('data', (bytes: Buffer) => {
+        text += bytes.toString('latin1');
+        if (text.includes('\r\n')) resolve();
+      }),
+    );
+    await Promise.race([complete, this.closed]);
+    return text.split('\r\n', 1)[0];
+  }
+
   /** Sends the next part if the connection has taken the one before. */
   sendPart(): void {
     if (this.done || this.socket.writableLength > 0) return;
@@ -65,6 +82,7 @@
         this.socket.write(value, () => setImmediate(resolve)),
       );
       await Promise.race([taken, this.closed]);
+      this.onStarted();
     }
     this.done = true;
   }
@@ -129,6 +147,11 @@
     );
   }
 
+  /** Resolves once each connection has taken its first part or is closed. */
+  async started(): Promise<void> {
+    await Promise.all(this.members.map(({started}) => started));
+  }
+
   /** Closes all connections. */
   async leave(): Promise<void> {
     for (const {socket} of this.members) socket.destroy();
--- a/test/crowds/gateway.ts
+++ b/test/crowds/gateway.ts
@@ -168,6 +168,11 @@
     };
   }
 
+  /** Size of the body that the target of the plain service got last, in bytes. */
+  get lastBodyBytes(): number {
+    return this.targets[0].lastBodyBytes;
+  }
+
   override get executed(): number {
     return this.targets.reduce((sum, {requests}) => sum + requests, 0);
   }
--- a/test/crowds/target.ts
+++ b/test/crowds/target.ts
@@ -4,20 +4,21 @@
   type IncomingMessage,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
-import type {Socket} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import type {StoreServer} from './store.js';
 
 /** Interval at which a target writes its entry, in milliseconds; the settings state it as `heartbeatMs`. */
 export const heartbeatMs = 1200;
 
 /** Writes the answer to a request whose body was read. */
-export type Answer = (res: ServerResponse, bodyBytes: number) => void;
+export type Answer = (res: ServerResponse) => void;
 
 /** A target that reads each request completely and then answers. */
 export class Target {
   /** Number of requests that arrived. */
   requests = 0;
+  /** Size of the last body that arrived completely, in bytes. */
+  lastBodyBytes = 0;
   readonly sockets = new Set<Socket>();
   private readonly server = createServer((req, res) => this.serve(req, res));
   private timer: NodeJS.Timeout | undefined;
@@ -29,7 +30,7 @@
    */
   constructor(
     private readonly id: string,
-    private readonly service: string,
+    readonly service: string,
     private readonly answer: Answer,
   ) {
     this.server.on('connection', socket => {
@@ -38,17 +39,23 @@
     });
   }
 
-  /** Listens and writes its entry to the store until it is closed. */
-  async start(store: StoreServer, slots: number): Promise<void> {
+  /** Listens on a free port of loopback and returns `IP:PORT`. */
+  async listen(): Promise<string> {
     this.server.listen(0, '127.0.0.1');
     await once(this.server, 'listening');
     const {port} = this.server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  /** Listens and writes its entry to the store until it is closed. */
+  async start(store: StoreServer, slots: number): Promise<void> {
+    const address = await this.listen();
     const born = Date.now();
     let sequence = 0;
     const beat = () =>
       store.put('keyed.servers', this.id, {
         service: this.service,
-        address: `127.0.0.1:${port}`,
+        address,
         zone: 'a',
         version: 'v1',
         slots,
@@ -75,7 +82,8 @@
     req.once('end', () => {
       if (id !== undefined) res.setHeader('x-request-id', id);
       res.setHeader('x-response-seal', `seal-${this.id}`);
-      this.answer(res, bytes);
+      this.lastBodyBytes = bytes;
+      this.answer(res);
     });
     req.on('error', () => {});
     res.on('error', () => {});
