Read the response that has arrived before a call counts as silent

What callers saw: nothing directly; after a time in which a host did not run, calls of its platform clients and peers count as unanswered although they were answered. For an append this means an unknown outcome and a repetition.

Cause: the timeout of a call is due when the host runs again, and Node.js runs timers before it reads sockets. Same class as the idle timeout of connections.

Change: sockets are read before the call fails.

--- a/src/connection/http/http-client.ts
+++ b/src/connection/http/http-client.ts
@@ -1,6 +1,7 @@
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {ByteBuffer} from '../../process/byte-buffer.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
+import {inputRead} from '../gateway/input-read.js';
 
 /** A short call whose response is buffered completely. */
 export interface HttpCall {
@@ -85,11 +86,16 @@
       };
       const fail = (failure: CallFailure) =>
         finish(() => reject(new CallError(failure)));
-      const timer = setTimeout(() => {
+      const onTimeout = () => {
+        if (done) return;
         const {timeoutMs} = call;
         fail({kind: 'silent', timeoutMs});
         abort?.(new CallError({kind: 'silent', timeoutMs}));
-      }, call.timeoutMs);
+      };
+      const timer = setTimeout(
+        () => void inputRead().then(onTimeout),
+        call.timeoutMs,
+      );
       this.pool.dispatch(
         {
           method: call.method,
