Read the result of a probe before the check of a target ends

Cause: a check that has no result after 100 ms takes the target for running. If the host did not run for that time, the timer ends the check before the result that has arrived is read. Same class as the idle timeout of connections.

Change: sockets are read before the check ends.

Found in the review.

--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -1,3 +1,4 @@
+import {inputRead} from '../../connection/gateway/input-read.js';
 import {
   probeResults,
   type TargetProbe,
@@ -135,7 +136,10 @@
     const finish = (hasEnded: boolean) => {
       for (const callback of callbacks.splice(0)) callback(hasEnded);
     };
-    const cancel = clock.after(maxCheckMs, () => finish(false));
+    const cancel = clock.after(
+      maxCheckMs,
+      () => void inputRead().then(() => finish(false)),
+    );
     void probe.probe(entry.address).then(result => {
       cancel();
       this.checks.delete(target);
