Read the confirmation of a cancellation before its timeout ends it

What callers saw: requests that were refused with unknown execution, or came later than they could, after a preemption.

Cause: the timeout of a cancellation is due when a host that did not run for some time runs again, and timers run before sockets are read. A confirmation that has arrived counts as missing.

Evidence: the new test in http-target.test.ts failed before.

Change: sockets are read before the cancellation is aborted.

--- a/src/connection/target/model-engine-client.ts
+++ b/src/connection/target/model-engine-client.ts
@@ -1,4 +1,5 @@
 import {FailureError} from '../../process/errors/catalogue.js';
+import {inputRead} from '../gateway/input-read.js';
 import {HttpTargetClient} from './http-target-client.js';
 import type {TargetResponse} from './target-client.js';
 
@@ -12,7 +13,10 @@
   override async cancel(attemptId: string): Promise<boolean> {
     const path = `/requests/${encodeURIComponent(attemptId)}/cancel`;
     const timeout = new AbortController();
-    const timer = setTimeout(() => timeout.abort(), cancelTimeoutMs);
+    const timer = setTimeout(
+      () => void inputRead().then(() => timeout.abort()),
+      cancelTimeoutMs,
+    );
     try {
       const response = await this.send(
         {
--- a/test/connection/target/http-target.test.ts
+++ b/test/connection/target/http-target.test.ts
@@ -7,6 +7,7 @@
 import {ModelEngineClient} from '../../../src/connection/target/model-engine-client.js';
 import {PlainServiceClient} from '../../../src/connection/target/plain-service-client.js';
 import type {FailureError} from '../../../src/process/errors/catalogue.js';
+import {holdTimers} from '../late-timeout.js';
 
 const notAborted = new AbortController().signal;
 const request = {
@@ -156,3 +157,18 @@
   );
   await closed;
 });
+
+// Guards against a preempted request whose confirmed cancellation counts as unconfirmed because the host did not run for some
+// time: the timeout is due when it runs again, before the confirmation is read.
+test('a confirmation that arrived before the timeout of the cancellation counts', async t => {
+  const expire = holdTimers(t, 500);
+  const engine = await listen(t, socket =>
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+      expire();
+    }),
+  );
+  const client = new ModelEngineClient('t', engine.address);
+  t.after(() => client.close());
+  assert.equal(await client.cancel('r'), true);
+});
