Read the input that has arrived before an idle caller connection is closed

What callers saw: on hosts of the full server, a request on a kept connection that got neither a response nor a refusal.

Cause: the same as in the gateway's server. After a time in which the host did not run, the idle timeout of a connection is due, and Node.js destroys the connection before it reads the request that arrived meanwhile.

Evidence: the new test in caller-server.test.ts failed before.

Change: sockets are read before the connection is closed; if bytes have arrived it stays open.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,6 +11,7 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
+import {inputRead} from '../gateway/input-read.js';
 import {listenOnce} from '../http/listen.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
 
@@ -101,6 +102,7 @@
       'Requests of callers and operators in progress',
       () => this.requests,
     );
+    this.server.on('timeout', socket => void closeIdle(socket));
     this.server.on('request', (req, res) => void this.route(req, res));
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
@@ -309,6 +311,13 @@
   }
 }
 
+/** Closes a connection whose idle timeout has passed; with a listener of this event, Node.js does not close it. */
+async function closeIdle(socket: Socket): Promise<void> {
+  const {bytesRead} = socket;
+  await inputRead();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 /**
  * Announces the close of a connection in its last response only, because Node.js closes it after the
  * response that announces it.
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -312,3 +312,45 @@
     assert.throws(() => sink.write(Buffer.alloc(1_000_000)));
   },
 );
+
+/** Opens a connection on which one request was answered, and counts its responses. */
+async function openKept(port: number) {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', chunk => (received += chunk.toString('latin1')));
+  socket.on('error', () => {});
+  socket.write('GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n');
+  await once(socket, 'data');
+  const statuses = () => received.match(/^HTTP\/1\.1 \d{3}/gm) ?? [];
+  return {socket, statuses};
+}
+
+/** Waits for the next bytes or the end of a connection. */
+function nextInput(socket: Socket): Promise<unknown> {
+  return Promise.race([once(socket, 'data'), once(socket, 'close')]);
+}
+
+// Guards against a request without an answer after the host did not run for some time: its idle timeout is due when it runs
+// again, and timers run before the request that arrived meanwhile is read.
+test('a request that arrived before the idle timeout is handled gets a response', async t => {
+  const {server, port} = await startServer(t);
+  const {server: listener} = server as unknown as {server: EventEmitter};
+  const accepted = once(listener, 'connection') as Promise<[Socket]>;
+  const {socket, statuses} = await openKept(port);
+  const [kept] = await accepted;
+  socket.write('GET /healthz HTTP/1.1\r\nhost: h\r\n\r\n');
+  kept.emit('timeout');
+  await nextInput(socket);
+  assert.deepEqual(statuses(), ['HTTP/1.1 200', 'HTTP/1.1 200']);
+});
+
+// Guards against a connection that stays open for ever because its idle timeout has no effect.
+test('a connection whose idle timeout has passed is closed', async t => {
+  const {server, port} = await startServer(t);
+  const {server: listener} = server as unknown as {server: EventEmitter};
+  const accepted = once(listener, 'connection') as Promise<[Socket]>;
+  const {socket} = await openKept(port);
+  const [kept] = await accepted;
+  kept.emit('timeout');
+  await once(socket, 'close');
+});
