Answer the requests that arrived before a caller server drains

What callers saw: on hosts of the full server, requests that got neither a response nor a refusal when the host stopped, on kept or new connections.

Cause: a drain without requests in progress closed all connections at once, without reading what had arrived; the end of listening resets connections that wait to be accepted.

Evidence: the new test in caller-server.test.ts failed before; the request on the kept connection got no response.

Change: a drain accepts the connections that wait, up to the backlog, and reads sockets before it takes the server for idle. Requests that arrived get their refusal (draining, not run).

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -53,6 +53,9 @@
 /** Timeout for delivering the refusal of a malformed request, in milliseconds. */
 const refusalFlushMs = 1000;
 
+/** Maximum number of connections that wait to be accepted; the default of Node.js. */
+const maxBacklog = 511;
+
 /** HTTP/1.1 server for callers and operators. */
 export class CallerServer {
   private readonly server: Server;
@@ -61,6 +64,8 @@
   /** Numbers of requests that were not handled because their connection is closing. */
   private readonly ignored = new WeakMap<Socket, number>();
   private sockets = 0;
+  /** Number of connections accepted since the start. */
+  private accepted = 0;
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -87,6 +92,7 @@
     this.server.maxConnections = cfg.maxConnections;
     this.server.on('connection', socket => {
       this.sockets++;
+      this.accepted++;
       socket.once('close', () => {
         this.sockets--;
         process.nextTick(() => this.closeQueued(socket));
@@ -146,9 +152,17 @@
    * @returns Number of requests that were aborted at that timeout.
    */
   async close(drainMs: number): Promise<number> {
+    const {clock} = this.parts;
+    const endMs = clock.nowMs() + drainMs;
     this.draining = true;
     for (const responses of this.inProgress.values()) announceClose(responses);
-    if (this.inProgress.size > 0) await this.untilIdle(drainMs);
+    await this.acceptWaiting();
+    do {
+      const leftMs = Math.max(0, endMs - clock.nowMs());
+      if (this.inProgress.size > 0) await this.untilIdle(leftMs);
+      // Requests that have arrived on kept connections get their refusals.
+      await inputRead();
+    } while (this.inProgress.size > 0 && clock.nowMs() < endMs);
     const aborted = this.requests;
     const closed = new Promise<void>(resolve =>
       this.server.close(() => resolve()),
@@ -158,6 +172,19 @@
     return aborted;
   }
 
+  /**
+   * Accepts the connections that are open already, and reads their requests; the end of listening would reset them. Callers
+   * that connect again after a refusal do not prolong it beyond the number of connections that can have waited.
+   */
+  private async acceptWaiting(): Promise<void> {
+    const first = this.accepted;
+    let before: number;
+    do {
+      before = this.accepted;
+      await inputRead();
+    } while (this.accepted > before && before - first < maxBacklog);
+  }
+
   private untilIdle(drainMs: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.parts.clock.after(drainMs, resolve);
--- a/test/connection/caller/caller-server.test.ts
+++ b/test/connection/caller/caller-server.test.ts
@@ -354,3 +354,22 @@
   kept.emit('timeout');
   await once(socket, 'close');
 });
+
+// Guards against requests without an answer from a host that stops: they arrived before, on kept or new connections, and were
+// not read yet.
+test('requests that arrived before a drain are answered', async t => {
+  const {server, port} = await startServer(t);
+  const request = 'GET /test HTTP/1.1\r\nhost: h\r\n\r\n';
+  const kept = await openKept(port);
+  const opened = Array.from({length: 3}, () => exchange(port, request));
+  // Connections to loopback addresses are open once connect() was called, in the next tick.
+  await new Promise<void>(resolve => process.nextTick(resolve));
+  kept.socket.write(request);
+  const closed = server.close(60_000);
+  await once(kept.socket, 'close');
+  assert.deepEqual(kept.statuses(), ['HTTP/1.1 200', 'HTTP/1.1 503']);
+  for (const text of await Promise.all(opened)) {
+    assert.match(text, /^HTTP\/1\.1 503 [^]*"reason":"draining"/);
+  }
+  assert.equal(await closed, 0);
+});
