Leave it to the caller to end a begun stream that waits for a slot

What callers saw: a stream cut within its answer by the host, also beside a change of the configuration or of the targets, although no target had broken it off.

Cause: a stream that is moved away from a silent target is withheld or turned away by the next one, waits for a slot, and is cut when its wait limit passes. The limit is the time after which callers leave, less the time to an event, so the host ended the stream before its caller did. Class: giving up for the caller what the caller has not given up.

Evidence: the new test in moved-stream.test.ts failed before.

Change: when its wait limit passes, a begun stream asks for a slot again until its caller leaves or its deadline passes. It keeps the limit as a ticket's end, so that the choice of a target is as before.

--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -131,13 +131,11 @@
 
   /** State for logs. */
   get state(): RequestState {
-    const {attempt, attempts, mayHaveRun, relay, reserved, ticket} = this;
+    const {attempt, attempts, relay, ticket} = this;
     return {
       waiting: ticket !== undefined,
       ...attempt?.state,
       ...attempts.state,
-      reserved: reserved?.entry.id,
-      mayHaveRun,
       events: relay.events,
       silentMs: relay.silentMs,
       retryable: this.isRetryable(),
@@ -338,7 +336,9 @@
 
   private onNoSlot(): void {
     this.ticket = undefined;
-    this.failWith('noSlot');
+    // Its caller may still wait for a begun stream, and decides itself when to leave.
+    if (this.relay.started) this.requestSlot();
+    else this.failWith('noSlot');
   }
 
   private onDeadline(): void {
--- a/test/gateway/moved-stream.test.ts
+++ b/test/gateway/moved-stream.test.ts
@@ -181,6 +181,27 @@
   assert.equal(complete, true);
 });
 
+// Guards against a stream that the host cuts for lack of a slot shortly before its caller would have left, or although its
+// caller waits longer.
+test('a stream that waits for a slot ends only when its caller leaves or its deadline passes', async t => {
+  const {clock, open, resumed} = await startStreams(t, {slots: 1});
+  const broken = await open();
+  const other = await open();
+  broken.run.res.destroy();
+  for (let i = 0; i < 8; i++) {
+    // The other stream is not silent for long.
+    await advanceClock(clock, 500);
+    other.run.res.write(': still running\n\n');
+  }
+  assert.equal(resumed().length, 0);
+  other.run.res.end(event(2));
+  assert.equal((await other.response).complete, true);
+  await advanceClock(clock, 100);
+  const {body, complete} = await broken.response;
+  assert.equal(body, event(1) + event(2));
+  assert.equal(complete, true);
+});
+
 // Guards against requests that run again elsewhere, although their target has responded, because the host itself did not run.
 test('a request stays at its target when the host was stopped for a time', async t => {
   const clock = new StoppableClock();
