Read the answer to a probe before its time counts as passed

What callers saw: requests that are refused, or streams that are cut, because a target counts as crashed although it runs.

Cause: after a time in which the host did not run, the timeout of a probe is due before the open connection is seen, so the result is unknown, which counts as down. Same class as the idle timeout of callers' connections: a timer is taken for a sign that nothing arrived.

Evidence: the test failed before (unknown in place of accepted). That a crash was recorded for this reason on a fleet is not shown.

Change: sockets are read before the probe ends without a result.

--- a/src/connection/gateway/target-probe.ts
+++ b/src/connection/gateway/target-probe.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {inputRead} from './input-read.js';
 
 /** What a probe of a target's address found. */
 export const probeResults = {
@@ -38,7 +39,7 @@
         resolve(result);
       };
       const timer = setTimeout(
-        () => finish(probeResults.unknown),
+        () => void inputRead().then(() => finish(probeResults.unknown)),
         probeTimeoutMs,
       );
       socket.once('connect', () => finish(probeResults.accepted));
