--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -136,13 +136,11 @@
 
   /** State for logs. */
   get state(): RequestState {
-    const {attempt, attempts, mayHaveRun, relay, reserved} = this;
+    const {attempt, attempts, relay} = this;
     return {
       waiting: this.isWaiting,
       ...attempt?.state,
       ...attempts.state,
-      reserved: reserved?.entry.id,
-      mayHaveRun,
       events: relay.events,
       silentMs: relay.silentMs,
       retryable: this.isRetryable(),
@@ -160,10 +158,7 @@
     const ticket = this.parts.dispatcher.requestSlot(
       slotRequest,
       target => this.send(target),
-      () => {
-        this.ticket = undefined;
-        this.failWith('noSlot');
-      },
+      () => this.onNoSlot(),
     );
     // An attempt that failed at once may already have put the request in the queue again, with another ticket.
     if (ticket) this.ticket = ticket;
@@ -336,19 +331,24 @@
 
   private release(outcome: Outcome, end?: AttemptEnd): void {
     const {attempt} = this;
-    if (!attempt) return;
     this.attempt = undefined;
-    attempt.release(outcome, end);
+    attempt?.release(outcome, end);
+  }
+
+  private onNoSlot(): void {
+    this.ticket = undefined;
+    // Its caller may still wait for a begun stream, and decides itself when to leave.
+    if (this.relay.started) this.requestSlot();
+    else this.failWith('noSlot');
   }
 
   /** Ends the request before its response is complete; `unsent` is its refusal if no target has received it. */
   expire(unsent: RefusalName, running: RefusalName): void {
     if (this.done) return;
-    const waiting = this.attempt === undefined;
-    const {state} = this;
+    const {attempt, state} = this;
     this.abandon();
     if (this.relay.started) this.abortResponse(running, state);
-    else this.refuse(waiting && !this.mayHaveRun ? unsent : running);
+    else this.refuse(attempt || this.mayHaveRun ? running : unsent);
   }
 
   private callerLeft(): void {
