Read the response that has arrived before a platform call times out

What callers saw: nothing directly; on a host that did not run for the timeout of a call, an append that was answered counts as unavailable, so that its outcome is unknown. A claim that depends on it can stay undecided.

Cause: AbortSignal.timeout() is due when the host runs again, and Node.js runs timers before it reads sockets. Same class as the idle timeout of connections.

Change: sockets are read before the call is aborted.

--- a/src/connection/platform/platform-http.ts
+++ b/src/connection/platform/platform-http.ts
@@ -1,5 +1,6 @@
 import {Pool} from 'undici';
 import {ByteBuffer} from '../../process/byte-buffer.js';
+import {inputRead} from '../gateway/input-read.js';
 
 /** Maximum size of a response from a platform service, in bytes. */
 const maxResponseBytes = 16 * 1024 * 1024;
@@ -47,7 +48,27 @@
    *   too large or not a JSON object.
    */
   async call(call: PlatformCall): Promise<PlatformResponse> {
-    const timeout = AbortSignal.timeout(call.timeoutMs);
+    const timeout = new AbortController();
+    const timer = setTimeout(
+      () => void inputRead().then(() => timeout.abort(timeoutError())),
+      call.timeoutMs,
+    );
+    try {
+      return await this.send(call, timeout.signal);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Closes the connections to the service. */
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async send(
+    call: PlatformCall,
+    timeout: AbortSignal,
+  ): Promise<PlatformResponse> {
     const prefix = new URL(this.baseUrl).pathname.replace(/\/$/, '');
     const res = await this.pool.request({
       method: call.method,
@@ -78,11 +99,10 @@
       body: body as Record<string, unknown>,
     };
   }
+}
 
-  /** Closes the connections to the service. */
-  async close(): Promise<void> {
-    await this.pool.destroy();
-  }
+function timeoutError(): DOMException {
+  return new DOMException('the call timed out', 'TimeoutError');
 }
 
 /**
--- a/test/connection/late-timeout.ts
+++ b/test/connection/late-timeout.ts
@@ -5,9 +5,9 @@
  *
  * @param t - Test, at whose end the timers of Node.js are back.
  * @param delayMs - Delay of the timers that are replaced, in milliseconds.
- * @returns A function that runs those that were started.
+ * @returns A function that runs those that were started, and returns their number.
  */
-export function holdTimers(t: TestContext, delayMs: number): () => void {
+export function holdTimers(t: TestContext, delayMs: number): () => number {
   const {setTimeout} = globalThis;
   t.after(() => (globalThis.setTimeout = setTimeout));
   const held: (() => void)[] = [];
@@ -16,5 +16,9 @@
     held.push(run);
     return setTimeout(() => {}, 0);
   }) as typeof setTimeout;
-  return () => held.splice(0).forEach(run => run());
+  return () => {
+    const due = held.splice(0);
+    for (const run of due) run();
+    return due.length;
+  };
 }
--- a/test/connection/platform/http-log-client.test.ts
+++ b/test/connection/platform/http-log-client.test.ts
@@ -4,6 +4,7 @@
 import {HttpLogClient} from '../../../src/connection/platform/http-log-client.js';
 import {FailureError} from '../../../src/process/errors/catalogue.js';
 import {LogServer} from '../../../stand-ins/index.js';
+import {holdTimers} from '../late-timeout.js';
 
 const kind = (expected: string) => (err: unknown) =>
   err instanceof FailureError && err.failure.kind === expected;
@@ -20,10 +21,17 @@
 }
 
 /** Starts a server that sends a fixed response to each connection, and a client of it. */
-async function startFixedResponse(t: TestContext, response: string) {
+async function startFixedResponse(
+  t: TestContext,
+  response: string,
+  onSent = () => {},
+) {
   const server = createServer(socket => {
     socket.on('error', () => {});
-    socket.once('data', () => socket.write(response));
+    socket.once('data', () => {
+      socket.write(response);
+      onSent();
+    });
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
@@ -114,3 +122,22 @@
     err => kind('log-unavailable')(err) && /exceeds/.test(String(err)),
   );
 });
+
+// Guards against appends whose outcome counts as unknown because the host did not run for some time: the timeout is due when
+// it runs again, and timers run before the response that arrived meanwhile is read.
+test('a response that arrived before the timeout of its append is returned', async t => {
+  const expire = holdTimers(t, 500);
+  let expired = 0;
+  const log = await startFixedResponse(t, json('{"offset":7}'), () => {
+    expired = expire();
+  });
+  assert.equal(await log.append('s', {a: 1}), 7);
+  assert.equal(expired, 1);
+});
+
+// Guards against a call that never ends because its timeout has no effect.
+test('an append without a response is reported as unavailable at its timeout', async t => {
+  const expire = holdTimers(t, 500);
+  const log = await startFixedResponse(t, '', () => expire());
+  await assert.rejects(log.append('s', {a: 1}), kind('log-unavailable'));
+});
