Read the reply that has arrived before a call of a peer times out

What callers saw: nothing directly; a claim whose owner had decided it counts as undecided on a host that did not run for the timeout of the call.

Cause: the timeout is due when the host runs again, and Node.js runs timers before it reads sockets. Same class as the idle timeout of connections.

Change: sockets are read before the call is cancelled.

--- a/src/connection/peer/peer-calls.ts
+++ b/src/connection/peer/peer-calls.ts
@@ -10,6 +10,7 @@
 } from '@grpc/grpc-js';
 import type {Cancel, Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
+import {inputRead} from '../gateway/input-read.js';
 import {certifiesHost, type PeerCredentials} from './peer-credentials.js';
 import type {PeerServer} from './peer-server.js';
 import {loadProto} from './proto.js';
@@ -146,7 +147,10 @@
       call.once('metadata', () => {
         certified = certifiesHost(mode, call, host);
       });
-      cancel = clock.after(timeoutMs, () => call.cancel());
+      cancel = clock.after(
+        timeoutMs,
+        () => void inputRead().then(() => call.cancel()),
+      );
     });
   }
 
--- a/test/connection/peer/peer-calls.test.ts
+++ b/test/connection/peer/peer-calls.test.ts
@@ -181,6 +181,20 @@
   await assert.rejects(unknown, {maybeAppended: true});
 });
 
+// Guards against claims that count as undecided because the host did not run for some time: the timeout is due when it runs
+// again, and timers run before the reply that arrived meanwhile is read.
+test('a reply that arrived before the timeout of its call is returned', async t => {
+  const {a, b, transport} = await pair(t);
+  b.writers.decide = async () => {
+    // The reply is sent after this turn of the event loop, and read in the next one.
+    setImmediate(() => a.clock.advance(claimCallTimeoutMs));
+    return {kind: 'won'};
+  };
+  assert.deepEqual(await transport.submit('h2', partition, claim), {
+    kind: 'won',
+  });
+});
+
 const refused: [string, Options, Options, number, ClaimEntry][] = [
   ['another fleet', {fleet: 'x'}, {}, partition, claim],
   [
