Parse bodies in many small chunks in bounded turns

Callers that send bodies in chunks of one byte kept the event loop busy for seconds: ordinary requests beside them got no answer, and the process did not react any more.

Cause: Node.js parses a whole read of 64 KiB at once, and up to 32 reads of a connection in one turn of the event loop. Each chunk is a callback, so 64 KiB of one-byte chunks are some 11,000 of them.

The input of a connection of GatewayServer and CallerServer now passes through PacedInput. It gives the parser slices of 1 KiB where requests or chunks may begin, and the bytes of a body with a known length as they come.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,7 +11,9 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
+import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
+import {PacedInput} from '../http/paced-input.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
 
 /** Handles the requests for one path or a group of paths. */
@@ -59,7 +61,7 @@
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
   /** Numbers of requests that were not handled because their connection is closing. */
   private readonly ignored = new WeakMap<Socket, number>();
-  private sockets = 0;
+  private readonly inputs = new Map<Socket, PacedInput>();
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -84,31 +86,34 @@
       noDelay: true,
     });
     this.server.maxConnections = cfg.maxConnections;
+    const pacer = new InputPacer(parts.clock);
     this.server.on('connection', socket => {
-      this.sockets++;
+      this.inputs.set(socket, new PacedInput(socket, pacer));
       socket.once('close', () => {
-        this.sockets--;
+        this.inputs.delete(socket);
         process.nextTick(() => this.closeQueued(socket));
       });
     });
     parts.metrics.gauge(
       'guavaseam_caller_connections',
       'Open connections of callers and operators',
-      () => this.sockets,
+      () => this.connections,
     );
     parts.metrics.gauge(
       'guavaseam_caller_requests',
       'Requests of callers and operators in progress',
       () => this.requests,
     );
-    this.server.on('request', (req, res) => void this.route(req, res));
+    const route = (req: IncomingMessage, res: ServerResponse) =>
+      this.inputs.get(req.socket)?.handle(req, () => void this.route(req, res));
+    this.server.on('request', route);
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
       const length = Number(req.headers['content-length'] ?? 0);
       if (length <= cfg.maxBodyBytes && !this.isClosing(req.socket)) {
         res.writeContinue();
       }
-      void this.route(req, res);
+      route(req, res);
     });
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket),
@@ -117,7 +122,7 @@
 
   /** Number of open connections. */
   get connections(): number {
-    return this.sockets;
+    return this.inputs.size;
   }
 
   /** Number of requests in progress. */
--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {PacedInput} from '../http/paced-input.js';
 
 /**
  * One connection of a caller: the requests in progress on it, and whether it accepts more.
@@ -13,17 +14,19 @@
   private accepts = true;
   /** Whether the parser cannot continue. */
   private isInputRejected = false;
-  /** Bytes received up to the end of the last request; more than that are the start of another one. */
+  /** Bytes parsed up to the end of the last request; more than that are the start of another one. */
   private requestBytes = 0;
   /** Time since which no request is in progress, in milliseconds. */
   private idleSinceMs: number;
 
   /**
    * @param socket - Connection to the caller.
+   * @param input - Its input.
    * @param nowMs - Time of its opening, in milliseconds.
    */
   constructor(
     private readonly socket: Socket,
+    readonly input: PacedInput,
     nowMs: number,
   ) {
     this.idleSinceMs = nowMs;
@@ -36,9 +39,8 @@
 
   /** Whether a request is in progress, or a part of one has arrived. */
   get isBusy(): boolean {
-    return (
-      this.responses.length > 0 || this.socket.bytesRead > this.requestBytes
-    );
+    const {parsed, waiting} = this.input;
+    return this.responses.length > 0 || parsed + waiting > this.requestBytes;
   }
 
   /** Whether a response is in progress. */
@@ -53,7 +55,7 @@
    */
   add(res: ServerResponse): void {
     this.responses.push(res);
-    res.req.once('end', () => (this.requestBytes = this.socket.bytesRead));
+    res.req.once('end', () => (this.requestBytes = this.input.parsed));
     // Either the caller asked for the end of the connection, or a response without a length will need it.
     if (!res.shouldKeepAlive || res.req.httpVersion === '1.0') {
       this.accepts = false;
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -12,7 +12,9 @@
 } from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
+import {PacedInput} from '../http/paced-input.js';
 import {CallerConnection} from './caller-connection.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
@@ -63,6 +65,7 @@
 /** HTTP/1.1 server of a gateway for its callers. */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly pacer: InputPacer;
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Whether each connection is closed at the end of its next response. */
   private closes = false;
@@ -75,6 +78,7 @@
     private readonly endpoint: Endpoint,
     private readonly parts: GatewayServerParts,
   ) {
+    this.pacer = new InputPacer(parts.clock);
     this.server = new CallerHttpServer({
       maxHeaderSize: parserMaxHeaderBytes,
       connectionsCheckingInterval: timeoutCheckIntervalMs,
@@ -83,7 +87,10 @@
       requireHostHeader: false,
     });
     this.server.on('connection', socket => this.onConnection(socket));
-    this.server.on('request', (req, res) => this.onRequest(req, res));
+    this.server.on('request', (req, res) => {
+      const input = this.connections.get(req.socket)?.input;
+      input?.handle(req, () => this.onRequest(req, res));
+    });
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
     );
@@ -166,7 +173,8 @@
 
   private onConnection(socket: Socket): void {
     const {clock} = this.parts;
-    const connection = new CallerConnection(socket, clock.nowMs());
+    const input = new PacedInput(socket, this.pacer);
+    const connection = new CallerConnection(socket, input, clock.nowMs());
     this.connections.set(socket, connection);
     let cancelLinger = () => {};
     // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
--- /dev/null
+++ b/src/connection/http/paced-input.ts
@@ -0,0 +1,156 @@
+import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
+import {ByteBuffer} from '../../process/byte-buffer.js';
+import type {InputPacer, SlicedInput} from './input-pacer.js';
+
+/** Bytes that are parsed at a time where requests or chunks may begin. */
+const sliceBytes = 1024;
+/** Waiting bytes beyond which a connection is not read, in bytes. */
+const maxWaitingBytes = 32 * 1024;
+/** Time to parse a slice, without the handling of requests, from which on all input of a connection waits its turn, in milliseconds. */
+const costlySliceMs = 0.1;
+const none: Buffer = Buffer.alloc(0);
+
+/**
+ * Input of an HTTP connection between its socket and the parser of Node.js, which would parse a whole read at once and up
+ * to 32 reads in a turn of the event loop. A connection whose bytes are cheap to parse is parsed as it is read.
+ */
+export class PacedInput implements SlicedInput {
+  private current = none;
+  private readonly next = new ByteBuffer();
+  /** Bytes of a body that follow the parsed ones, so that no request begins in them. */
+  private bodyBytes = 0;
+  private lastSliceBytes = 0;
+  private parsedBytes = 0;
+  private handlingMs = 0;
+  private isCostly = false;
+  private isQueued = false;
+  private isParsing = false;
+  private isReading = true;
+  private isPausedByParser = false;
+  private isStopped = false;
+  private readonly parse: (bytes: Buffer) => void;
+  private readonly pause: () => void;
+  private readonly resume: () => void;
+
+  /**
+   * @param socket - Connection that the HTTP server of Node.js has just set up.
+   * @param pacer - Parses the input that waits.
+   */
+  constructor(
+    private readonly socket: Socket,
+    private readonly pacer: InputPacer,
+  ) {
+    const [parse] = socket.listeners('data');
+    this.parse = parse as (bytes: Buffer) => void;
+    socket.removeListener('data', this.parse);
+    const {pause, resume} = socket;
+    this.pause = () => pause.call(socket);
+    this.resume = () => resume.call(socket);
+    // Called by Node.js if a body or the responses are not read; the bytes that wait here must not be parsed either then.
+    socket.pause = () => this.setPausedByParser(true);
+    socket.resume = () => this.setPausedByParser(false);
+    socket.on('data', (bytes: Buffer) => this.receive(bytes));
+    socket.once('end', () => this.stop());
+  }
+
+  /** Number of bytes passed to the parser. */
+  get parsed(): number {
+    return this.parsedBytes;
+  }
+
+  /** Number of bytes that were read and not passed to the parser yet. */
+  get waiting(): number {
+    return this.current.length + this.next.length;
+  }
+
+  /**
+   * Runs the handler of a request that was parsed; its time does not count as that of the input.
+   *
+   * @param req - Request.
+   * @param handle - Handler.
+   */
+  handle(req: IncomingMessage, handle: () => void): void {
+    const {clock} = this.pacer;
+    const startMs = clock.nowMs();
+    const length = Number(req.headers['content-length'] ?? 0);
+    // The body begins within the slice.
+    this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
+    handle();
+    this.handlingMs += clock.nowMs() - startMs;
+  }
+
+  /** Drops what waits and reads no more. */
+  stop(): void {
+    this.isStopped = true;
+    this.current = none;
+    this.next.clear();
+    this.updateReading();
+  }
+
+  parseSlice(): boolean {
+    this.isQueued = false;
+    if (!this.mayParse) return false;
+    if (this.current.length === 0) this.current = this.next.take();
+    const length = this.bodyBytes > 0 ? this.bodyBytes : sliceBytes;
+    const slice = this.current.subarray(0, length);
+    this.current = this.current.subarray(slice.length);
+    this.bodyBytes = Math.max(0, this.bodyBytes - slice.length);
+    this.lastSliceBytes = slice.length;
+    this.parsedBytes += slice.length;
+    this.handlingMs = 0;
+    const startMs = this.pacer.clock.nowMs();
+    this.isParsing = true;
+    try {
+      this.parse(slice);
+    } finally {
+      this.isParsing = false;
+    }
+    const spentMs = this.pacer.clock.nowMs() - startMs - this.handlingMs;
+    this.isCostly = spentMs >= costlySliceMs;
+    this.updateReading();
+    return (this.isQueued = this.mayParse);
+  }
+
+  private get mayParse(): boolean {
+    if (this.isStopped || this.isPausedByParser) return false;
+    return this.waiting > 0 && !this.socket.destroyed;
+  }
+
+  private receive(bytes: Buffer): void {
+    if (this.isStopped) return;
+    const isFirst = this.waiting === 0;
+    if (isFirst) this.current = bytes;
+    else this.next.append(bytes);
+    if (isFirst && !this.isCostly && !this.isQueued) {
+      if (this.parseSlice()) this.pacer.add(this);
+    } else {
+      this.enqueue();
+    }
+    this.updateReading();
+  }
+
+  private enqueue(): void {
+    if (this.isQueued || this.isParsing || !this.mayParse) return;
+    this.isQueued = true;
+    this.pacer.add(this);
+  }
+
+  private setPausedByParser(isPaused: boolean): Socket {
+    this.isPausedByParser = isPaused;
+    this.updateReading();
+    this.enqueue();
+    return this.socket;
+  }
+
+  private updateReading(): void {
+    const isWanted =
+      !this.isStopped &&
+      !this.isPausedByParser &&
+      this.waiting <= maxWaitingBytes;
+    if (isWanted === this.isReading) return;
+    this.isReading = isWanted;
+    if (isWanted) this.resume();
+    else this.pause();
+  }
+}
