Read the rest of a refused body to a limit, then close the connection

Callers that sent a body without an end after their refusal kept the host reading: the connection was never closed.

Cause: the rest of a refused body is discarded as it arrives, without a limit in bytes or time, and so is what arrives on an ended connection.

The rest of a body after its response is now read for 4 MiB and 5 s at most, then the connection is closed. An ended connection is read for 4 MiB within its second and parsed for 16 requests at most; afterwards its bytes stay unread, so that the response still reaches a caller that reads it. Both servers use lingerAtEnd and limitRest for this. The connection counts as `unread-body`, and event 7308 tells the reason.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -14,6 +14,7 @@
 import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
 import {PacedInput} from '../http/paced-input.js';
+import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
 
 /** Handles the requests for one path or a group of paths. */
@@ -88,7 +89,9 @@
     this.server.maxConnections = cfg.maxConnections;
     const pacer = new InputPacer(parts.clock);
     this.server.on('connection', socket => {
-      this.inputs.set(socket, new PacedInput(socket, pacer));
+      const input = new PacedInput(socket, pacer);
+      this.inputs.set(socket, input);
+      lingerAtEnd(socket, input, parts.clock);
       socket.once('close', () => {
         this.inputs.delete(socket);
         process.nextTick(() => this.closeQueued(socket));
@@ -177,6 +180,7 @@
   ): Promise<void> {
     if (this.isClosing(req.socket)) return this.ignore(req);
     const pipelined = this.track(req.socket, res);
+    res.once('finish', () => this.limitRest(req));
     // A connection reset by the caller is handled by the `close` event.
     res.on('error', () => {});
     const path = (req.url ?? '/').split('?', 1)[0];
@@ -221,6 +225,18 @@
     if (count > maxPipelined) socket.pause();
   }
 
+  /** Ends the connection of a request if its body goes on for too long after the response. */
+  private limitRest(req: IncomingMessage): void {
+    const {socket} = req;
+    const input = this.inputs.get(socket);
+    if (req.complete || !input) return;
+    limitRest(req, input, this.parts.clock, () => {
+      if (!socket.writable) return;
+      this.parts.logger.event('connectionRejected', {code: 'UNREAD_BODY'});
+      socket.destroySoon();
+    });
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -2,6 +2,9 @@
 import type {Socket} from 'node:net';
 import type {PacedInput} from '../http/paced-input.js';
 
+/** Number of requests that are parsed on a connection after its end; each takes memory until the close. */
+const maxDiscarded = 16;
+
 /**
  * One connection of a caller: the requests in progress on it, and whether it accepts more.
  *
@@ -12,6 +15,7 @@
   /** Responses in progress, in the order of their requests. */
   private readonly responses: ServerResponse[] = [];
   private accepts = true;
+  private discarded = 0;
   /** Whether the parser cannot continue. */
   private isInputRejected = false;
   /** Bytes parsed up to the end of the last request; more than that are the start of another one. */
@@ -98,6 +102,22 @@
     return true;
   }
 
+  /**
+   * Accepts no more requests.
+   *
+   * @returns Whether it accepted none before.
+   */
+  stopAccepting(): boolean {
+    const wasClosed = !this.isOpen;
+    this.accepts = false;
+    return wasClosed;
+  }
+
+  /** Counts a request that arrived after the end of the connection; beyond some, the rest of the input is dropped. */
+  discard(): void {
+    if (++this.discarded > maxDiscarded) this.input.drop();
+  }
+
   /** Whether bytes that are no request have arrived. */
   get hasRejectedInput(): boolean {
     return this.isInputRejected;
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -15,6 +15,7 @@
 import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
 import {PacedInput} from '../http/paced-input.js';
+import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {CallerConnection} from './caller-connection.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
@@ -25,8 +26,6 @@
 const keepAliveMarginMs = 1000;
 /** Maximum time for a caller to send a complete request, in milliseconds. */
 const requestTimeoutMs = 60_000;
-/** Time for which an ended connection is still read, so that late bytes do not reset it, in milliseconds. */
-const lingerMs = 1000;
 /**
  * Time for which a connection must be idle before a stopping host ends it, in milliseconds. A caller that sends one
  * request after the other has sent the next one by then.
@@ -130,6 +129,7 @@
   closesAfter(res: ServerResponse, isRequired = false): boolean {
     const connection = this.connections.get(res.req.socket);
     if (!connection) return true;
+    this.limitRest(res, connection);
     const closes = isRequired || this.closes || !connection.isOpen;
     return closes && connection.closeAfter(res);
   }
@@ -162,6 +162,16 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends the connection of a response if the body of its request goes on for too long after it. */
+  private limitRest({req}: ServerResponse, connection: CallerConnection): void {
+    if (req.complete) return;
+    limitRest(req, connection.input, this.parts.clock, () => {
+      if (connection.stopAccepting()) return;
+      this.parts.onEnded(connectionEnds.unreadBody);
+      if (!connection.hasResponses) req.socket.destroySoon();
+    });
+  }
+
   private closeIdle(): void {
     const nowMs = this.parts.clock.nowMs();
     for (const [socket, connection] of this.connections) {
@@ -176,16 +186,8 @@
     const input = new PacedInput(socket, this.pacer);
     const connection = new CallerConnection(socket, input, clock.nowMs());
     this.connections.set(socket, connection);
-    let cancelLinger = () => {};
-    // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
-    // that arrive then reset the connection, and the caller may lose the response.
-    socket.destroySoon = () => {
-      socket.end();
-      cancelLinger();
-      cancelLinger = clock.after(lingerMs, () => socket.destroy());
-    };
+    lingerAtEnd(socket, input, clock);
     socket.once('close', () => {
-      cancelLinger();
       this.connections.delete(socket);
       process.nextTick(() => connection.closeResponses());
     });
@@ -199,6 +201,7 @@
       req.on('error', () => {});
       req.resume();
       onDiscarded(req);
+      connection?.discard();
       return;
     }
     connection.add(res);
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -29,6 +29,9 @@
   private isReading = true;
   private isPausedByParser = false;
   private isStopped = false;
+  private isDropped = false;
+  /** Bytes that may still be received, and what to do beyond them. */
+  private allowance = {bytes: Infinity, onExceeded: () => {}};
   private readonly parse: (bytes: Buffer) => void;
   private readonly pause: () => void;
   private readonly resume: () => void;
@@ -80,14 +83,30 @@
     this.handlingMs += clock.nowMs() - startMs;
   }
 
-  /** Drops what waits and reads no more. */
-  stop(): void {
-    this.isStopped = true;
+  /**
+   * Limits what is received from now on; the input stops at the limit.
+   *
+   * @param bytes - Maximum number of bytes; `Infinity` ends an earlier limit.
+   * @param onExceeded - Called once the input has stopped.
+   */
+  limit(bytes: number, onExceeded: () => void = () => {}): void {
+    this.allowance = {bytes, onExceeded};
+  }
+
+  /** Reads on without parsing, which shows when the caller leaves. */
+  drop(): void {
+    this.isDropped = true;
     this.current = none;
     this.next.clear();
     this.updateReading();
   }
 
+  /** Drops what waits and reads no more. */
+  stop(): void {
+    this.isStopped = true;
+    this.drop();
+  }
+
   parseSlice(): boolean {
     this.isQueued = false;
     if (!this.mayParse) return false;
@@ -119,6 +138,13 @@
 
   private receive(bytes: Buffer): void {
     if (this.isStopped) return;
+    this.allowance.bytes -= bytes.length;
+    if (this.allowance.bytes < 0) {
+      this.stop();
+      this.allowance.onExceeded();
+      return;
+    }
+    if (this.isDropped) return;
     const isFirst = this.waiting === 0;
     if (isFirst) this.current = bytes;
     else this.next.append(bytes);
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -15,7 +15,7 @@
 import {PeerStateSync} from './process/fleet/peer-state-sync.js';
 import {rendezvousRank} from './process/fleet/rendezvous.js';
 import {declareGauges} from './process/gateway-gauges.js';
-import {GatewayMetrics} from './process/gateway-metrics.js';
+import {GatewayMetrics, limitEnds} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {QuotaBuckets} from './process/limits/quota-buckets.js';
 import {createRandom} from './process/random.js';
@@ -204,7 +204,10 @@
     clock,
     onRequest: (req, res) => handler.handle(req, res),
     onDiscarded: req => handler.discard(req),
-    onEnded: reason => metrics.connectionEnded(reason),
+    onEnded: reason => {
+      metrics.connectionEnded(reason);
+      if (limitEnds.has(reason)) decisions.log('connectionLimited', {reason});
+    },
   });
   const gossip = new GossipTask({
     clock,
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -156,6 +156,11 @@
     level: 'info',
     message: 'request not run because its connection was ended before',
   },
+  connectionLimited: {
+    id: 7308,
+    level: 'info',
+    message: 'connection of a caller ended at a limit',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -14,6 +14,8 @@
   lastResponse: 'last-response',
   /** The bytes of the caller are no request. */
   noRequest: 'no-request',
+  /** The body of a request went on for too long after the response. */
+  unreadBody: 'unread-body',
   /** The host stopped while a response was in progress. */
   stopped: 'stopped',
 } as const;
@@ -22,6 +24,11 @@
 export type ConnectionEnd =
   (typeof connectionEnds)[keyof typeof connectionEnds];
 
+/** The {@link connectionEnds} at a limit that callers usually do not meet. */
+export const limitEnds: ReadonlySet<ConnectionEnd> = new Set<ConnectionEnd>([
+  connectionEnds.unreadBody,
+]);
+
 import {
   createLatencyHistogram,
   MetricRegistry,
