--- a/src/process/gateway-settings.ts
+++ b/src/process/gateway-settings.ts
@@ -40,6 +40,14 @@
   readonly eventDelayMs: number;
 }
 
+/** What the host gives to the process; the system ends a process that exceeds its memory. */
+export interface HostLimits {
+  /** Maximum resident memory, in bytes. */
+  readonly memoryBytes: number;
+  /** Maximum number of open descriptors: files, sockets and pipes. */
+  readonly maxDescriptors: number;
+}
+
 /** Settings of one gateway host; entry hosts of a fleet have `Settings` instead. */
 export interface GatewaySettings {
   readonly host: string;
@@ -64,4 +72,5 @@
   readonly firstStart: boolean;
   readonly store: Endpoint;
   readonly bounds: Bounds;
+  readonly limits: HostLimits;
 }
--- a/test/gateway/address-in-use.test.ts
+++ b/test/gateway/address-in-use.test.ts
@@ -13,6 +13,7 @@
 import {
   bounds,
   configuration,
+  hostLimits,
   sendRequest,
   startRawTarget,
   targetChange,
@@ -112,6 +113,7 @@
     firstStart: true,
     store: {address, port: 1},
     bounds,
+    limits: hostLimits,
     ...change,
   };
   const gateway = createGatewayHost(settings, {
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -14,6 +14,7 @@
 import type {
   Bounds,
   GatewaySettings,
+  HostLimits,
 } from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
 import type {WireFormat} from '../../src/request/gateway/wire-format.js';
@@ -102,6 +103,12 @@
   eventDelayMs: 120,
 };
 
+/** Limits of a host. */
+export const hostLimits: HostLimits = {
+  memoryBytes: 350_000_000,
+  maxDescriptors: 4100,
+};
+
 export function targetChange(id: string, address: string, slots = 4): Change {
   const entry = {
     id,
@@ -145,6 +152,7 @@
     firstStart: true,
     store: {address, port: 1},
     bounds,
+    limits: hostLimits,
     ...options.change,
   };
   const gateway = createGatewayHost(settings, {
