Let requests that callers send ahead wait beyond a limit

Callers that sent 200 small requests ahead on each of some hundred connections ended a host at its heap limit.

Cause: every request that is parsed began at once, without a limit on a connection or over all of them.

--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -1,7 +1,10 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {AheadLimit} from '../http/ahead-limit.js';
 import type {PacedInput} from '../http/paced-input.js';
 
+/** Number of requests that wait on a connection at most; they have been parsed together. */
+const maxWaiting = 32;
 /** Number of requests that are parsed on a connection after its end; each takes memory until the close. */
 const maxDiscarded = 16;
 
@@ -14,6 +17,8 @@
 export class CallerConnection {
   /** Responses in progress, in the order of their requests. */
   private readonly responses: ServerResponse[] = [];
+  /** Responses of requests that wait until an earlier one has ended. */
+  private readonly waiting: ServerResponse[] = [];
   private accepts = true;
   private discarded = 0;
   /** Whether the parser cannot continue. */
@@ -26,11 +31,13 @@
   /**
    * @param socket - Connection to the caller.
    * @param input - Its input.
+   * @param ahead - Limit of the requests in progress.
    * @param nowMs - Time of its opening, in milliseconds.
    */
   constructor(
     private readonly socket: Socket,
     readonly input: PacedInput,
+    private readonly ahead: AheadLimit,
     nowMs: number,
   ) {
     this.idleSinceMs = nowMs;
@@ -47,22 +54,49 @@
     return this.responses.length > 0 || parsed + waiting > this.requestBytes;
   }
 
-  /** Whether a response is in progress. */
+  /** Whether a response is in progress or will be. */
   get hasResponses(): boolean {
-    return this.responses.length > 0;
+    return this.responses.length + this.waiting.length > 0;
   }
 
   /**
-   * Adds a request that arrived while the connection is open.
+   * Keeps a request that arrived while the connection is open until {@link nextRequest} returns it; no more are parsed
+   * until then.
+   *
+   * @param res - Its response.
+   * @returns Whether it is kept; if not, it is not handled, and the connection accepts no more.
+   */
+  enqueue(res: ServerResponse): boolean {
+    if (this.waiting.length >= maxWaiting) {
+      this.accepts = false;
+      return false;
+    }
+    this.waiting.push(res);
+    this.updateHold();
+    return true;
+  }
+
+  /** @returns The response of the next request that may begin, if there is one. */
+  nextRequest(): ServerResponse | undefined {
+    if (!this.ahead.mayBegin(this.responses.length)) return undefined;
+    const next = this.waiting.shift();
+    this.updateHold();
+    return next;
+  }
+
+  /**
+   * Begins a request.
    *
    * @param res - Its response.
    */
   add(res: ServerResponse): void {
     this.responses.push(res);
+    this.ahead.record(this.responses.length - 1, this.responses.length);
     res.req.once('end', () => (this.requestBytes = this.input.parsed));
     // Either the caller asked for the end of the connection, or a response without a length will need it.
     if (!res.shouldKeepAlive || res.req.httpVersion === '1.0') {
       this.accepts = false;
+      this.dropWaiting();
     }
   }
 
@@ -74,7 +108,10 @@
    */
   remove(res: ServerResponse, nowMs: number): void {
     const index = this.responses.indexOf(res);
-    if (index >= 0) this.responses.splice(index, 1);
+    if (index >= 0) {
+      this.responses.splice(index, 1);
+      this.ahead.record(this.responses.length + 1, this.responses.length);
+    }
     this.idleSinceMs = nowMs;
   }
 
@@ -83,6 +120,7 @@
    * the others would stay in progress, and their targets would work on.
    */
   closeResponses(): void {
+    this.dropWaiting();
     for (const res of [...this.responses]) {
       res.destroy();
       res.emit('close');
@@ -97,7 +135,7 @@
    * @returns Whether the head has to announce that the connection closes.
    */
   closeAfter(res: ServerResponse): boolean {
-    if (this.responses.at(-1) !== res) return false;
+    if (this.waiting.length > 0 || this.responses.at(-1) !== res) return false;
     this.accepts = false;
     return true;
   }
@@ -137,8 +175,11 @@
       // The rest of a body may still arrive after a timeout.
       else res.req.pause();
     }
+    const before = this.responses.length;
     this.responses.splice(0, Infinity, ...pending);
-    return pending.length > 0;
+    this.ahead.record(before, pending.length);
+    if (this.waiting.at(-1)?.req.complete === false) this.waiting.pop();
+    return this.hasResponses;
   }
 
   /**
@@ -154,4 +195,13 @@
     this.accepts = false;
     return true;
   }
+
+  private dropWaiting(): void {
+    this.waiting.length = 0;
+    this.updateHold();
+  }
+
+  private updateHold(): void {
+    this.input.hold(this.waiting.length > 0);
+  }
 }
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -12,6 +12,7 @@
 } from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import {AheadLimit} from '../http/ahead-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
 import {PacedInput} from '../http/paced-input.js';
@@ -65,6 +66,7 @@
 export class GatewayServer {
   private readonly server: Server;
   private readonly pacer: InputPacer;
+  private readonly ahead = new AheadLimit();
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Whether each connection is closed at the end of its next response. */
   private closes = false;
@@ -184,7 +186,12 @@
   private onConnection(socket: Socket): void {
     const {clock} = this.parts;
     const input = new PacedInput(socket, this.pacer);
-    const connection = new CallerConnection(socket, input, clock.nowMs());
+    const connection = new CallerConnection(
+      socket,
+      input,
+      this.ahead,
+      clock.nowMs(),
+    );
     this.connections.set(socket, connection);
     lingerAtEnd(socket, input, clock);
     socket.once('close', () => {
@@ -194,25 +201,35 @@
   }
 
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const {clock, onDiscarded, onEnded, onRequest} = this.parts;
-    const {socket} = req;
-    const connection = this.connections.get(socket);
-    if (!connection?.isOpen) {
-      req.on('error', () => {});
-      req.resume();
-      onDiscarded(req);
-      connection?.discard();
+    const connection = this.connections.get(req.socket);
+    if (connection?.isOpen && connection.enqueue(res)) {
+      this.serveNext(connection);
       return;
     }
-    connection.add(res);
-    res.once('close', () => {
-      connection.remove(res, clock.nowMs());
-      if (connection.isOpen || connection.hasResponses) return;
-      if (socket.destroyed) return;
-      onEnded(connectionEnds.lastResponse);
-      socket.destroySoon();
-    });
-    onRequest(req, res);
+    req.on('error', () => {});
+    req.resume();
+    this.parts.onDiscarded(req);
+    connection?.discard();
+  }
+
+  /** Begins the requests of a connection that may begin. */
+  private serveNext(connection: CallerConnection): void {
+    const {clock, onEnded, onRequest} = this.parts;
+    for (;;) {
+      const res = connection.nextRequest();
+      if (!res) return;
+      const {socket} = res.req;
+      connection.add(res);
+      res.once('close', () => {
+        connection.remove(res, clock.nowMs());
+        if (socket.destroyed) return;
+        this.serveNext(connection);
+        if (connection.isOpen || connection.hasResponses) return;
+        onEnded(connectionEnds.lastResponse);
+        socket.destroySoon();
+      });
+      onRequest(res.req, res);
+    }
   }
 
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -28,6 +28,7 @@
   private isParsing = false;
   private isReading = true;
   private isPausedByParser = false;
+  private isHeld = false;
   private isStopped = false;
   private isDropped = false;
   /** Bytes that may still be received, and what to do beyond them. */
@@ -93,6 +94,17 @@
     this.allowance = {bytes, onExceeded};
   }
 
+  /**
+   * Keeps what arrives unparsed, or goes on parsing. The connection is read until some bytes wait, which shows in most cases
+   * when its caller leaves.
+   *
+   * @param isHeld - Whether no more may be parsed.
+   */
+  hold(isHeld: boolean): void {
+    this.isHeld = isHeld;
+    this.enqueue();
+  }
+
   /** Reads on without parsing, which shows when the caller leaves. */
   drop(): void {
     this.isDropped = true;
@@ -132,7 +144,7 @@
   }
 
   private get mayParse(): boolean {
-    if (this.isStopped || this.isPausedByParser) return false;
+    if (this.isStopped || this.isPausedByParser || this.isHeld) return false;
     return this.waiting > 0 && !this.socket.destroyed;
   }
 
