Bound the connections of callers, and replace the one idle for longest

Callers that opened connections without end took the descriptors that a host needs for its targets, other hosts and the store; at an entry host, idle connections up to its limit shut out all other callers.

Cause: GatewayServer had no limit of its connections, and CallerServer closed the newest one at its limit.

At the limit, the connection without a complete request for longest is closed for the new one; only if each has a complete request in progress is the new one closed. Both servers choose by longestIdle.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,6 +11,7 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
+import {longestIdle} from '../http/connection-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
 import {PacedInput} from '../http/paced-input.js';
@@ -63,6 +64,8 @@
   /** Numbers of requests that were not handled because their connection is closing. */
   private readonly ignored = new WeakMap<Socket, number>();
   private readonly inputs = new Map<Socket, PacedInput>();
+  /** Times since which connections have no request in progress, in milliseconds. */
+  private readonly idleSinceMs = new WeakMap<Socket, number>();
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -86,9 +89,14 @@
       connectionsCheckingInterval: checkIntervalMs,
       noDelay: true,
     });
-    this.server.maxConnections = cfg.maxConnections;
     const pacer = new InputPacer(parts.clock);
     this.server.on('connection', socket => {
+      if (!this.makeRoom()) {
+        parts.logger.event('connectionRejected', {code: 'TOO_MANY'});
+        socket.destroy();
+        return;
+      }
+      this.idleSinceMs.set(socket, parts.clock.nowMs());
       const input = new PacedInput(socket, pacer);
       this.inputs.set(socket, input);
       lingerAtEnd(socket, input, parts.clock);
@@ -164,6 +172,31 @@
     return aborted;
   }
 
+  /**
+   * Closes a connection if as many are open as may be.
+   *
+   * @returns Whether another one may be opened.
+   */
+  private makeRoom(): boolean {
+    if (this.inputs.size < this.cfg.maxConnections) return true;
+    const entries = [...this.inputs.keys()].map(
+      socket => [socket, this.incompleteSinceMs(socket)] as const,
+    );
+    const socket = longestIdle(entries);
+    if (!socket) return false;
+    this.parts.logger.event('connectionRejected', {code: 'REPLACED'});
+    socket.destroy();
+    this.inputs.delete(socket);
+    return true;
+  }
+
+  private incompleteSinceMs(socket: Socket): number | undefined {
+    for (const {req} of this.inProgress.get(socket) ?? []) {
+      if (req.complete) return undefined;
+    }
+    return this.idleSinceMs.get(socket);
+  }
+
   private untilIdle(drainMs: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.parts.clock.after(drainMs, resolve);
@@ -266,6 +299,7 @@
     tracked.add(res);
     res.once('close', () => {
       tracked.delete(res);
+      this.idleSinceMs.set(socket, this.parts.clock.nowMs());
       if (tracked.size === 0) this.inProgress.delete(socket);
       if (this.inProgress.size === 0) this.onIdle?.();
     });
--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -35,7 +35,7 @@
    * @param nowMs - Time of its opening, in milliseconds.
    */
   constructor(
-    private readonly socket: Socket,
+    readonly socket: Socket,
     readonly input: PacedInput,
     private readonly ahead: AheadLimit,
     nowMs: number,
@@ -54,6 +54,12 @@
     return this.responses.length > 0 || parsed + waiting > this.requestBytes;
   }
 
+  /** Time since which there is no complete request, in milliseconds; `undefined` if one is in progress. */
+  get incompleteSinceMs(): number | undefined {
+    const isComplete = this.responses.some(({req}) => req.complete);
+    return isComplete ? undefined : this.idleSinceMs;
+  }
+
   /** Whether a response is in progress or will be. */
   get hasResponses(): boolean {
     return this.responses.length + this.waiting.length > 0;
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -13,6 +13,7 @@
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
 import {AheadLimit} from '../http/ahead-limit.js';
+import {longestIdle} from '../http/connection-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
 import {PacedInput} from '../http/paced-input.js';
@@ -49,6 +50,8 @@
   readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Receives a request that arrived on a connection that accepts no more. */
   readonly onDiscarded: (req: IncomingMessage) => void;
+  /** Maximum number of open connections; no limit if absent. */
+  readonly maxConnections?: number;
   /** Counts a connection that this host ends. */
   readonly onEnded: (reason: ConnectionEnd) => void;
 }
@@ -185,6 +188,11 @@
 
   private onConnection(socket: Socket): void {
     const {clock} = this.parts;
+    if (!this.makeRoom()) {
+      this.parts.onEnded(connectionEnds.refused);
+      socket.destroy();
+      return;
+    }
     const input = new PacedInput(socket, this.pacer);
     const connection = new CallerConnection(
       socket,
@@ -200,6 +208,26 @@
     });
   }
 
+  /**
+   * Closes a connection if as many are open as may be.
+   *
+   * @returns Whether another one may be opened.
+   */
+  private makeRoom(): boolean {
+    const {maxConnections = Infinity} = this.parts;
+    if (this.connections.size < maxConnections) return true;
+    const entries = [...this.connections.values()].map(
+      each => [each, each.incompleteSinceMs] as const,
+    );
+    const connection = longestIdle(entries);
+    if (!connection) return false;
+    this.parts.onEnded(connectionEnds.replaced);
+    connection.stopAccepting();
+    connection.socket.destroy();
+    this.connections.delete(connection.socket);
+    return true;
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.connections.get(req.socket);
     if (connection?.isOpen && connection.enqueue(res)) {
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,6 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
 import {GatewayServer} from './connection/gateway/gateway-server.js';
+import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createStateServers} from './connection/peer/state-server.js';
@@ -202,6 +203,7 @@
   });
   const server = new GatewayServer(settings.callers, {
     clock,
+    maxConnections: maxCallerConnections(settings.limits),
     onRequest: (req, res) => handler.handle(req, res),
     onDiscarded: req => handler.discard(req),
     onEnded: reason => {
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -16,6 +16,10 @@
   noRequest: 'no-request',
   /** The body of a request went on for too long after the response. */
   unreadBody: 'unread-body',
+  /** Too many connections were open, and no request was complete on this one for longest. */
+  replaced: 'replaced',
+  /** Too many connections were open, each with a complete request. */
+  refused: 'refused',
   /** The host stopped while a response was in progress. */
   stopped: 'stopped',
 } as const;
@@ -27,6 +31,8 @@
 /** The {@link connectionEnds} at a limit that callers usually do not meet. */
 export const limitEnds: ReadonlySet<ConnectionEnd> = new Set<ConnectionEnd>([
   connectionEnds.unreadBody,
+  connectionEnds.replaced,
+  connectionEnds.refused,
 ]);
 
 import {
