Bound the connections, times and bodies of internal servers

The servers for the readiness probe, metrics and other hosts read bodies without an end, and kept any number of connections: a crowd on such an address took processor time, memory and descriptors of the host.

Cause: each was a plain server of Node.js with its defaults.

createInternalServer makes them all.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -1,9 +1,4 @@
-import {
-  Server,
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import {Server, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../../process/clock.js';
 import {
@@ -283,25 +278,3 @@
     socket.destroySoon();
   }
 }
-
-/**
- * Serves the readiness probe of the load balancer: 200 if the host is ready, 503 if not.
- *
- * @param endpoint - Address and port to listen on.
- * @param path - Path of the probe; other paths get 404.
- * @param isReady - Returns whether the host accepts new connections.
- * @returns The server, once it listens.
- */
-export async function serveReadiness(
-  endpoint: Endpoint,
-  path: string,
-  isReady: () => boolean,
-): Promise<Server> {
-  const server = createServer((req, res) => {
-    const isReadinessPath = req.url?.split('?', 1)[0] === path;
-    res.statusCode = isReadinessPath ? (isReady() ? 200 : 503) : 404;
-    res.end();
-  });
-  await listenOnce(server, endpoint);
-  return server;
-}
--- a/src/connection/gateway/open-addresses.ts
+++ b/src/connection/gateway/open-addresses.ts
@@ -4,7 +4,8 @@
 import type {WireFormat} from '../../request/gateway/wire-format.js';
 import {bindAddress, type BindParts} from '../http/listen.js';
 import type {StateServer} from '../peer/state-server.js';
-import {serveReadiness, type GatewayServer} from './gateway-server.js';
+import type {GatewayServer} from './gateway-server.js';
+import {serveReadiness} from './serve-readiness.js';
 
 /** What a gateway host listens with. */
 export interface AddressParts extends BindParts {
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -68,6 +68,11 @@
     return this.current.length + this.next.length;
   }
 
+  /** Whether what arrives is dropped. */
+  get isDropping(): boolean {
+    return this.isDropped;
+  }
+
   /**
    * Runs the handler of a request that was parsed; its time does not count as that of the input.
    *
--- a/src/connection/peer/state-server.ts
+++ b/src/connection/peer/state-server.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import type {
   Endpoint,
   GatewaySettings,
@@ -6,6 +6,7 @@
 import {decodeStateCopy} from '../../version/deployment/state-copy-codec.js';
 import type {StateCopy} from '../../version/deployment/state-copy.js';
 import {HttpClient} from '../http/http-client.js';
+import {createInternalServer} from '../http/internal-server.js';
 import {listenOnce} from '../http/listen.js';
 
 const statePath = '/internal/state';
@@ -39,7 +40,7 @@
       res.statusCode = 404;
       return '';
     };
-    this.server = createServer((req, res) => {
+    this.server = createInternalServer((req, res) => {
       void render(req.url, res)
         .catch((err: Error) => {
           process.emitWarning(err);
