Bound the memory of bodies over all callers of a gateway

What callers saw: a host whose callers send many bodies of legal size and stop short of their end takes as much memory as there are connections and is ended by the system; all requests on it are lost. A chunked body over the limit is read for ever, because its refusal waits for the end of the body.

Cause: the limit of a body was checked one request at a time, by a reader that waits for 'end'. Nothing bounded the sum.

Change: one reader charges the bytes of a body to the account of its connection as they arrive, never by the announced length. What does not fit, or is evicted for others, is refused as not run: 503 noMemory with a short Retry-After, since another host can take the request. A body over the limit is refused as soon as it exceeds it. A complete body stays charged until its request has ended, as retries need it.

Bytes of bodies are kept in blocks that are used again, because V8 frees the memory of old Buffers only when some 100 MB have gathered. Blocks are copied when they are sent: a socket may refer to what was written after the request has ended, when the block holds another body. A target connection is not used again if the rest of a body was not taken from its blocks. A small body that arrives at once is kept as before, without a copy.

--- a/src/connection/gateway/exchange.ts
+++ b/src/connection/gateway/exchange.ts
@@ -1,4 +1,5 @@
 import type {Dispatcher} from 'undici';
+import type {Body} from '../../process/body-blocks.js';
 import type {
   ResponseHead,
   WireFormat,
@@ -13,6 +14,8 @@
  * parser skips line breaks before a head and extensions of chunks without any limit.
  */
 const maxFillerBytes = 256 * 1024;
+/** Bodies in blocks up to this size are sent as one Buffer, in bytes. */
+const maxWholeBytes = 64 * 1024;
 
 /** Why an exchange with a target ended without a complete response. */
 export const exchangeFailures = {
@@ -40,7 +43,7 @@
   readonly path: string;
   /** Header names and values, alternating. */
   readonly headers: string[];
-  readonly body: Buffer;
+  readonly body: Body;
   /** Id that the response must echo. */
   readonly requestId: string;
 }
@@ -63,6 +66,8 @@
   private sent = false;
   private reset = false;
   private done = false;
+  /** Whether no further part of the body has to be read from its blocks. */
+  private isBodyRead = true;
   /** Bytes that the connection had received when the head or the last part of the body arrived. */
   private progressBytes = 0;
 
@@ -93,15 +98,14 @@
 
   /** Sends the request. */
   start(): void {
-    const {method, path, headers, body} = this.request;
+    const {method, path} = this.request;
     try {
       this.connection.dispatch(
         {
           // Callers may use any method; the type lists only the common ones.
           method: method as Dispatcher.HttpMethod,
           path,
-          headers,
-          body: body.length > 0 ? body : null,
+          ...this.content(),
         },
         {
           onRequestStart: controller => this.onStart(controller),
@@ -149,6 +153,23 @@
     if (!this.done) this.controller?.resume();
   }
 
+  /** Returns the headers and body in the form of undici. */
+  private content(): Pick<Dispatcher.DispatchOptions, 'headers' | 'body'> {
+    const {headers, body} = this.request;
+    if (body.length === 0) return {headers, body: null};
+    if (Buffer.isBuffer(body)) return {headers, body};
+    if (body.length <= maxWholeBytes) return {headers, body: body.toBuffer()};
+    this.isBodyRead = false;
+    const parts = body.copies(() => {
+      this.isBodyRead = true;
+    });
+    return {
+      headers: [...headers, 'content-length', String(body.length)],
+      // The type lists only streams, but iterables of Buffers are accepted as well.
+      body: parts as unknown as Dispatcher.DispatchOptions['body'],
+    };
+  }
+
   private onStart(controller: Dispatcher.DispatchController): void {
     const mayStart = !this.done && this.handler.maySend();
     if (mayStart) {
@@ -201,7 +222,8 @@
     if (head.framed) {
       this.connection.onReceived = () => {};
       // A second copy of a response without an id would count as the response to the next request.
-      const isReusable = !head.closes && head.requestId !== undefined;
+      const isReusable =
+        !head.closes && head.requestId !== undefined && this.isBodyRead;
       if (!isReusable) this.connection.close('connection not reusable');
       else this.connections.release(this.connection);
       this.complete();
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -3,6 +3,7 @@
 import {GatewayServer} from './connection/gateway/gateway-server.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
+import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
 import type {SharedStore} from './connection/store/shared-store.js';
 import {every, SystemClock, type Clock} from './process/clock.js';
@@ -181,6 +182,8 @@
     lastHeardMs: () => peers.lastHeardMs(clock.nowMs()),
     onLocalCrash: () => gossip.sendSoon(),
   });
+  const reporting = {clock, metrics, decisions};
+  const memory = createCallerMemory(settings.limits, reporting);
   const handler = new GatewayHandler({
     clock,
     random,
@@ -196,6 +199,7 @@
     decisions,
     crashWatch: crashes.watch,
     routes: () => routes,
+    memory,
     closesAfter: (res, isRequired) => server.closesAfter(res, isRequired),
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -156,6 +156,11 @@
     level: 'info',
     message: 'request not run because its connection was ended before',
   },
+  callerMemoryEvicted: {
+    id: 7309,
+    level: 'warn',
+    message: 'bytes that a caller held were given up for others',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/process/memory-budget.ts
+++ b/src/process/memory-budget.ts
@@ -70,11 +70,11 @@
   /**
    * Opens the account of a connection.
    *
-   * @param onEvict - Called when the bytes of a kind were taken from the account. It drops the buffers, ends what they
+   * @param onEvict - Called with a kind and its bytes when these were taken from the account. It drops the buffers, ends what they
    *   were for, and does not release these bytes again.
    * @returns The account, which holds nothing.
    */
-  open(onEvict: (kind: EvictableKind) => void): MemoryAccount {
+  open(onEvict: (kind: EvictableKind, bytes: number) => void): MemoryAccount {
     const account = new MemoryAccount(
       {
         fit: (asker, bytes, kind, nowMs) => this.fit(asker, bytes, kind, nowMs),
@@ -180,7 +180,7 @@
    */
   constructor(
     private readonly budget: AccountBudget,
-    private readonly onEvict: (kind: EvictableKind) => void,
+    private readonly onEvict: (kind: EvictableKind, bytes: number) => void,
   ) {}
 
   /** Sum of the bytes held. */
@@ -271,8 +271,9 @@
    * @param kind - Kind to evict.
    */
   evict(kind: EvictableKind): void {
-    this.change(-this[kind].bytes, 0, kind);
-    this.onEvict(kind);
+    const {bytes} = this[kind];
+    this.change(-bytes, 0, kind);
+    this.onEvict(kind, bytes);
   }
 
   private heldOf(kind: HeldKind): number {
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {Body} from '../../process/body-blocks.js';
 import type {Clock} from '../../process/clock.js';
 import type {CrashWatch} from '../../process/crashes/crash-watch.js';
 import type {DecisionLog} from '../../process/decision-log.js';
@@ -46,7 +47,7 @@
   readonly head: CallerHead;
   readonly method: string;
   readonly url: string;
-  readonly body: Buffer;
+  readonly body: Body;
   readonly route: Route;
   readonly service: string;
   /** Tokens in one event of the service's streams; 1 for plain services. */
@@ -74,7 +75,7 @@
   route,
   head,
   arrivedMs,
-}: AdmittedRequest): number {
+}: Pick<AdmittedRequest, 'route' | 'head' | 'arrivedMs'>): number {
   return arrivedMs + Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
 }
 
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -1,5 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {ByteBuffer} from '../../process/byte-buffer.js';
+import type {CallerMemory} from '../../connection/http/caller-memory.js';
+import {
+  readBody,
+  type BodyFailure,
+} from '../../connection/http/request-body.js';
+import type {Body} from '../../process/body-blocks.js';
 import {every, type Cancel} from '../../process/clock.js';
 import {
   chooseService,
@@ -16,6 +21,7 @@
 import type {RefusalName} from './refusal-reasons.js';
 import {sendRefusal} from './refuse-request.js';
 import {LateChecks} from './stalled-attempt.js';
+import {computeRetryAfterMs} from './wait-policy.js';
 import type {CallerHead} from './wire-format.js';
 
 /** Interval at which open requests are checked for stalled targets, in milliseconds. */
@@ -29,6 +35,8 @@
 /** Dependencies of the handler. */
 export interface GatewayHandlerParts extends GatewayRequestParts {
   readonly routes: () => RouteTable | undefined;
+  /** Memory that callers hold. */
+  readonly memory: CallerMemory;
 }
 
 /** Admits callers' requests and tracks the open ones. */
@@ -103,8 +111,7 @@
       return this.refuse(req, res, head, 'bodyTooLarge');
     }
     const method = req.method ?? 'GET';
-    readBody(req, maxBodyBytes, body => {
-      if (!body) return this.refuse(req, res, head, 'bodyTooLarge');
+    const onBody = (body: Body, release: () => void) => {
       const content = {head, method, url, body, service, organisation};
       const admitted = {
         ...content,
@@ -114,14 +121,27 @@
         arrivedMs,
       };
       if (this.mayBeCutOff(admitted)) {
+        release();
         return this.refuse(req, res, head, 'stopping', stoppingRetryAfterMs);
       }
-      const request = new GatewayRequest(this.parts, admitted, res, done =>
-        this.open.delete(done),
-      );
+      const request = new GatewayRequest(this.parts, admitted, res, done => {
+        this.open.delete(done);
+        release();
+      });
       this.open.add(request);
       request.start();
-    });
+    };
+    const onFailure = (failure: BodyFailure) => {
+      if (failure === 'tooLarge') {
+        return this.refuse(req, res, head, 'bodyTooLarge');
+      }
+      const {clock, random} = this.parts;
+      const deadlineAtMs = computeDeadlineAtMs({route, head, arrivedMs});
+      const remainingMs = Math.max(0, deadlineAtMs - clock.nowMs());
+      const returnMs = computeRetryAfterMs(0, remainingMs, random());
+      this.refuse(req, res, head, 'noMemory', returnMs);
+    };
+    readBody(req, maxBodyBytes, this.parts.memory, {onBody, onFailure});
   }
 
   /**
@@ -152,25 +172,9 @@
     metrics.refused(name);
     decisions.log('gatewayRefused', {request: head.requestId, reason: name});
     // The parser would take the unread rest of a body for the next request, so the connection closes.
-    const isUnread = !req.complete && name === 'bodyTooLarge';
+    const isUnread =
+      !req.complete && (name === 'bodyTooLarge' || name === 'noMemory');
     req.resume();
     sendRefusal(res, name, retryAfterMs, closesAfter(res, isUnread));
   }
 }
-
-/** Reads a body; passes `undefined` if it exceeds the limit, and never calls back if it is cut short. */
-function readBody(
-  req: IncomingMessage,
-  maxBytes: number,
-  onBody: (body: Buffer | undefined) => void,
-): void {
-  const body = new ByteBuffer();
-  let isTooLarge = false;
-  req.on('error', () => {});
-  req.on('data', (chunk: Buffer) => {
-    isTooLarge ||= body.length + chunk.length > maxBytes;
-    if (isTooLarge) body.clear();
-    else body.append(chunk);
-  });
-  req.on('end', () => onBody(isTooLarge ? undefined : body.take()));
-}
--- a/src/request/gateway/refusal-reasons.ts
+++ b/src/request/gateway/refusal-reasons.ts
@@ -12,6 +12,7 @@
   },
   headersTooLarge: {status: 431, text: 'the headers are too large'},
   bodyTooLarge: {status: 413, text: 'the body is too large'},
+  noMemory: {status: 503, text: 'the host has no memory left for the body'},
   noRoute: {status: 404, text: 'no route matches the host and path'},
   unknownKey: {status: 401, text: 'the API key is not known'},
   overQuota: {status: 429, text: 'the quota of the organisation is used up'},
--- a/src/request/gateway/request-fingerprints.ts
+++ b/src/request/gateway/request-fingerprints.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import type {Body} from '../../process/body-blocks.js';
 import type {AdmittedRequest} from './admitted-request.js';
 
 /**
@@ -41,9 +42,13 @@
   ];
 }
 
-function hash(texts: readonly string[], body?: Buffer): string {
+function hash(texts: readonly string[], body?: Body): string {
   // The separator cannot occur in headers, so different lists do not hash alike.
   const sha = createHash('sha1').update(texts.join('\n'));
-  if (body) sha.update('\n').update(body);
+  if (body) {
+    sha.update('\n');
+    if (Buffer.isBuffer(body)) sha.update(body);
+    else for (const part of body.views()) sha.update(part);
+  }
   return sha.digest('base64url').slice(0, hashLength);
 }
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -187,7 +187,7 @@
   options: {
     method?: string;
     headers?: Record<string, string>;
-    body?: string;
+    body?: string | Buffer;
     onData?: (text: string, disconnect: () => void) => void;
     signal?: AbortSignal;
   } = {},
--- a/test/gateway/view-at-send.test.ts
+++ b/test/gateway/view-at-send.test.ts
@@ -4,6 +4,7 @@
 import {PlatformWireFormat} from '../../platform/wire-format.js';
 import {TcpTargetProbe} from '../../src/connection/gateway/target-probe.js';
 import {GatewayServer} from '../../src/connection/gateway/gateway-server.js';
+import {createCallerMemory} from '../../src/connection/http/create-caller-memory.js';
 import {SystemClock} from '../../src/process/clock.js';
 import {createCrashControl} from '../../src/process/crashes/crash-control.js';
 import {DecisionLog} from '../../src/process/decision-log.js';
@@ -23,6 +24,7 @@
 import {
   bounds,
   configuration,
+  hostLimits,
   sendRequest,
   startHttpTarget,
   targetChange,
@@ -37,6 +39,7 @@
   const clock = new SystemClock();
   const logger = Logger.create('silent');
   const metrics = new GatewayMetrics();
+  const decisions = new DecisionLog(logger, () => clock.nowMs());
   const state = new DeploymentState();
   const routes = () => new RouteTable(configuration);
   const canaryRouter = new CanaryRouter(0.1);
@@ -79,12 +82,13 @@
     canaryEvaluator: new CanaryEvaluator(),
     stats: new RouteStats(),
     metrics,
-    decisions: new DecisionLog(logger, () => clock.nowMs()),
+    decisions,
     crashWatch: crashes.watch,
     routes,
     closesAfter: () => false,
     stopsAtMs: () => Infinity,
     eventDelayMs: 0,
+    memory: createCallerMemory(hostLimits, {clock, metrics, decisions}),
   });
 }
 
