--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -161,6 +161,11 @@
     level: 'info',
     message: 'connection of a caller ended at a limit',
   },
+  callerMemoryEvicted: {
+    id: 7309,
+    level: 'warn',
+    message: 'bytes that a caller held were given up for others',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
