--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,31 +11,15 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
-import {inputRead} from '../gateway/input-read.js';
+import {inputRead} from '../http/input-read.js';
+import {acceptWaiting} from '../http/accept-waiting.js';
+import {longestIdle} from '../http/connection-limit.js';
+import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
+import {PacedInput} from '../http/paced-input.js';
+import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
-
-/** Handles the requests for one path or a group of paths. */
-export abstract class RouteHandler {
-  /** Whether the handler also serves requests while the host drains. */
-  readonly servesWhileDraining: boolean = false;
-
-  /**
-   * Checks whether this handler serves a path.
-   *
-   * @param path - Path without query.
-   * @returns Whether requests for the path go to this handler.
-   */
-  abstract matches(path: string): boolean;
-
-  /**
-   * Responds to a request.
-   *
-   * @param req - Request whose body was not read yet.
-   * @param res - Response whose head was not sent yet.
-   */
-  abstract handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
-}
+import type {RouteHandler} from './route-handler.js';
 
 /** Process-wide objects that the server uses. */
 export interface CallerServerParts {
@@ -53,9 +37,6 @@
 /** Timeout for delivering the refusal of a malformed request, in milliseconds. */
 const refusalFlushMs = 1000;
 
-/** Maximum number of connections that wait to be accepted; the default of Node.js. */
-const maxBacklog = 511;
-
 /** HTTP/1.1 server for callers and operators. */
 export class CallerServer {
   private readonly server: Server;
@@ -63,9 +44,11 @@
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
   /** Numbers of requests that were not handled because their connection is closing. */
   private readonly ignored = new WeakMap<Socket, number>();
-  private sockets = 0;
   /** Number of connections accepted since the start. */
   private accepted = 0;
+  private readonly inputs = new Map<Socket, PacedInput>();
+  /** Times since which connections have no request in progress, in milliseconds. */
+  private readonly idleSinceMs = new WeakMap<Socket, number>();
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -89,19 +72,27 @@
       connectionsCheckingInterval: checkIntervalMs,
       noDelay: true,
     });
-    this.server.maxConnections = cfg.maxConnections;
+    const pacer = new InputPacer(parts.clock);
     this.server.on('connection', socket => {
-      this.sockets++;
       this.accepted++;
+      if (!this.makeRoom()) {
+        parts.logger.event('connectionRejected', {code: 'TOO_MANY'});
+        socket.destroy();
+        return;
+      }
+      this.idleSinceMs.set(socket, parts.clock.nowMs());
+      const input = new PacedInput(socket, pacer);
+      this.inputs.set(socket, input);
+      lingerAtEnd(socket, input, parts.clock);
       socket.once('close', () => {
-        this.sockets--;
+        this.inputs.delete(socket);
         process.nextTick(() => this.closeQueued(socket));
       });
     });
     parts.metrics.gauge(
       'guavaseam_caller_connections',
       'Open connections of callers and operators',
-      () => this.sockets,
+      () => this.connections,
     );
     parts.metrics.gauge(
       'guavaseam_caller_requests',
@@ -109,14 +100,16 @@
       () => this.requests,
     );
     this.server.on('timeout', socket => void closeIdle(socket));
-    this.server.on('request', (req, res) => void this.route(req, res));
+    const route = (req: IncomingMessage, res: ServerResponse) =>
+      this.inputs.get(req.socket)?.handle(req, () => void this.route(req, res));
+    this.server.on('request', route);
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
       const length = Number(req.headers['content-length'] ?? 0);
       if (length <= cfg.maxBodyBytes && !this.isClosing(req.socket)) {
         res.writeContinue();
       }
-      void this.route(req, res);
+      route(req, res);
     });
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket),
@@ -125,7 +118,7 @@
 
   /** Number of open connections. */
   get connections(): number {
-    return this.sockets;
+    return this.inputs.size;
   }
 
   /** Number of requests in progress. */
@@ -156,7 +149,7 @@
     const endMs = clock.nowMs() + drainMs;
     this.draining = true;
     for (const responses of this.inProgress.values()) announceClose(responses);
-    await this.acceptWaiting();
+    await acceptWaiting(() => this.accepted);
     do {
       const leftMs = Math.max(0, endMs - clock.nowMs());
       if (this.inProgress.size > 0) await this.untilIdle(leftMs);
@@ -173,16 +166,28 @@
   }
 
   /**
-   * Accepts the connections that are open already, and reads their requests; the end of listening would reset them. Callers
-   * that connect again after a refusal do not prolong it beyond the number of connections that can have waited.
+   * Closes a connection if as many are open as may be.
+   *
+   * @returns Whether another one may be opened.
    */
-  private async acceptWaiting(): Promise<void> {
-    const first = this.accepted;
-    let before: number;
-    do {
-      before = this.accepted;
-      await inputRead();
-    } while (this.accepted > before && before - first < maxBacklog);
+  private makeRoom(): boolean {
+    if (this.inputs.size < this.cfg.maxConnections) return true;
+    const entries = [...this.inputs.keys()].map(
+      socket => [socket, this.incompleteSinceMs(socket)] as const,
+    );
+    const socket = longestIdle(entries);
+    if (!socket) return false;
+    this.parts.logger.event('connectionRejected', {code: 'REPLACED'});
+    socket.destroy();
+    this.inputs.delete(socket);
+    return true;
+  }
+
+  private incompleteSinceMs(socket: Socket): number | undefined {
+    for (const {req} of this.inProgress.get(socket) ?? []) {
+      if (req.complete) return undefined;
+    }
+    return this.idleSinceMs.get(socket);
   }
 
   private untilIdle(drainMs: number): Promise<void> {
@@ -201,6 +206,7 @@
   ): Promise<void> {
     if (this.isClosing(req.socket)) return this.ignore(req);
     const pipelined = this.track(req.socket, res);
+    res.once('finish', () => this.limitRest(req));
     // A connection reset by the caller is handled by the `close` event.
     res.on('error', () => {});
     const path = (req.url ?? '/').split('?', 1)[0];
@@ -245,6 +251,18 @@
     if (count > maxPipelined) socket.pause();
   }
 
+  /** Ends the connection of a request if its body goes on for too long after the response. */
+  private limitRest(req: IncomingMessage): void {
+    const {socket} = req;
+    const input = this.inputs.get(socket);
+    if (req.complete || !input) return;
+    limitRest(req, input, this.parts.clock, () => {
+      if (!socket.writable) return;
+      this.parts.logger.event('connectionRejected', {code: 'UNREAD_BODY'});
+      socket.destroySoon();
+    });
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
@@ -274,6 +292,7 @@
     tracked.add(res);
     res.once('close', () => {
       tracked.delete(res);
+      this.idleSinceMs.set(socket, this.parts.clock.nowMs());
       if (tracked.size === 0) this.inProgress.delete(socket);
       if (this.inProgress.size === 0) this.onIdle?.();
     });
--- a/src/connection/caller/health-handler.ts
+++ b/src/connection/caller/health-handler.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Metrics} from '../../process/metrics.js';
-import {RouteHandler} from './caller-server.js';
+import {RouteHandler} from './route-handler.js';
 
 /** Serves `/healthz`, `/readyz` and `/metrics`. */
 export class HealthHandler extends RouteHandler {
--- a/src/connection/caller/resource-handler.ts
+++ b/src/connection/caller/resource-handler.ts
@@ -19,7 +19,7 @@
   computeStatus,
   type StatusParts,
 } from '../../version/status/resource-status.js';
-import {RouteHandler} from './caller-server.js';
+import {RouteHandler} from './route-handler.js';
 import {authenticateOperator} from './resource-auth.js';
 import {sendFailure} from './resource-problem.js';
 import {
--- a/src/connection/gateway/caller-connection.ts
+++ b/src/connection/gateway/caller-connection.ts
@@ -1,5 +1,12 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import type {AheadLimit} from '../http/ahead-limit.js';
+import type {PacedInput} from '../http/paced-input.js';
+
+/** Number of requests that wait on a connection at most; they have been parsed together. */
+const maxWaiting = 32;
+/** Number of requests that are parsed on a connection after its end; each takes memory until the close. */
+const maxDiscarded = 16;
 
 /**
  * One connection of a caller: the requests in progress on it, and whether it accepts more.
@@ -10,20 +17,27 @@
 export class CallerConnection {
   /** Responses in progress, in the order of their requests. */
   private readonly responses: ServerResponse[] = [];
+  /** Responses of requests that wait until an earlier one has ended. */
+  private readonly waiting: ServerResponse[] = [];
   private accepts = true;
+  private discarded = 0;
   /** Whether the parser cannot continue. */
   private isInputRejected = false;
-  /** Bytes received up to the end of the last request; more than that are the start of another one. */
+  /** Bytes parsed up to the end of the last request; more than that are the start of another one. */
   private requestBytes = 0;
   /** Time since which no request is in progress, in milliseconds. */
   idleSinceMs: number;
 
   /**
    * @param socket - Connection to the caller.
+   * @param input - Its input.
+   * @param ahead - Limit of the requests in progress.
    * @param nowMs - Time of its opening, in milliseconds.
    */
   constructor(
-    private readonly socket: Socket,
+    readonly socket: Socket,
+    readonly input: PacedInput,
+    private readonly ahead: AheadLimit,
     nowMs: number,
   ) {
     this.idleSinceMs = nowMs;
@@ -36,27 +50,59 @@
 
   /** Whether a request is in progress, or a part of one has arrived. */
   get isBusy(): boolean {
-    return (
-      this.responses.length > 0 || this.socket.bytesRead > this.requestBytes
-    );
+    const {parsed, waiting} = this.input;
+    return this.responses.length > 0 || parsed + waiting > this.requestBytes;
+  }
+
+  /** Time since which there is no complete request, in milliseconds; `undefined` if one is in progress. */
+  get incompleteSinceMs(): number | undefined {
+    const isComplete = this.responses.some(({req}) => req.complete);
+    return isComplete ? undefined : this.idleSinceMs;
   }
 
-  /** Whether a response is in progress. */
+  /** Whether a response is in progress or will be. */
   get hasResponses(): boolean {
-    return this.responses.length > 0;
+    return this.responses.length + this.waiting.length > 0;
+  }
+
+  /**
+   * Keeps a request that arrived while the connection is open until {@link nextRequest} returns it; no more are parsed
+   * until then.
+   *
+   * @param res - Its response.
+   * @returns Whether it is kept; if not, it is not handled, and the connection accepts no more.
+   */
+  enqueue(res: ServerResponse): boolean {
+    if (this.waiting.length >= maxWaiting) {
+      this.accepts = false;
+      return false;
+    }
+    this.waiting.push(res);
+    this.updateHold();
+    return true;
+  }
+
+  /** @returns The response of the next request that may begin, if there is one. */
+  nextRequest(): ServerResponse | undefined {
+    if (!this.ahead.mayBegin(this.responses.length)) return undefined;
+    const next = this.waiting.shift();
+    this.updateHold();
+    return next;
   }
 
   /**
-   * Adds a request that arrived while the connection is open.
+   * Begins a request.
    *
    * @param res - Its response.
    */
   add(res: ServerResponse): void {
     this.responses.push(res);
-    res.req.once('end', () => (this.requestBytes = this.socket.bytesRead));
+    this.ahead.record(this.responses.length - 1, this.responses.length);
+    res.req.once('end', () => (this.requestBytes = this.input.parsed));
     // Either the caller asked for the end of the connection, or a response without a length will need it.
     if (!res.shouldKeepAlive || res.req.httpVersion === '1.0') {
       this.accepts = false;
+      this.dropWaiting();
     }
   }
 
@@ -68,7 +114,10 @@
    */
   remove(res: ServerResponse, nowMs: number): void {
     const index = this.responses.indexOf(res);
-    if (index >= 0) this.responses.splice(index, 1);
+    if (index >= 0) {
+      this.responses.splice(index, 1);
+      this.ahead.record(this.responses.length + 1, this.responses.length);
+    }
     this.idleSinceMs = nowMs;
   }
 
@@ -77,6 +126,7 @@
    * the others would stay in progress, and their targets would work on.
    */
   closeResponses(): void {
+    this.dropWaiting();
     for (const res of [...this.responses]) {
       res.destroy();
       res.emit('close');
@@ -91,11 +141,27 @@
    * @returns Whether the head has to announce that the connection closes.
    */
   closeAfter(res: ServerResponse): boolean {
-    if (this.responses.at(-1) !== res) return false;
+    if (this.waiting.length > 0 || this.responses.at(-1) !== res) return false;
     this.accepts = false;
     return true;
   }
 
+  /**
+   * Accepts no more requests.
+   *
+   * @returns Whether it accepted none before.
+   */
+  stopAccepting(): boolean {
+    const wasClosed = !this.isOpen;
+    this.accepts = false;
+    return wasClosed;
+  }
+
+  /** Counts a request that arrived after the end of the connection; beyond some, the rest of the input is dropped. */
+  discard(): void {
+    if (++this.discarded > maxDiscarded) this.input.drop();
+  }
+
   /** Whether bytes that are no request have arrived. */
   get hasRejectedInput(): boolean {
     return this.isInputRejected;
@@ -115,8 +181,11 @@
       // The rest of a body may still arrive after a timeout.
       else res.req.pause();
     }
+    const before = this.responses.length;
     this.responses.splice(0, Infinity, ...pending);
-    return pending.length > 0;
+    this.ahead.record(before, pending.length);
+    if (this.waiting.at(-1)?.req.complete === false) this.waiting.pop();
+    return this.hasResponses;
   }
 
   /**
@@ -132,4 +201,13 @@
     this.accepts = false;
     return true;
   }
+
+  private dropWaiting(): void {
+    this.waiting.length = 0;
+    this.updateHold();
+  }
+
+  private updateHold(): void {
+    this.input.hold(this.waiting.length > 0);
+  }
 }
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,11 +1,13 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
 import {GatewayServer} from './connection/gateway/gateway-server.js';
+import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
+import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
-import type {SharedStore} from './connection/store/shared-store.js';
-import {every, SystemClock, type Clock} from './process/clock.js';
+import type {GatewayHost, GatewayHostParts} from './gateway-host.js';
+import {every, SystemClock} from './process/clock.js';
 import {createCrashControl} from './process/crashes/crash-control.js';
 import {DecisionLog} from './process/decision-log.js';
 import {gossipIntervalMs} from './process/fleet/gossip-interval.js';
@@ -15,7 +17,7 @@
 import {PeerStateSync} from './process/fleet/peer-state-sync.js';
 import {rendezvousRank} from './process/fleet/rendezvous.js';
 import {declareGauges} from './process/gateway-gauges.js';
-import {GatewayMetrics} from './process/gateway-metrics.js';
+import {GatewayMetrics, limitEnds} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {QuotaBuckets} from './process/limits/quota-buckets.js';
 import {createRandom} from './process/random.js';
@@ -27,8 +29,6 @@
 import {Dispatcher} from './request/gateway/dispatcher.js';
 import {GatewayHandler} from './request/gateway/gateway-handler.js';
 import {RouteStats} from './request/gateway/route-stats.js';
-import type {OverdueSink} from './request/gateway/open-request-check.js';
-import type {WireFormat} from './request/gateway/wire-format.js';
 import {DeploymentState} from './version/deployment/deployment-state.js';
 import {RolloutController} from './version/deployment/rollout-controller.js';
 import {RouteTable} from './version/deployment/route-table.js';
@@ -53,22 +53,6 @@
 /** Assumed number of hosts while no other is known, so that this host uses a small share of a quota. */
 const assumedHosts = 16;
 
-/** Dependencies of a gateway host that the platform or a test provides. */
-export interface GatewayHostParts {
-  readonly store: SharedStore;
-  readonly wire: WireFormat;
-  readonly clock?: Clock;
-  readonly logger?: Logger;
-  readonly overdueSink?: OverdueSink;
-}
-
-/** A gateway host: accepts requests of callers and forwards them to targets. */
-export interface GatewayHost {
-  start(): Promise<void>;
-  /** Reports not ready, completes open requests and ends within the deployment's time limit. */
-  stop(): Promise<void>;
-}
-
 /**
  * Creates a gateway host and connects its components.
  *
@@ -183,6 +167,8 @@
     lastHeardMs: () => peers.lastHeardMs(clock.nowMs()),
     onLocalCrash: () => gossip.sendSoon(),
   });
+  const reporting = {clock, metrics, decisions};
+  const memory = createCallerMemory(settings.limits, reporting);
   const handler = new GatewayHandler({
     clock,
     random,
@@ -199,15 +185,20 @@
     crashWatch: crashes.watch,
     routes: () => routes,
     overdueSink: overrides.overdueSink,
+    memory,
     closesAfter: (res, isRequired) => server.closesAfter(res, isRequired),
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
   const server = new GatewayServer(settings.callers, {
     clock,
+    maxConnections: maxCallerConnections(settings.limits),
     onRequest: (req, res) => handler.handle(req, res),
     onDiscarded: req => handler.discard(req),
-    onEnded: reason => metrics.connectionEnded(reason),
+    onEnded: reason => {
+      metrics.connectionEnded(reason);
+      if (limitEnds.has(reason)) decisions.log('connectionLimited', {reason});
+    },
   });
   const gossip = new GossipTask({
     clock,
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -161,6 +161,16 @@
     level: 'error',
     message: 'response to a request has not ended when it should have',
   },
+  connectionLimited: {
+    id: 7309,
+    level: 'info',
+    message: 'connection of a caller ended at a limit',
+  },
+  callerMemoryEvicted: {
+    id: 7310,
+    level: 'warn',
+    message: 'bytes that a caller held were given up for others',
+  },
   trialBegun: {
     id: 7401,
     level: 'info',
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -23,6 +23,12 @@
   timeoutInRequest: 'timeout-in-request',
   /** The bytes of the caller are no request. */
   noRequest: 'no-request',
+  /** The body of a request went on for too long after the response. */
+  unreadBody: 'unread-body',
+  /** Too many connections were open, and no request was complete on this one for longest. */
+  replaced: 'replaced',
+  /** Too many connections were open, each with a complete request. */
+  refused: 'refused',
   /** The host stopped while a response was in progress. */
   stopped: 'stopped',
 } as const;
@@ -31,6 +37,13 @@
 export type ConnectionEnd =
   (typeof connectionEnds)[keyof typeof connectionEnds];
 
+/** The {@link connectionEnds} at a limit that callers usually do not meet. */
+export const limitEnds: ReadonlySet<ConnectionEnd> = new Set<ConnectionEnd>([
+  connectionEnds.unreadBody,
+  connectionEnds.replaced,
+  connectionEnds.refused,
+]);
+
 import {
   createLatencyHistogram,
   MetricRegistry,
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {RouteHandler} from '../connection/caller/caller-server.js';
+import {RouteHandler} from '../connection/caller/route-handler.js';
 import {requestHeaders} from '../connection/caller/headers.js';
 import {HttpResponseSink} from '../connection/caller/http-response-sink.js';
 import {
--- a/test/connection/caller/caller-fixture.ts
+++ b/test/connection/caller/caller-fixture.ts
@@ -1,11 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {TestContext} from 'node:test';
-import {
-  CallerServer,
-  RouteHandler,
-} from '../../../src/connection/caller/caller-server.js';
+import {CallerServer} from '../../../src/connection/caller/caller-server.js';
 import {HealthHandler} from '../../../src/connection/caller/health-handler.js';
 import {readBody} from '../../../src/connection/caller/request-body.js';
+import {RouteHandler} from '../../../src/connection/caller/route-handler.js';
 import {UnknownPathHandler} from '../../../src/connection/caller/unknown-path-handler.js';
 import {SystemClock} from '../../../src/process/clock.js';
 import {Logger} from '../../../src/process/logger.js';
--- a/test/gateway/crashing-requests.test.ts
+++ b/test/gateway/crashing-requests.test.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {feeds} from '../../src/connection/store/shared-store.js';
-import type {GatewayHost} from '../../src/gateway-wiring.js';
+import type {GatewayHost} from '../../src/gateway-host.js';
 import {ManualClock} from '../../stand-ins/manual-clock.js';
 import {
   configuration,
--- a/test/gateway/gateway-fakes.ts
+++ b/test/gateway/gateway-fakes.ts
@@ -9,11 +9,13 @@
 import {freePort} from '../../stand-ins/free-port.js';
 import {PlatformWireFormat} from '../../platform/wire-format.js';
 import type {SharedStore} from '../../src/connection/store/shared-store.js';
-import {createGatewayHost, type GatewayHost} from '../../src/gateway-wiring.js';
+import type {GatewayHost} from '../../src/gateway-host.js';
+import {createGatewayHost} from '../../src/gateway-wiring.js';
 import type {Clock} from '../../src/process/clock.js';
 import type {
   Bounds,
   GatewaySettings,
+  HostLimits,
 } from '../../src/process/gateway-settings.js';
 import {Logger} from '../../src/process/logger.js';
 import {ThrowingOverdueSink} from '../../src/request/gateway/open-request-check.js';
@@ -103,6 +105,12 @@
   eventDelayMs: 120,
 };
 
+/** Limits of a host. */
+export const hostLimits: HostLimits = {
+  memoryBytes: 350_000_000,
+  maxDescriptors: 4100,
+};
+
 export function targetChange(id: string, address: string, slots = 4): Change {
   const entry = {
     id,
@@ -146,6 +154,7 @@
     firstStart: true,
     store: {address, port: 1},
     bounds,
+    limits: hostLimits,
     ...options.change,
   };
   const gateway = createGatewayHost(settings, {
@@ -181,7 +190,7 @@
   options: {
     method?: string;
     headers?: Record<string, string>;
-    body?: string;
+    body?: string | Buffer;
     onData?: (text: string, disconnect: () => void) => void;
     signal?: AbortSignal;
   } = {},
--- a/test/gateway/random-requests/fake-caller.ts
+++ b/test/gateway/random-requests/fake-caller.ts
@@ -26,10 +26,10 @@
   private partsLeft: number;
   private readonly requestSide = new EventEmitter();
   private readonly responseSide = new EventEmitter();
-  private readonly socket = {
+  private readonly socket = Object.assign(new EventEmitter(), {
     destroyed: false,
     resetAndDestroy: () => this.destroy(),
-  };
+  });
 
   /**
    * @param request - What is sent.
@@ -127,6 +127,10 @@
     this.socket.destroyed = true;
     Object.assign(this.req, {destroyed: true});
     this.close();
+    this.later(() => {
+      this.requestSide.emit('close');
+      this.socket.emit('close');
+    });
   }
 
   private close(): void {
--- a/test/gateway/random-requests/world.ts
+++ b/test/gateway/random-requests/world.ts
@@ -1,4 +1,5 @@
 import {PlatformWireFormat} from '../../../platform/wire-format.js';
+import {createCallerMemory} from '../../../src/connection/http/create-caller-memory.js';
 import type {TargetConnectionPool} from '../../../src/connection/gateway/target-connections.js';
 import {
   probeResults,
@@ -29,7 +30,7 @@
   Configuration,
 } from '../../../src/version/deployment/types.js';
 import {ManualClock} from '../../../stand-ins/manual-clock.js';
-import {bounds, targetChange} from '../gateway-fakes.js';
+import {bounds, hostLimits, targetChange} from '../gateway-fakes.js';
 import {FakeCaller, type CallerRequest} from './fake-caller.js';
 import {FakeConnections} from './fake-connections.js';
 
@@ -154,6 +155,11 @@
       crashWatch: watch,
       routes: () => this.routes,
       overdueSink: new ThrowingOverdueSink(),
+      memory: createCallerMemory(hostLimits, {
+        clock,
+        metrics,
+        decisions: this.decisions,
+      }),
       closesAfter: () => this.stopsAtMs < Infinity,
       stopsAtMs: () => this.stopsAtMs,
       eventDelayMs: bounds.eventDelayMs,
