Charge unfinished heads and unparsed input to the memory for callers

Callers could make a host hold up to 64 KiB of an unfinished head, and up to 96 KiB of requests that wait, on each connection, limited by nobody over all of them.

The input of a connection reports in units of 4 KiB what it holds beside bodies, and GatewayServer charges it to the account of the connection. If it does not fit, the connection is closed, after the responses that are due.

The rest of a body with a known length that arrived in one read is parsed at once now, so that it does not count as waiting and costs no further turn of the event loop.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -7,6 +7,7 @@
 } from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import type {CallerMemory} from '../http/caller-memory.js';
 import {AheadLimit} from '../http/ahead-limit.js';
 import {longestIdle} from '../http/connection-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
@@ -45,6 +46,8 @@
   readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Receives a request that arrived on a connection that accepts no more. */
   readonly onDiscarded: (req: IncomingMessage) => void;
+  /** Memory to which unfinished heads and waiting input are charged. */
+  readonly memory?: CallerMemory;
   /** Maximum number of open connections; no limit if absent. */
   readonly maxConnections?: number;
   /** Counts a connection that this host ends. */
@@ -188,8 +191,10 @@
       socket.destroy();
       return;
     }
-    const input = new PacedInput(socket, this.pacer);
-    const connection = new CallerConnection(
+    const input = new PacedInput(socket, this.pacer, bytes =>
+      this.charge(connection, bytes),
+    );
+    const connection: CallerConnection = new CallerConnection(
       socket,
       input,
       this.ahead,
@@ -223,6 +228,19 @@
     return true;
   }
 
+  /** Charges input to the account of a connection, and ends the connection if it does not fit. */
+  private charge(connection: CallerConnection, bytes: number): void {
+    const {memory, onEnded} = this.parts;
+    const {socket} = connection;
+    const account = memory?.of(socket);
+    if (!account || socket.destroyed) return;
+    if (bytes < 0) return account.release(-bytes, 'waiting');
+    if (account.hold(bytes, 'waiting')) return;
+    if (!connection.stopAccepting()) onEnded(connectionEnds.noMemory);
+    if (connection.rejectInput()) connection.input.drop();
+    else socket.destroy();
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.connections.get(req.socket);
     if (connection?.isOpen && connection.enqueue(res)) {
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -9,6 +9,8 @@
 const maxWaitingBytes = 32 * 1024;
 /** Time to parse a slice, without the handling of requests, from which on all input of a connection waits its turn, in milliseconds. */
 const costlySliceMs = 0.1;
+/** Unit in which held bytes are charged; less than one unit is not charged, in bytes. */
+const chargeUnitBytes = 4096;
 const none: Buffer = Buffer.alloc(0);
 
 /**
@@ -31,6 +33,9 @@
   private isHeld = false;
   private isStopped = false;
   private isDropped = false;
+  /** Number of bytes parsed before the head that is being parsed; `undefined` within a body. */
+  private headStart: number | undefined = 0;
+  private chargedUnits = 0;
   /** Bytes that may still be received, and what to do beyond them. */
   private allowance = {bytes: Infinity, onExceeded: () => {}};
   private readonly parse: (bytes: Buffer) => void;
@@ -40,10 +45,12 @@
   /**
    * @param socket - Connection that the HTTP server of Node.js has just set up.
    * @param pacer - Parses the input that waits.
+   * @param charge - Called with the change of the bytes that are held beside bodies, in bytes.
    */
   constructor(
     private readonly socket: Socket,
     private readonly pacer: InputPacer,
+    private readonly charge: (bytes: number) => void = () => {},
   ) {
     const [parse] = socket.listeners('data');
     this.parse = parse as (bytes: Buffer) => void;
@@ -85,6 +92,8 @@
     const length = Number(req.headers['content-length'] ?? 0);
     // The body begins within the slice.
     this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
+    this.headStart = undefined;
+    req.once('end', () => (this.headStart = this.parsedBytes));
     handle();
     this.handlingMs += clock.nowMs() - startMs;
   }
@@ -115,6 +124,8 @@
     this.isDropped = true;
     this.current = none;
     this.next.clear();
+    this.headStart = undefined;
+    this.updateCharge();
     this.updateReading();
   }
 
@@ -144,6 +155,7 @@
     }
     const spentMs = this.pacer.clock.nowMs() - startMs - this.handlingMs;
     this.isCostly = spentMs >= costlySliceMs;
+    this.updateCharge();
     this.updateReading();
     return (this.isQueued = this.mayParse);
   }
@@ -166,13 +178,25 @@
     if (isFirst) this.current = bytes;
     else this.next.append(bytes);
     if (isFirst && !this.isCostly && !this.isQueued) {
-      if (this.parseSlice()) this.pacer.add(this);
+      let hasMore = this.parseSlice();
+      while (hasMore && this.bodyBytes > 0) hasMore = this.parseSlice();
+      if (hasMore) this.pacer.add(this);
     } else {
       this.enqueue();
     }
+    this.updateCharge();
     this.updateReading();
   }
 
+  private updateCharge(): void {
+    const {headStart = this.parsedBytes} = this;
+    const held = this.waiting + this.parsedBytes - headStart;
+    const units = Math.floor(held / chargeUnitBytes);
+    const change = units - this.chargedUnits;
+    this.chargedUnits = units;
+    if (change !== 0) this.charge(change * chargeUnitBytes);
+  }
+
   private enqueue(): void {
     if (this.isQueued || this.isParsing || !this.mayParse) return;
     this.isQueued = true;
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -3,6 +3,7 @@
 import {GatewayServer} from './connection/gateway/gateway-server.js';
 import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
+import {recordEnds} from './connection/gateway/record-ends.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
@@ -17,7 +18,7 @@
 import {PeerStateSync} from './process/fleet/peer-state-sync.js';
 import {rendezvousRank} from './process/fleet/rendezvous.js';
 import {declareGauges} from './process/gateway-gauges.js';
-import {GatewayMetrics, limitEnds} from './process/gateway-metrics.js';
+import {GatewayMetrics} from './process/gateway-metrics.js';
 import type {GatewaySettings} from './process/gateway-settings.js';
 import {QuotaBuckets} from './process/limits/quota-buckets.js';
 import {createRandom} from './process/random.js';
@@ -116,10 +117,7 @@
       const names = others.map(({host: name}) => name);
       return rendezvousRank(log, host, names);
     },
-    onRead: changed => {
-      if (changed) gossip.send();
-      else gossip.sendSoon();
-    },
+    onRead: changed => (changed ? gossip.send() : gossip.sendSoon()),
     onUnreadable: name => metrics.recordUnreadable(name),
     onRestored: () => registration.addAgain(),
   });
@@ -207,13 +205,11 @@
   });
   const server = new GatewayServer(settings.callers, {
     clock,
+    memory,
     maxConnections: maxCallerConnections(settings.limits),
     onRequest: (req, res) => handler.handle(req, res),
     onDiscarded: req => handler.discard(req),
-    onEnded: reason => {
-      metrics.connectionEnded(reason);
-      if (limitEnds.has(reason)) decisions.log('connectionLimited', {reason});
-    },
+    onEnded: recordEnds(reporting),
   });
   const gossip = new GossipTask({
     clock,
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -16,6 +16,8 @@
   noRequest: 'no-request',
   /** The body of a request went on for too long after the response. */
   unreadBody: 'unread-body',
+  /** The memory for callers could not hold an unfinished head, or requests sent ahead. */
+  noMemory: 'no-memory',
   /** Too many connections were open, and no request was complete on this one for longest. */
   replaced: 'replaced',
   /** Too many connections were open, each with a complete request. */
@@ -31,6 +33,7 @@
 /** The {@link connectionEnds} at a limit that callers usually do not meet. */
 export const limitEnds: ReadonlySet<ConnectionEnd> = new Set<ConnectionEnd>([
   connectionEnds.unreadBody,
+  connectionEnds.noMemory,
   connectionEnds.replaced,
   connectionEnds.refused,
 ]);
