--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,7 +11,11 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
+import {longestIdle} from '../http/connection-limit.js';
+import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
+import {PacedInput} from '../http/paced-input.js';
+import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {createProblem, sendProblem, withUnknownExecution} from './problem.js';
 
 /** Handles the requests for one path or a group of paths. */
@@ -59,7 +63,9 @@
   private readonly inProgress = new Map<Socket, Set<ServerResponse>>();
   /** Numbers of requests that were not handled because their connection is closing. */
   private readonly ignored = new WeakMap<Socket, number>();
-  private sockets = 0;
+  private readonly inputs = new Map<Socket, PacedInput>();
+  /** Times since which connections have no request in progress, in milliseconds. */
+  private readonly idleSinceMs = new WeakMap<Socket, number>();
   private draining = false;
   private onIdle: (() => void) | undefined;
 
@@ -83,32 +89,42 @@
       connectionsCheckingInterval: checkIntervalMs,
       noDelay: true,
     });
-    this.server.maxConnections = cfg.maxConnections;
+    const pacer = new InputPacer(parts.clock);
     this.server.on('connection', socket => {
-      this.sockets++;
+      if (!this.makeRoom()) {
+        parts.logger.event('connectionRejected', {code: 'TOO_MANY'});
+        socket.destroy();
+        return;
+      }
+      this.idleSinceMs.set(socket, parts.clock.nowMs());
+      const input = new PacedInput(socket, pacer);
+      this.inputs.set(socket, input);
+      lingerAtEnd(socket, input, parts.clock);
       socket.once('close', () => {
-        this.sockets--;
+        this.inputs.delete(socket);
         process.nextTick(() => this.closeQueued(socket));
       });
     });
     parts.metrics.gauge(
       'guavaseam_caller_connections',
       'Open connections of callers and operators',
-      () => this.sockets,
+      () => this.connections,
     );
     parts.metrics.gauge(
       'guavaseam_caller_requests',
       'Requests of callers and operators in progress',
       () => this.requests,
     );
-    this.server.on('request', (req, res) => void this.route(req, res));
+    const route = (req: IncomingMessage, res: ServerResponse) =>
+      this.inputs.get(req.socket)?.handle(req, () => void this.route(req, res));
+    this.server.on('request', route);
     this.server.on('checkContinue', (req, res) => {
       // A request that will be refused for its length gets no 100 Continue, so its body is not sent.
       const length = Number(req.headers['content-length'] ?? 0);
       if (length <= cfg.maxBodyBytes && !this.isClosing(req.socket)) {
         res.writeContinue();
       }
-      void this.route(req, res);
+      route(req, res);
     });
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket),
@@ -117,7 +133,7 @@
 
   /** Number of open connections. */
   get connections(): number {
-    return this.sockets;
+    return this.inputs.size;
   }
 
   /** Number of requests in progress. */
@@ -156,6 +172,31 @@
     return aborted;
   }
 
+  /**
+   * Closes a connection if as many are open as may be.
+   *
+   * @returns Whether another one may be opened.
+   */
+  private makeRoom(): boolean {
+    if (this.inputs.size < this.cfg.maxConnections) return true;
+    const entries = [...this.inputs.keys()].map(
+      socket => [socket, this.incompleteSinceMs(socket)] as const,
+    );
+    const socket = longestIdle(entries);
+    if (!socket) return false;
+    this.parts.logger.event('connectionRejected', {code: 'REPLACED'});
+    socket.destroy();
+    this.inputs.delete(socket);
+    return true;
+  }
+
+  private incompleteSinceMs(socket: Socket): number | undefined {
+    for (const {req} of this.inProgress.get(socket) ?? []) {
+      if (req.complete) return undefined;
+    }
+    return this.idleSinceMs.get(socket);
+  }
+
   private untilIdle(drainMs: number): Promise<void> {
     return new Promise(resolve => {
       const cancel = this.parts.clock.after(drainMs, resolve);
@@ -172,6 +213,7 @@
   ): Promise<void> {
     if (this.isClosing(req.socket)) return this.ignore(req);
     const pipelined = this.track(req.socket, res);
+    res.once('finish', () => this.limitRest(req));
     // A connection reset by the caller is handled by the `close` event.
     res.on('error', () => {});
     const path = (req.url ?? '/').split('?', 1)[0];
@@ -216,6 +258,18 @@
     if (count > maxPipelined) socket.pause();
   }
 
+  /** Ends the connection of a request if its body goes on for too long after the response. */
+  private limitRest(req: IncomingMessage): void {
+    const {socket} = req;
+    const input = this.inputs.get(socket);
+    if (req.complete || !input) return;
+    limitRest(req, input, this.parts.clock, () => {
+      if (!socket.writable) return;
+      this.parts.logger.event('connectionRejected', {code: 'UNREAD_BODY'});
+      socket.destroySoon();
+    });
+  }
+
   private refuse(
     req: IncomingMessage,
     res: ServerResponse,
@@ -245,6 +299,7 @@
     tracked.add(res);
     res.once('close', () => {
       tracked.delete(res);
+      this.idleSinceMs.set(socket, this.parts.clock.nowMs());
       if (tracked.size === 0) this.inProgress.delete(socket);
       if (this.inProgress.size === 0) this.onIdle?.();
     });
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -12,7 +12,12 @@
 } from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import {AheadLimit} from '../http/ahead-limit.js';
+import {longestIdle} from '../http/connection-limit.js';
+import {InputPacer} from '../http/input-pacer.js';
 import {listenOnce} from '../http/listen.js';
+import {PacedInput} from '../http/paced-input.js';
+import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {CallerConnection} from './caller-connection.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
@@ -23,8 +28,6 @@
 const keepAliveMarginMs = 1000;
 /** Maximum time for a caller to send a complete request, in milliseconds. */
 const requestTimeoutMs = 60_000;
-/** Time for which an ended connection is still read, so that late bytes do not reset it, in milliseconds. */
-const lingerMs = 1000;
 /**
  * Time for which a connection must be idle before a stopping host ends it, in milliseconds. A caller that sends one
  * request after the other has sent the next one by then.
@@ -47,6 +50,8 @@
   readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Receives a request that arrived on a connection that accepts no more. */
   readonly onDiscarded: (req: IncomingMessage) => void;
+  /** Maximum number of open connections; no limit if absent. */
+  readonly maxConnections?: number;
   /** Counts a connection that this host ends. */
   readonly onEnded: (reason: ConnectionEnd) => void;
 }
@@ -63,6 +68,8 @@
 /** HTTP/1.1 server of a gateway for its callers. */
 export class GatewayServer {
   private readonly server: Server;
+  private readonly pacer: InputPacer;
+  private readonly ahead = new AheadLimit();
   private readonly connections = new Map<Socket, CallerConnection>();
   /** Whether each connection is closed at the end of its next response. */
   private closes = false;
@@ -75,6 +82,7 @@
     private readonly endpoint: Endpoint,
     private readonly parts: GatewayServerParts,
   ) {
+    this.pacer = new InputPacer(parts.clock);
     this.server = new CallerHttpServer({
       maxHeaderSize: parserMaxHeaderBytes,
       connectionsCheckingInterval: timeoutCheckIntervalMs,
@@ -83,7 +91,10 @@
       requireHostHeader: false,
     });
     this.server.on('connection', socket => this.onConnection(socket));
-    this.server.on('request', (req, res) => this.onRequest(req, res));
+    this.server.on('request', (req, res) => {
+      const input = this.connections.get(req.socket)?.input;
+      input?.handle(req, () => this.onRequest(req, res));
+    });
     this.server.on('clientError', (err, socket) =>
       this.onProtocolError(err as NodeJS.ErrnoException, socket as Socket),
     );
@@ -123,6 +134,7 @@
   closesAfter(res: ServerResponse, isRequired = false): boolean {
     const connection = this.connections.get(res.req.socket);
     if (!connection) return true;
+    this.limitRest(res, connection);
     const closes = isRequired || this.closes || !connection.isOpen;
     return closes && connection.closeAfter(res);
   }
@@ -155,6 +167,16 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends the connection of a response if the body of its request goes on for too long after it. */
+  private limitRest({req}: ServerResponse, connection: CallerConnection): void {
+    if (req.complete) return;
+    limitRest(req, connection.input, this.parts.clock, () => {
+      if (connection.stopAccepting()) return;
+      this.parts.onEnded(connectionEnds.unreadBody);
+      if (!connection.hasResponses) req.socket.destroySoon();
+    });
+  }
+
   private closeIdle(): void {
     const nowMs = this.parts.clock.nowMs();
     for (const [socket, connection] of this.connections) {
@@ -166,42 +188,76 @@
 
   private onConnection(socket: Socket): void {
     const {clock} = this.parts;
-    const connection = new CallerConnection(socket, clock.nowMs());
+    if (!this.makeRoom()) {
+      this.parts.onEnded(connectionEnds.refused);
+      socket.destroy();
+      return;
+    }
+    const input = new PacedInput(socket, this.pacer);
+    const connection = new CallerConnection(
+      socket,
+      input,
+      this.ahead,
+      clock.nowMs(),
+    );
     this.connections.set(socket, connection);
-    let cancelLinger = () => {};
-    // Node.js calls this after the last response of a connection. Its own implementation destroys the socket at once; bytes
-    // that arrive then reset the connection, and the caller may lose the response.
-    socket.destroySoon = () => {
-      socket.end();
-      cancelLinger();
-      cancelLinger = clock.after(lingerMs, () => socket.destroy());
-    };
+    lingerAtEnd(socket, input, clock);
     socket.once('close', () => {
-      cancelLinger();
       this.connections.delete(socket);
       process.nextTick(() => connection.closeResponses());
     });
   }
 
+  /**
+   * Closes a connection if as many are open as may be.
+   *
+   * @returns Whether another one may be opened.
+   */
+  private makeRoom(): boolean {
+    const {maxConnections = Infinity} = this.parts;
+    if (this.connections.size < maxConnections) return true;
+    const entries = [...this.connections.values()].map(
+      each => [each, each.incompleteSinceMs] as const,
+    );
+    const connection = longestIdle(entries);
+    if (!connection) return false;
+    this.parts.onEnded(connectionEnds.replaced);
+    connection.stopAccepting();
+    connection.socket.destroy();
+    this.connections.delete(connection.socket);
+    return true;
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const {clock, onDiscarded, onEnded, onRequest} = this.parts;
-    const {socket} = req;
-    const connection = this.connections.get(socket);
-    if (!connection?.isOpen) {
-      req.on('error', () => {});
-      req.resume();
-      onDiscarded(req);
+    const connection = this.connections.get(req.socket);
+    if (connection?.isOpen && connection.enqueue(res)) {
+      this.serveNext(connection);
       return;
     }
-    connection.add(res);
-    res.once('close', () => {
-      connection.remove(res, clock.nowMs());
-      if (connection.isOpen || connection.hasResponses) return;
-      if (socket.destroyed) return;
-      onEnded(connectionEnds.lastResponse);
-      socket.destroySoon();
-    });
-    onRequest(req, res);
+    req.on('error', () => {});
+    req.resume();
+    this.parts.onDiscarded(req);
+    connection?.discard();
+  }
+
+  /** Begins the requests of a connection that may begin. */
+  private serveNext(connection: CallerConnection): void {
+    const {clock, onEnded, onRequest} = this.parts;
+    for (;;) {
+      const res = connection.nextRequest();
+      if (!res) return;
+      const {socket} = res.req;
+      connection.add(res);
+      res.once('close', () => {
+        connection.remove(res, clock.nowMs());
+        if (socket.destroyed) return;
+        this.serveNext(connection);
+        if (connection.isOpen || connection.hasResponses) return;
+        onEnded(connectionEnds.lastResponse);
+        socket.destroySoon();
+      });
+      onRequest(res.req, res);
+    }
   }
 
   /** Sends the responses that are due before it ends a connection whose bytes are no request. */
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
-import {GatewayServer} from './connection/gateway/gateway-server.js';
+import {createGatewayServer} from './connection/gateway/create-gateway-server.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createCallerMemory} from './connection/http/create-caller-memory.js';
@@ -204,12 +204,7 @@
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
-  const server = new GatewayServer(settings.callers, {
-    clock,
-    onRequest: (req, res) => handler.handle(req, res),
-    onDiscarded: req => handler.discard(req),
-    onEnded: reason => metrics.connectionEnded(reason),
-  });
+  const server = createGatewayServer(settings, handler, reporting);
   const gossip = new GossipTask({
     clock,
     ip,
