Bound the memory of bodies over all callers of an entry host

What callers saw: as on gateways, callers that send many large bodies and stop short of their end take as much memory as there are connections, until the system ends the host.

Cause: the reader of bodies checked the limit of one body only.

Change: entry hosts use the reader and the bound of gateways. `callers.memoryBytes` sets the bound; it is checked against `callers.maxBodyBytes` and defaults to 64 MiB, or twice that size if more. What does not fit is refused as `no-memory` (503); a request with an idempotency key gets the execution state `unknown`, because an earlier one with the key may have run. A body stays charged until its response has ended.

--- a/sim/sim-call.ts
+++ b/sim/sim-call.ts
@@ -10,7 +10,7 @@
   readonly body: string;
 }
 
-/** A caller's request without a socket, as far as the request path uses one. */
+/** A caller's request on a connection of its own, as far as the request path uses one. */
 export function createRequest(options: CallOptions): IncomingMessage {
   const {method, url, headers, body} = options;
   const distinct = Object.fromEntries(
@@ -23,6 +23,7 @@
     headersDistinct: distinct,
     httpVersion: '1.1',
     complete: true,
+    socket: Object.assign(new EventEmitter(), {destroyed: false}),
   }) as unknown as IncomingMessage;
 }
 
@@ -65,11 +66,13 @@
     this.headersSent = true;
     this.writableFinished = true;
     this.emit('close');
+    this.req.socket.emit('close');
   }
 
   destroy(): void {
     if (this.destroyed || this.writableFinished) return;
     this.destroyed = true;
     this.emit('close');
+    this.req.socket.emit('close');
   }
 }
--- a/sim/sim-host.ts
+++ b/sim/sim-host.ts
@@ -11,6 +11,7 @@
 import type {PeerIdentity} from '../src/process/membership/messages.js';
 import {PacedLogClient} from '../src/process/membership/paced-log-client.js';
 import {RecordRelay} from '../src/process/membership/record-relay.js';
+import {createEntryMemory} from '../src/connection/http/create-caller-memory.js';
 import {Metrics} from '../src/process/metrics.js';
 import {subscribe} from '../src/process/subject.js';
 import type {ClaimGate} from '../src/request/claim-gate.js';
@@ -35,6 +36,8 @@
 import type {SimNetwork} from './sim-network.js';
 import {SimStatusClient, type SimTargets} from './sim-targets.js';
 
+const callerLimits = {maxBodyBytes: 1_000_000};
+
 /** Time for which claims are kept in the simulation, in milliseconds. */
 const retentionMs = 3600_000;
 
@@ -158,7 +161,8 @@
       costs: new CostEstimator(),
       limiter: OrganisationLimiter.forMember(members),
       prefixes: () => undefined,
-      maxBodyBytes: 1_000_000,
+      ...callerLimits,
+      memory: createEntryMemory(callerLimits, shared),
     });
     // As in the wiring, the records of one page are followed up together.
     let due = false;
--- a/src/connection/caller/request-body.ts
+++ b/src/connection/caller/request-body.ts
@@ -1,45 +1,54 @@
 import type {IncomingMessage} from 'node:http';
-import {ByteBuffer} from '../../process/byte-buffer.js';
 import {FailureError} from '../../process/errors/catalogue.js';
+import type {CallerMemory} from '../http/caller-memory.js';
+import {readBody as readCharged} from '../http/request-body.js';
+import {withUnknownExecution} from './problem.js';
+
+/** A body in memory. */
+export interface HeldBody {
+  readonly bytes: Buffer;
+  /** Ends the charge for its memory; called once the request has ended. */
+  readonly release: () => void;
+}
 
 /**
  * Reads the complete body of a request.
  *
  * @param req - Request whose body was not read yet.
  * @param maxBytes - Maximum size of the body, in bytes.
- * @returns The body, in memory.
- * @throws {@link FailureError} of kind `refused` with reason `body-too-large`, or of kind
- *   `caller-left` if the connection closed before the body ended.
+ * @param memory - Accounts of the callers, to which the body is charged.
+ * @returns The body.
+ * @throws {@link FailureError} of kind `refused` with reason `body-too-large` or `no-memory`, or of
+ *   kind `caller-left` if the connection closed before the body ended.
  */
 export function readBody(
   req: IncomingMessage,
   maxBytes: number,
-): Promise<Buffer> {
+  memory: CallerMemory,
+): Promise<HeldBody> {
   return new Promise((resolve, reject) => {
-    const tooLarge = () =>
-      reject(new FailureError({kind: 'refused', reason: 'body-too-large'}));
     if (Number(req.headers['content-length'] ?? 0) > maxBytes) {
-      tooLarge();
+      reject(new FailureError({kind: 'refused', reason: 'body-too-large'}));
       return;
     }
-    const body = new ByteBuffer();
-    req.on('data', (chunk: Buffer) => {
-      if (body.length + chunk.length > maxBytes) {
-        body.clear();
-        req.pause();
-        tooLarge();
-        return;
-      }
-      body.append(chunk);
-    });
-    const onClose = () =>
-      reject(new FailureError({kind: 'caller-left', execution: 'not-run'}));
-    req.once('end', () => {
-      req.off('close', onClose);
-      resolve(body.take());
+    readCharged(req, maxBytes, memory, {
+      onBody: (body, release) => {
+        if (Buffer.isBuffer(body)) return resolve({bytes: body, release});
+        const bytes = body.toBuffer();
+        body.release();
+        resolve({bytes, release});
+      },
+      onFailure: failure => {
+        const tooLarge = failure === 'tooLarge';
+        const reason = tooLarge ? 'body-too-large' : 'no-memory';
+        // An earlier request with the same key had memory and may have run.
+        const keyed = req.headers['idempotency-key'] !== undefined;
+        const details = keyed && !tooLarge ? withUnknownExecution() : {};
+        reject(new FailureError({kind: 'refused', reason, ...details}));
+      },
     });
-    req.once('close', onClose);
-    // Without a listener, the 'error' event of a reset connection would end the process.
-    req.on('error', () => {});
+    req.once('close', () =>
+      reject(new FailureError({kind: 'caller-left', execution: 'not-run'})),
+    );
   });
 }
--- a/src/connection/http/caller-memory.ts
+++ b/src/connection/http/caller-memory.ts
@@ -20,7 +20,7 @@
 /** Accounts of the connections of callers, and the blocks for their bodies. */
 export class CallerMemory {
   readonly pool = new BlockPool();
-  private readonly connections = new Map<Socket, ConnectionMemory>();
+  private readonly connections = new WeakMap<Socket, ConnectionMemory>();
 
   private readonly budget: MemoryBudget;
   private readonly onEvicted: (kind: EvictableKind, bytes: number) => void;
@@ -77,10 +77,7 @@
         return memory;
       }
       this.connections.set(socket, memory);
-      socket.once('close', () => {
-        this.connections.delete(socket);
-        account.close();
-      });
+      socket.once('close', () => account.close());
     }
     return memory;
   }
--- a/src/connection/http/create-caller-memory.ts
+++ b/src/connection/http/create-caller-memory.ts
@@ -1,8 +1,13 @@
-import {callerMemoryBytes} from '../../process/caller-memory-bytes.js';
+import {
+  callerMemoryBytes,
+  entryCallerMemoryBytes,
+} from '../../process/caller-memory-bytes.js';
 import type {Clock} from '../../process/clock.js';
 import type {DecisionLog} from '../../process/decision-log.js';
 import type {HostLimits} from '../../process/gateway-settings.js';
+import type {Logger} from '../../process/logger.js';
 import type {MetricRegistry} from '../../process/metric-registry.js';
+import type {Settings} from '../../process/settings.js';
 import {CallerMemory} from './caller-memory.js';
 
 /** What {@link createCallerMemory} connects. */
@@ -30,3 +35,23 @@
       decisions.log('callerMemoryEvicted', {kind, bytes}),
   });
 }
+
+/**
+ * Creates the accounts of an entry host's callers.
+ *
+ * @param callers - Settings of the server for callers.
+ * @param parts - Clock, metrics and log of the host.
+ * @returns Accounts that hold nothing.
+ */
+export function createEntryMemory(
+  callers: Pick<Settings['callers'], 'maxBodyBytes' | 'memoryBytes'>,
+  parts: {clock: Clock; metrics: MetricRegistry; logger: Logger},
+): CallerMemory {
+  const {clock, metrics, logger} = parts;
+  return new CallerMemory(entryCallerMemoryBytes(callers), {
+    clock,
+    metrics,
+    onEvicted: (kind, bytes) =>
+      logger.event('callerMemoryEvicted', {kind, bytes}),
+  });
+}
--- a/src/process/settings-schema.ts
+++ b/src/process/settings-schema.ts
@@ -74,6 +74,12 @@
           default: 20000,
           description: 'Maximum number of open connections',
         },
+        memoryBytes: {
+          type: 'integer',
+          minimum: 1048576,
+          description:
+            'Maximum of the request bodies held over all connections, in bytes; at least twice `callers.maxBodyBytes`. If absent, 67108864 or that minimum',
+        },
       },
     },
     peers: {
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -28,6 +28,7 @@
     readonly headersTimeoutMs: number;
     readonly requestTimeoutMs: number;
     readonly maxConnections: number;
+    readonly memoryBytes?: number;
   };
   /** gRPC server for other hosts. */
   readonly peers: ListenSettings & {
@@ -102,7 +103,17 @@
  * @throws {@link FailureError} of kind `settings-*`, for the first error found.
  */
 export function checkSettings(value: unknown): Settings {
-  if (validate(value)) return value;
+  if (validate(value)) {
+    const {maxBodyBytes, memoryBytes} = value.callers;
+    if (memoryBytes === undefined || memoryBytes >= 2 * maxBodyBytes) {
+      return value;
+    }
+    throw new FailureError({
+      kind: 'settings-invalid-value',
+      path: 'callers.memoryBytes',
+      reason: 'must be at least twice callers.maxBodyBytes',
+    });
+  }
   throw new FailureError(toFailure((validate.errors as ErrorObject[])[0]));
 }
 
--- a/src/request/refusals.ts
+++ b/src/request/refusals.ts
@@ -182,6 +182,12 @@
     retryable: false,
     execution: unknown,
   },
+  'no-memory': {
+    status: 503,
+    title: 'No memory left for the body',
+    retryable: true,
+    execution: notRun,
+  },
   overloaded: {
     status: 503,
     title: 'Host is overloaded',
--- a/src/request/request-handler.ts
+++ b/src/request/request-handler.ts
@@ -8,6 +8,7 @@
   withUnknownExecution,
 } from '../connection/caller/problem.js';
 import {readBody} from '../connection/caller/request-body.js';
+import type {CallerMemory} from '../connection/http/caller-memory.js';
 import {FailureError} from '../process/errors/catalogue.js';
 import type {OrganisationLimiter} from '../process/limits/organisation-limiter.js';
 import {getResource, type ConfigState} from '../version/config-state.js';
@@ -34,6 +35,8 @@
   /** Prompt hasher; `undefined` until it is loaded, during which requests have no prefixes. */
   readonly prefixes: () => PrefixHasher | undefined;
   readonly maxBodyBytes: number;
+  /** Memory that callers hold. */
+  readonly memory: CallerMemory;
 }
 
 /** State of a request while it is handled, for the report of a failure. */
@@ -91,7 +94,13 @@
     };
     // Unauthenticated requests are refused before their body is read into memory.
     authenticate(config(), head);
-    const body = await readBody(req, maxBodyBytes);
+    const {bytes: body, release} = await readBody(
+      req,
+      maxBodyBytes,
+      this.parts.memory,
+    );
+    res.once('close', release);
+    if (res.closed) release();
     const completion =
       modelPaths.has(head.url.split('?', 1)[0]) && head.method === 'POST'
         ? readCompletion(body)
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,6 +2,7 @@
 import {HealthHandler} from './connection/caller/health-handler.js';
 import {ResourceHandler} from './connection/caller/resource-handler.js';
 import {UnknownPathHandler} from './connection/caller/unknown-path-handler.js';
+import {createEntryMemory} from './connection/http/create-caller-memory.js';
 import {PeerChannels} from './connection/peer/peer-channels.js';
 import {protocolVersion} from './connection/peer/peer-codec.js';
 import {
@@ -223,6 +224,7 @@
         limiter,
         prefixes: () => prefixHasher,
         maxBodyBytes: settings.callers.maxBodyBytes,
+        memory: createEntryMemory(settings.callers, {clock, metrics, logger}),
       }),
     ],
     new UnknownPathHandler(metrics),
--- a/test/connection/caller/caller-fixture.ts
+++ b/test/connection/caller/caller-fixture.ts
@@ -6,6 +6,8 @@
 } from '../../../src/connection/caller/caller-server.js';
 import {HealthHandler} from '../../../src/connection/caller/health-handler.js';
 import {readBody} from '../../../src/connection/caller/request-body.js';
+import type {CallerMemory} from '../../../src/connection/http/caller-memory.js';
+import {createEntryMemory} from '../../../src/connection/http/create-caller-memory.js';
 import {UnknownPathHandler} from '../../../src/connection/caller/unknown-path-handler.js';
 import {SystemClock} from '../../../src/process/clock.js';
 import {Logger} from '../../../src/process/logger.js';
@@ -17,6 +19,10 @@
 
 /** Keeps the requests for `/test` open until the test answers them. */
 export class TestHandler extends RouteHandler {
+  constructor(private readonly memory: CallerMemory) {
+    super();
+  }
+
   readonly serving: {req: IncomingMessage; res: ServerResponse}[] = [];
   arrived: () => void = () => {};
   /** Lets the request with the header `x-fault: late` fail. */
@@ -34,7 +40,7 @@
       await new Promise<void>(resolve => (this.failLate = resolve));
     }
     if (req.headers['x-fault']) throw new Error('programming error');
-    await readBody(req, 1024);
+    await readBody(req, 1024, this.memory);
     this.serving.push({req, res});
     this.arrived();
   }
@@ -52,11 +58,13 @@
     platform: {logUrl: 'http://127.0.0.1:1'},
   }).callers;
   const metrics = new Metrics();
-  const handler = new TestHandler();
   const logger = Logger.create('silent');
+  const clock = new SystemClock();
+  const memory = createEntryMemory(cfg, {clock, metrics, logger});
+  const handler = new TestHandler(memory);
   const server = new CallerServer(
     cfg,
-    {clock: new SystemClock(), logger, metrics},
+    {clock, logger, metrics},
     [new HealthHandler(metrics, () => true), handler],
     new UnknownPathHandler(metrics),
   );
