Close connections whose small chunks compete for the processor too long

A host that got bodies in chunks of one byte on many connections stayed busy with them for long after the crowd had left: the system keeps what was sent, and the host only sees the end of a connection once all before it is parsed.

Once the inputs that wait have taken 3 s of processor time together, all but the two cheapest are given up, and their connections are closed after the responses that are due. One or two callers with such bodies go on.

--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -97,7 +97,12 @@
         return;
       }
       this.idleSinceMs.set(socket, parts.clock.nowMs());
-      const input = new PacedInput(socket, pacer);
+      const input = new PacedInput(socket, pacer, {
+        onGivenUp: () => {
+          parts.logger.event('connectionRejected', {code: 'COSTLY_INPUT'});
+          socket.destroy();
+        },
+      });
       this.inputs.set(socket, input);
       lingerAtEnd(socket, input, parts.clock);
       socket.once('close', () => {
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -191,9 +191,10 @@
       socket.destroy();
       return;
     }
-    const input = new PacedInput(socket, this.pacer, bytes =>
-      this.charge(connection, bytes),
-    );
+    const input = new PacedInput(socket, this.pacer, {
+      onHeld: bytes => this.charge(connection, bytes),
+      onGivenUp: () => this.endInput(connection, connectionEnds.costlyInput),
+    });
     const connection: CallerConnection = new CallerConnection(
       socket,
       input,
@@ -230,15 +231,19 @@
 
   /** Charges input to the account of a connection, and ends the connection if it does not fit. */
   private charge(connection: CallerConnection, bytes: number): void {
-    const {memory, onEnded} = this.parts;
     const {socket} = connection;
-    const account = memory?.of(socket);
+    const account = this.parts.memory?.of(socket);
     if (!account || socket.destroyed) return;
     if (bytes < 0) return account.release(-bytes, 'waiting');
     if (account.hold(bytes, 'waiting')) return;
-    if (!connection.stopAccepting()) onEnded(connectionEnds.noMemory);
+    this.endInput(connection, connectionEnds.noMemory);
+  }
+
+  /** Ends a connection after the responses to its complete requests. */
+  private endInput(connection: CallerConnection, reason: ConnectionEnd): void {
+    if (!connection.stopAccepting()) this.parts.onEnded(reason);
     if (connection.rejectInput()) connection.input.drop();
-    else socket.destroy();
+    else connection.socket.destroy();
   }
 
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
--- a/src/connection/http/input-pacer.ts
+++ b/src/connection/http/input-pacer.ts
@@ -1,14 +1,17 @@
 import type {Clock} from '../../process/clock.js';
-import {restAfterMs} from './work-share.js';
+import {excessInputs, restAfterMs, type WaitingInput} from './work-share.js';
 
 /** Input that is parsed slice by slice. */
-export interface SlicedInput {
+export interface SlicedInput extends WaitingInput {
   /**
    * Parses the next slice.
    *
    * @returns Whether more can be parsed at once.
    */
   parseSlice(): boolean;
+
+  /** Gives the input up, because others compete with it for the processor. */
+  giveUp(): void;
 }
 
 /**
@@ -43,6 +46,7 @@
         this.waiting = [];
         restMs = this.parseEach(inputs, startMs);
       }
+      for (const input of excessInputs(this.waiting)) input.giveUp();
     } finally {
       this.isScheduled = this.waiting.length > 0;
       if (this.isScheduled) this.clock.after(restMs, () => this.run());
--- a/src/connection/http/internal-server.ts
+++ b/src/connection/http/internal-server.ts
@@ -61,7 +61,9 @@
       connections.delete(replaced);
       if (replaced === socket) return;
     }
-    const input = new PacedInput(socket, pacer);
+    const input = new PacedInput(socket, pacer, {
+      onGivenUp: () => socket.destroy(),
+    });
     lingerAtEnd(socket, input, clock);
     const idleSinceMs = clock.nowMs();
     connections.set(socket, {input, idleSinceMs, isBusy: false});
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -13,6 +13,14 @@
 const chargeUnitBytes = 4096;
 const none: Buffer = Buffer.alloc(0);
 
+/** Receives what an input does to its connection. */
+export interface InputReceiver {
+  /** Called with the change of the bytes that are held beside bodies, in bytes. */
+  readonly onHeld?: (bytes: number) => void;
+  /** Called once the input has stopped because parsing it took too long beside others. */
+  readonly onGivenUp?: () => void;
+}
+
 /**
  * Input of an HTTP connection between its socket and the parser of Node.js, which would parse a whole read at once and up
  * to 32 reads in a turn of the event loop. A connection whose bytes are cheap to parse is parsed as it is read.
@@ -25,6 +33,7 @@
   private lastSliceBytes = 0;
   private parsedBytes = 0;
   private handlingMs = 0;
+  private bodyMs = 0;
   private isCostly = false;
   private isQueued = false;
   private isParsing = false;
@@ -45,12 +54,12 @@
   /**
    * @param socket - Connection that the HTTP server of Node.js has just set up.
    * @param pacer - Parses the input that waits.
-   * @param charge - Called with the change of the bytes that are held beside bodies, in bytes.
+   * @param receiver - Receives what the input does to its connection.
    */
   constructor(
     private readonly socket: Socket,
     private readonly pacer: InputPacer,
-    private readonly charge: (bytes: number) => void = () => {},
+    private readonly receiver: InputReceiver = {},
   ) {
     const [parse] = socket.listeners('data');
     this.parse = parse as (bytes: Buffer) => void;
@@ -65,6 +74,16 @@
     socket.once('end', () => this.stop());
   }
 
+  get spentMs(): number {
+    return this.bodyMs;
+  }
+
+  giveUp(): void {
+    if (this.isStopped || this.socket.destroyed) return;
+    this.stop();
+    this.receiver.onGivenUp?.();
+  }
+
   /** Number of bytes passed to the parser. */
   get parsed(): number {
     return this.parsedBytes;
@@ -92,6 +111,7 @@
     const length = Number(req.headers['content-length'] ?? 0);
     // The body begins within the slice.
     this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
+    this.bodyMs = 0;
     this.headStart = undefined;
     req.once('end', () => (this.headStart = this.parsedBytes));
     handle();
@@ -154,6 +174,7 @@
       this.isParsing = false;
     }
     const spentMs = this.pacer.clock.nowMs() - startMs - this.handlingMs;
+    this.bodyMs += spentMs;
     this.isCostly = spentMs >= costlySliceMs;
     this.updateCharge();
     this.updateReading();
@@ -194,7 +215,7 @@
     const units = Math.floor(held / chargeUnitBytes);
     const change = units - this.chargedUnits;
     this.chargedUnits = units;
-    if (change !== 0) this.charge(change * chargeUnitBytes);
+    if (change !== 0) this.receiver.onHeld?.(change * chargeUnitBytes);
   }
 
   private enqueue(): void {
--- a/src/process/gateway-metrics.ts
+++ b/src/process/gateway-metrics.ts
@@ -18,6 +18,8 @@
   unreadBody: 'unread-body',
   /** The memory for callers could not hold an unfinished head, or requests sent ahead. */
   noMemory: 'no-memory',
+  /** Parsing of its body took too long beside others. */
+  costlyInput: 'costly-input',
   /** Too many connections were open, and no request was complete on this one for longest. */
   replaced: 'replaced',
   /** Too many connections were open, each with a complete request. */
@@ -34,6 +36,7 @@
 export const limitEnds: ReadonlySet<ConnectionEnd> = new Set<ConnectionEnd>([
   connectionEnds.unreadBody,
   connectionEnds.noMemory,
+  connectionEnds.costlyInput,
   connectionEnds.replaced,
   connectionEnds.refused,
 ]);
