--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -1,9 +1,4 @@
-import {
-  Server,
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import {Server, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../../process/clock.js';
 import {
@@ -12,6 +7,7 @@
 } from '../../process/gateway-metrics.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
 import type {CallerLimits} from '../../version/deployment/types.js';
+import type {CallerMemory} from '../http/caller-memory.js';
 import {AheadLimit} from '../http/ahead-limit.js';
 import {longestIdle} from '../http/connection-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
@@ -50,6 +46,8 @@
   readonly onRequest: (req: IncomingMessage, res: ServerResponse) => void;
   /** Receives a request that arrived on a connection that accepts no more. */
   readonly onDiscarded: (req: IncomingMessage) => void;
+  /** Memory to which unfinished heads and waiting input are charged. */
+  readonly memory?: CallerMemory;
   /** Maximum number of open connections; no limit if absent. */
   readonly maxConnections?: number;
   /** Counts a connection that this host ends. */
@@ -193,8 +191,11 @@
       socket.destroy();
       return;
     }
-    const input = new PacedInput(socket, this.pacer);
-    const connection = new CallerConnection(
+    const input = new PacedInput(socket, this.pacer, {
+      onHeld: bytes => this.charge(connection, bytes),
+      onGivenUp: () => this.endInput(connection, connectionEnds.costlyInput),
+    });
+    const connection: CallerConnection = new CallerConnection(
       socket,
       input,
       this.ahead,
@@ -228,6 +229,23 @@
     return true;
   }
 
+  /** Charges input to the account of a connection, and ends the connection if it does not fit. */
+  private charge(connection: CallerConnection, bytes: number): void {
+    const {socket} = connection;
+    const account = this.parts.memory?.of(socket);
+    if (!account || socket.destroyed) return;
+    if (bytes < 0) return account.release(-bytes, 'waiting');
+    if (account.hold(bytes, 'waiting')) return;
+    this.endInput(connection, connectionEnds.noMemory);
+  }
+
+  /** Ends a connection after the responses to its complete requests. */
+  private endInput(connection: CallerConnection, reason: ConnectionEnd): void {
+    if (!connection.stopAccepting()) this.parts.onEnded(reason);
+    if (connection.rejectInput()) connection.input.drop();
+    else connection.socket.destroy();
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     const connection = this.connections.get(req.socket);
     if (connection?.isOpen && connection.enqueue(res)) {
@@ -283,25 +301,3 @@
     socket.destroySoon();
   }
 }
-
-/**
- * Serves the readiness probe of the load balancer: 200 if the host is ready, 503 if not.
- *
- * @param endpoint - Address and port to listen on.
- * @param path - Path of the probe; other paths get 404.
- * @param isReady - Returns whether the host accepts new connections.
- * @returns The server, once it listens.
- */
-export async function serveReadiness(
-  endpoint: Endpoint,
-  path: string,
-  isReady: () => boolean,
-): Promise<Server> {
-  const server = createServer((req, res) => {
-    const isReadinessPath = req.url?.split('?', 1)[0] === path;
-    res.statusCode = isReadinessPath ? (isReady() ? 200 : 503) : 404;
-    res.end();
-  });
-  await listenOnce(server, endpoint);
-  return server;
-}
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -9,8 +9,18 @@
 const maxWaitingBytes = 32 * 1024;
 /** Time to parse a slice, without the handling of requests, from which on all input of a connection waits its turn, in milliseconds. */
 const costlySliceMs = 0.1;
+/** Unit in which held bytes are charged; less than one unit is not charged, in bytes. */
+const chargeUnitBytes = 4096;
 const none: Buffer = Buffer.alloc(0);
 
+/** Receives what an input does to its connection. */
+export interface InputReceiver {
+  /** Called with the change of the bytes that are held beside bodies, in bytes. */
+  readonly onHeld?: (bytes: number) => void;
+  /** Called once the input has stopped because parsing it took too long beside others. */
+  readonly onGivenUp?: () => void;
+}
+
 /**
  * Input of an HTTP connection between its socket and the parser of Node.js, which would parse a whole read at once and up
  * to 32 reads in a turn of the event loop. A connection whose bytes are cheap to parse is parsed as it is read.
@@ -23,6 +33,7 @@
   private lastSliceBytes = 0;
   private parsedBytes = 0;
   private handlingMs = 0;
+  private bodyMs = 0;
   private isCostly = false;
   private isQueued = false;
   private isParsing = false;
@@ -31,6 +42,9 @@
   private isHeld = false;
   private isStopped = false;
   private isDropped = false;
+  /** Number of bytes parsed before the head that is being parsed; `undefined` within a body. */
+  private headStart: number | undefined = 0;
+  private chargedUnits = 0;
   /** Bytes that may still be received, and what to do beyond them. */
   private allowance = {bytes: Infinity, onExceeded: () => {}};
   private readonly parse: (bytes: Buffer) => void;
@@ -40,10 +54,12 @@
   /**
    * @param socket - Connection that the HTTP server of Node.js has just set up.
    * @param pacer - Parses the input that waits.
+   * @param receiver - Receives what the input does to its connection.
    */
   constructor(
     private readonly socket: Socket,
     private readonly pacer: InputPacer,
+    private readonly receiver: InputReceiver = {},
   ) {
     const [parse] = socket.listeners('data');
     this.parse = parse as (bytes: Buffer) => void;
@@ -58,6 +74,16 @@
     socket.once('end', () => this.stop());
   }
 
+  get spentMs(): number {
+    return this.bodyMs;
+  }
+
+  giveUp(): void {
+    if (this.isStopped || this.socket.destroyed) return;
+    this.stop();
+    this.receiver.onGivenUp?.();
+  }
+
   /** Number of bytes passed to the parser. */
   get parsed(): number {
     return this.parsedBytes;
@@ -68,6 +94,11 @@
     return this.current.length + this.next.length;
   }
 
+  /** Whether what arrives is dropped. */
+  get isDropping(): boolean {
+    return this.isDropped;
+  }
+
   /**
    * Runs the handler of a request that was parsed; its time does not count as that of the input.
    *
@@ -80,6 +111,9 @@
     const length = Number(req.headers['content-length'] ?? 0);
     // The body begins within the slice.
     this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
+    this.bodyMs = 0;
+    this.headStart = undefined;
+    req.once('end', () => (this.headStart = this.parsedBytes));
     handle();
     this.handlingMs += clock.nowMs() - startMs;
   }
@@ -110,6 +144,8 @@
     this.isDropped = true;
     this.current = none;
     this.next.clear();
+    this.headStart = undefined;
+    this.updateCharge();
     this.updateReading();
   }
 
@@ -138,7 +174,9 @@
       this.isParsing = false;
     }
     const spentMs = this.pacer.clock.nowMs() - startMs - this.handlingMs;
+    this.bodyMs += spentMs;
     this.isCostly = spentMs >= costlySliceMs;
+    this.updateCharge();
     this.updateReading();
     return (this.isQueued = this.mayParse);
   }
@@ -161,13 +199,25 @@
     if (isFirst) this.current = bytes;
     else this.next.append(bytes);
     if (isFirst && !this.isCostly && !this.isQueued) {
-      if (this.parseSlice()) this.pacer.add(this);
+      let hasMore = this.parseSlice();
+      while (hasMore && this.bodyBytes > 0) hasMore = this.parseSlice();
+      if (hasMore) this.pacer.add(this);
     } else {
       this.enqueue();
     }
+    this.updateCharge();
     this.updateReading();
   }
 
+  private updateCharge(): void {
+    const {headStart = this.parsedBytes} = this;
+    const held = this.waiting + this.parsedBytes - headStart;
+    const units = Math.floor(held / chargeUnitBytes);
+    const change = units - this.chargedUnits;
+    this.chargedUnits = units;
+    if (change !== 0) this.receiver.onHeld?.(change * chargeUnitBytes);
+  }
+
   private enqueue(): void {
     if (this.isQueued || this.isParsing || !this.mayParse) return;
     this.isQueued = true;
--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,7 +1,9 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
-import {createGatewayServer} from './connection/gateway/create-gateway-server.js';
+import {GatewayServer} from './connection/gateway/gateway-server.js';
+import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
+import {recordEnds} from './connection/gateway/record-ends.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
@@ -115,10 +117,7 @@
       const names = others.map(({host: name}) => name);
       return rendezvousRank(log, host, names);
     },
-    onRead: changed => {
-      if (changed) gossip.send();
-      else gossip.sendSoon();
-    },
+    onRead: changed => (changed ? gossip.send() : gossip.sendSoon()),
     onUnreadable: name => metrics.recordUnreadable(name),
     onRestored: () => registration.addAgain(),
   });
@@ -204,7 +203,14 @@
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
-  const server = createGatewayServer(settings, handler, reporting);
+  const server = new GatewayServer(settings.callers, {
+    clock,
+    memory,
+    maxConnections: maxCallerConnections(settings.limits),
+    onRequest: (req, res) => handler.handle(req, res),
+    onDiscarded: req => handler.discard(req),
+    onEnded: recordEnds(reporting),
+  });
   const gossip = new GossipTask({
     clock,
     ip,
