Leave more memory to the program beside what callers hold

A host of 178 MB came to 170 MB in a trial with 60 complete bodies of 4 MiB whose targets answer late: copies of the bodies that are being sent, and garbage of the reads, take memory beside the blocks. The memory assumed for the program is 140 MiB instead of 128 MiB.

--- a/src/process/caller-memory-bytes.ts
+++ b/src/process/caller-memory-bytes.ts
@@ -4,7 +4,7 @@
  * Memory that a host takes besides what it holds for callers, in bytes: the program, its heap, buffers of the sockets, and
  * garbage that is not collected yet.
  */
-const programBytes = 128 * 1024 * 1024;
+const programBytes = 140 * 1024 * 1024;
 /** Share of the remaining memory that may be held for callers. The blocks of bodies stay allocated beside unread responses. */
 const callerShare = 0.5;
 /** The smallest bound, in bytes; a body of 4 MiB fits. */
