--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,9 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
-import {GatewayServer} from './connection/gateway/gateway-server.js';
-import {maxCallerConnections} from './connection/http/connection-limit.js';
+import {createGatewayServer} from './connection/gateway/create-gateway-server.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
-import {recordEnds} from './connection/gateway/record-ends.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
 import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
@@ -117,7 +115,10 @@
       const names = others.map(({host: name}) => name);
       return rendezvousRank(log, host, names);
     },
-    onRead: changed => (changed ? gossip.send() : gossip.sendSoon()),
+    onRead: changed => {
+      if (changed) gossip.send();
+      else gossip.sendSoon();
+    },
     onUnreadable: name => metrics.recordUnreadable(name),
     onRestored: () => registration.addAgain(),
   });
@@ -203,13 +204,9 @@
     stopsAtMs: () => stopsAtMs,
     eventDelayMs: bounds.eventDelayMs,
   });
-  const server = new GatewayServer(settings.callers, {
-    clock,
+  const server = createGatewayServer(settings, handler, {
+    ...reporting,
     memory,
-    maxConnections: maxCallerConnections(settings.limits),
-    onRequest: (req, res) => handler.handle(req, res),
-    onDiscarded: req => handler.discard(req),
-    onEnded: recordEnds(reporting),
   });
   const gossip = new GossipTask({
     clock,
