Word the memory of callers in usual terms

Names and texts only: holder for the account that asks, remaining for what may still be received, evicted for bytes that make room for others.

--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -46,7 +46,7 @@
   private headStart: number | undefined = 0;
   private chargedUnits = 0;
   /** Bytes that may still be received, and what to do beyond them. */
-  private allowance = {bytes: Infinity, onExceeded: () => {}};
+  private remaining = {bytes: Infinity, onExceeded: () => {}};
   private readonly parse: (bytes: Buffer) => void;
   private readonly pause: () => void;
   private readonly resume: () => void;
@@ -125,7 +125,7 @@
    * @param onExceeded - Called once the input has stopped.
    */
   limit(bytes: number, onExceeded: () => void = () => {}): void {
-    this.allowance = {bytes, onExceeded};
+    this.remaining = {bytes, onExceeded};
   }
 
   /**
@@ -188,10 +188,10 @@
 
   private receive(bytes: Buffer): void {
     if (this.isStopped) return;
-    this.allowance.bytes -= bytes.length;
-    if (this.allowance.bytes < 0) {
+    this.remaining.bytes -= bytes.length;
+    if (this.remaining.bytes < 0) {
       this.stop();
-      this.allowance.onExceeded();
+      this.remaining.onExceeded();
       return;
     }
     if (this.isDropped) return;
--- a/src/process/events/gateway-events.ts
+++ b/src/process/events/gateway-events.ts
@@ -169,7 +169,7 @@
   callerMemoryEvicted: {
     id: 7310,
     level: 'warn',
-    message: 'bytes that a caller held were given up for others',
+    message: 'bytes that a caller held were evicted to make room for others',
   },
   trialBegun: {
     id: 7401,
--- a/src/process/memory-budget.ts
+++ b/src/process/memory-budget.ts
@@ -13,7 +13,7 @@
 /** One of {@link heldKinds}. */
 export type HeldKind = keyof typeof heldKinds;
 
-/** Kinds that can be given up: nothing was run for them yet, or the caller has stopped reading. */
+/** Kinds that can be evicted: nothing was run for them yet, or the caller has stopped reading. */
 export type EvictableKind = 'receiving' | 'responding';
 
 /** An account up to this size may use the reserve, in bytes. */
@@ -77,7 +77,8 @@
   open(onEvict: (kind: EvictableKind, bytes: number) => void): MemoryAccount {
     const account = new MemoryAccount(
       {
-        fit: (asker, bytes, kind, nowMs) => this.fit(asker, bytes, kind, nowMs),
+        fit: (holder, bytes, kind, nowMs) =>
+          this.fit(holder, bytes, kind, nowMs),
         change: bytes => {
           this.total += bytes;
         },
@@ -91,16 +92,16 @@
 
   /** Makes room for bytes of an account if that is possible. */
   private fit(
-    asker: MemoryAccount,
+    holder: MemoryAccount,
     bytes: number,
     kind: HeldKind,
     nowMs: number,
   ): boolean {
     const isPreferred =
-      kind === 'responding' || asker.heldBytes + bytes <= smallAccountBytes;
+      kind === 'responding' || holder.heldBytes + bytes <= smallAccountBytes;
     const limit = isPreferred ? this.limitBytes : this.maxBodyBytes;
     while (this.total + bytes > limit) {
-      const found = bytes <= limit && this.findCostliest(asker, nowMs);
+      const found = bytes <= limit && this.findCostliest(holder, nowMs);
       if (!found) {
         this.refusalCount += 1;
         return false;
@@ -111,15 +112,15 @@
     return true;
   }
 
-  /** Finds what to evict; it costs more than what the asker holds, and holds more. */
+  /** Finds what to evict: the bytes that cost most, if they cost more than the body that the holder is receiving. */
   private findCostliest(
-    asker: MemoryAccount,
+    holder: MemoryAccount,
     nowMs: number,
   ): {account: MemoryAccount; kind: EvictableKind} | undefined {
     let found: {account: MemoryAccount; kind: EvictableKind} | undefined;
-    let most = asker.evictableCost('receiving', nowMs);
+    let most = holder.evictableCost('receiving', nowMs);
     for (const account of this.accounts) {
-      if (account === asker) continue;
+      if (account === holder) continue;
       for (const kind of ['receiving', 'responding'] as const) {
         if (!account.isEvictable(kind, nowMs)) continue;
         const cost = account.evictableCost(kind, nowMs);
@@ -135,7 +136,7 @@
 /** Calls of an account to its budget. */
 interface AccountBudget {
   fit(
-    asker: MemoryAccount,
+    holder: MemoryAccount,
     bytes: number,
     kind: HeldKind,
     nowMs: number,
