Charge responses that wait for their caller to the memory for callers

What callers saw: a host that was ended by the system, with all requests in progress, while connections with many requests ahead read none of the answers.

Cause: what a response holds in the process until its caller reads it was bounded for each response by back-pressure, and summed over nobody. Answers of up to 256 KiB are complete when they are sent, so they hold no slot of a target that would bound their number.

Change: the unread bytes of a response are charged to the account of its connection in steps of 16 KiB.

--- a/src/connection/http/caller-memory.ts
+++ b/src/connection/http/caller-memory.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {BlockPool} from '../../process/body-blocks.js';
 import type {Clock} from '../../process/clock.js';
@@ -8,18 +9,20 @@
   type MemoryAccount,
 } from '../../process/memory-budget.js';
 import type {MetricRegistry} from '../../process/metric-registry.js';
+import {UnreadResponse} from './unread-response.js';
 
 /** What a {@link CallerMemory} needs. */
 export interface CallerMemoryParts {
   readonly clock: Clock;
   readonly metrics: MetricRegistry;
-  /** Called for each eviction, with the bytes that were given up. */
+  /** Called for each eviction, with the number of bytes evicted. */
   readonly onEvicted: (kind: EvictableKind, bytes: number) => void;
 }
 
 /** Accounts of the connections of callers, and the blocks for their bodies. */
 export class CallerMemory {
   readonly pool = new BlockPool();
+  private readonly responses = new WeakMap<ServerResponse, UnreadResponse>();
   private readonly connections = new WeakMap<Socket, ConnectionMemory>();
 
   private readonly budget: MemoryBudget;
@@ -47,7 +50,7 @@
     );
     const evictions = metrics.counter(
       'guavaseam_caller_memory_evictions_total',
-      'Bodies and responses of callers that were given up for others, by kind',
+      'Bodies and responses of callers that were evicted to make room for others, by kind',
       ['kind'],
     );
     this.onEvicted = (kind, bytes) => {
@@ -81,6 +84,20 @@
     }
     return memory;
   }
+
+  /**
+   * Charges the part of a response that its caller has not read.
+   *
+   * @param res - Response to which bytes were written.
+   */
+  chargeUnread(res: ServerResponse): void {
+    let unread = this.responses.get(res);
+    if (!unread) {
+      unread = new UnreadResponse(res, this.of(res.req.socket));
+      this.responses.set(res, unread);
+    }
+    unread.update();
+  }
 }
 
 /** What one connection holds. */
--- a/src/request/gateway/admitted-request.ts
+++ b/src/request/gateway/admitted-request.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {CallerMemory} from '../../connection/http/caller-memory.js';
 import type {Body} from '../../process/body-blocks.js';
 import type {Clock} from '../../process/clock.js';
 import type {CrashWatch} from '../../process/crashes/crash-watch.js';
@@ -31,6 +32,8 @@
   readonly metrics: GatewayMetrics;
   readonly decisions: DecisionLog;
   readonly crashWatch: CrashWatch;
+  /** Memory that callers hold. */
+  readonly memory: CallerMemory;
   /**
    * Returns whether the connection closes after a response whose head is about to be sent; `isRequired` if it cannot be
    * used any longer.
--- a/src/request/gateway/gateway-handler.ts
+++ b/src/request/gateway/gateway-handler.ts
@@ -1,5 +1,4 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {CallerMemory} from '../../connection/http/caller-memory.js';
 import {
   readBody,
   type BodyFailure,
@@ -43,8 +42,6 @@
   readonly routes: () => RouteTable | undefined;
   /** Receives requests whose responses should have ended; logs them by default. */
   readonly overdueSink?: OverdueSink;
-  /** Memory that callers hold. */
-  readonly memory: CallerMemory;
 }
 
 /** Admits callers' requests and tracks the open ones. */
--- a/src/request/gateway/gateway-request.ts
+++ b/src/request/gateway/gateway-request.ts
@@ -85,12 +85,12 @@
       {
         pause: () => this.attempt?.exchange.pause(),
         resume: () => this.attempt?.exchange.resume(),
+        onUnread: () => parts.memory.chargeUnread(res),
       },
       parts.clock,
       parts.eventDelayMs,
     );
     res.on('close', () => this.callerLeft());
-    res.on('error', () => {}); // 'close' follows.
   }
 
   /** Whether it waits for a slot. */
--- a/src/request/gateway/response-relay.ts
+++ b/src/request/gateway/response-relay.ts
@@ -11,10 +11,15 @@
 /** Maximum size of an event, in bytes; a target that sends a larger one has failed. */
 const maxEventBytes = 256 * 1024;
 
+/** Last part of a response up to which it is not checked whether the caller reads it, in bytes. */
+const maxUnchargedBytes = 16 * 1024;
+
 /** Flow control towards the target. */
 export interface RelayFlow {
   readonly pause: () => void;
   readonly resume: () => void;
+  /** Called when bytes wait in this process for the caller. */
+  readonly onUnread?: () => void;
 }
 
 /** Relays the response of one request, which may come from several targets in turn. */
@@ -51,6 +56,7 @@
     private readonly clock: Clock,
     eventDelayMs: number,
   ) {
+    res.on('error', () => {}); // 'close' follows.
     this.batch = new EventBatch(clock, eventDelayMs, events =>
       this.write(events),
     );
@@ -181,12 +187,11 @@
     const rest = this.splitter
       ? Buffer.concat([this.batch.take(), this.splitter.flush()])
       : this.held.take();
-    if (this.started) {
-      this.res.end(rest.length > 0 ? rest : undefined);
-      return;
-    }
-    this.sendHead();
-    this.res.end(rest);
+    if (!this.started) {
+      this.sendHead();
+      this.res.end(rest);
+    } else this.res.end(rest.length > 0 ? rest : undefined);
+    if (rest.length > maxUnchargedBytes) this.flow.onUnread?.();
   }
 
   private hold(chunk: Buffer): void {
@@ -198,6 +203,7 @@
   private write(bytes: Buffer): void {
     if (!this.started) this.sendHead();
     if (this.res.write(bytes)) return;
+    this.flow.onUnread?.();
     this.flow.pause();
     // What the target has sent already still arrives after the pause.
     if (this.awaitsDrain) return;
--- a/test/crowds/configuration.ts
+++ b/test/crowds/configuration.ts
@@ -43,11 +43,13 @@
     route('stream', '/lohu930/', 'streaming'),
     route('late', '/puxa403/', 'idempotent'),
     route('large', '/gezo217/', 'idempotent'),
+    route('medium', '/hadi338/', 'idempotent'),
   ],
   services: [
     service('plain'),
     service('late'),
     service('large'),
+    service('medium'),
     {
       ...service('stream'),
       engine: {
--- a/test/crowds/connections.serial.test.ts
+++ b/test/crowds/connections.serial.test.ts
@@ -34,6 +34,24 @@
   },
 );
 
+// Guards against answers that their targets have completed and that wait in the host because nobody reads them.
+test(
+  'a host stays within its memory while connections read none of many complete answers',
+  hangGuard,
+  async t => {
+    const gateway = await GatewayFixture.start(t);
+    const crowd = new Crowd({
+      address: gateway.addresses.callers,
+      count: 40,
+      reads: false,
+      source: () => manyRequests(paths.medium, 1),
+    });
+    await gateway.settle(crowd);
+    await gateway.checkBeside();
+    await gateway.checkAfter(crowd);
+  },
+);
+
 // Guards against connections with many requests ahead that take all turns of others.
 test(
   'a host serves others while connections send many requests ahead and read the answers',
--- a/test/crowds/gateway.ts
+++ b/test/crowds/gateway.ts
@@ -22,12 +22,13 @@
 /** Bounds that most tests give their host. */
 export const smallHost: HostBounds = {memoryMb: 200, maxFds: 400};
 
-/** Paths of the services: one that answers at once, streams, one that waits, and one with answers of 1 MiB. */
+/** Paths of the services: one that answers at once, streams, one that waits, and two with answers of 1 MiB and 200 KiB. */
 export const paths = {
   plain: '/cufi504/a',
   stream: '/lohu930/a',
   late: '/puxa403/a',
   large: '/gezo217/a',
+  medium: '/hadi338/a',
 } as const;
 
 const promptHeaders = {
@@ -36,6 +37,8 @@
   'X-Prompt-Prefix': '5c1e07a2:800,91bd3f06:410',
 };
 
+const mediumAnswer = Buffer.alloc(200 * 1024);
+
 let lastId = 0;
 
 /** Headers of a request with an id of its own. */
@@ -77,6 +80,7 @@
     const targets = [
       new Target('i-plain', 'plain', res => res.end('done')),
       new Target('i-late', 'late', res => held.push(() => res.end('done'))),
+      new Target('i-medium', 'medium', res => res.end(mediumAnswer)),
       new Target('i-large', 'large', res => res.end(Buffer.alloc(1024 * 1024))),
       new Target('i-stream', 'stream', res => {
         res.setHeader('content-type', 'text/event-stream');
