--- a/src/gateway-wiring.ts
+++ b/src/gateway-wiring.ts
@@ -1,10 +1,10 @@
 import {randomBytes} from 'node:crypto';
 import type {Server} from 'node:http';
 import {GatewayServer} from './connection/gateway/gateway-server.js';
-import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {openAddresses} from './connection/gateway/open-addresses.js';
 import {recordEnds} from './connection/gateway/record-ends.js';
 import {TcpTargetProbe} from './connection/gateway/target-probe.js';
+import {maxCallerConnections} from './connection/http/connection-limit.js';
 import {createCallerMemory} from './connection/http/create-caller-memory.js';
 import {createStateServers} from './connection/peer/state-server.js';
 import type {GatewayHost, GatewayHostParts} from './gateway-host.js';
