Charge a body once behind a request that arrives with its head

A caller that sent a small request and a body of legal size behind it in one read got no response to the second one on a host with little memory: the connection ended as no-memory.

The end of the first request is seen after both heads are parsed, and set the start of the next head within the body of the second. So the body was charged as an unfinished head in addition to its own charge.

The test failed before with the end 'no-memory' (4 MiB body, bound of 6 MiB). Now only the end of the last parsed request starts a head.

--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -44,6 +44,8 @@
   private isDropped = false;
   /** Number of bytes parsed before the head that is being parsed; `undefined` within a body. */
   private headStart: number | undefined = 0;
+  /** Last request that was parsed. */
+  private lastRequest: IncomingMessage | undefined;
   private chargedUnits = 0;
   /** Bytes that may still be received, and what to do beyond them. */
   private allowance = {bytes: Infinity, onExceeded: () => {}};
@@ -113,7 +115,11 @@
     this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
     this.bodyMs = 0;
     this.headStart = undefined;
-    req.once('end', () => (this.headStart = this.parsedBytes));
+    this.lastRequest = req;
+    req.once('end', () => {
+      // The end of a request may be seen after the head of the next one, within its body.
+      if (this.lastRequest === req) this.headStart = this.parsedBytes;
+    });
     handle();
     this.handlingMs += clock.nowMs() - startMs;
   }
