Evict a body behind a request that arrives with its head

Callers that sent a small request and the start of a large body in one read could make a host hold more than its bound: an evicted body stayed in memory and was received to its end.

The end of the first body is seen after the first bytes of the second have been charged. It counted these as a complete body, and removed the receiver of evictions of the second. So an eviction gave up the charge, but not the blocks, and no refusal was sent.

Now the end of a body concerns its own bytes and its own receiver only.

--- a/src/connection/http/caller-memory.ts
+++ b/src/connection/http/caller-memory.ts
@@ -129,8 +129,12 @@
     this.account.release(bytes, this.clock.nowMs(), kind);
   }
 
-  /** Keeps the bytes of a body that has arrived in full until they are released. */
-  completeBody(): void {
-    this.account.completeBody(this.clock.nowMs());
+  /**
+   * Keeps the bytes of a body that has arrived in full until they are released.
+   *
+   * @param bytes - Number of bytes that are held for it.
+   */
+  completeBody(bytes: number): void {
+    this.account.completeBody(this.clock.nowMs(), bytes);
   }
 }
--- a/src/connection/http/request-body.ts
+++ b/src/connection/http/request-body.ts
@@ -54,6 +54,7 @@
   private blocks: BlockBody | undefined;
   private chargedBytes = 0;
   private done = false;
+  private readonly evicted = () => this.onEvicted();
 
   constructor(
     private readonly memory: CallerMemory,
@@ -67,7 +68,7 @@
     const length = this.kept.length + (this.blocks?.length ?? 0);
     if (length + chunk.length > this.maxBytes) return this.fail('tooLarge');
     if (length === 0) {
-      this.connection.onBodyEvicted = () => this.onEvicted();
+      this.connection.onBodyEvicted = this.evicted;
       if (chunk.length <= maxKeptBytes) {
         if (!this.charge(chunk.length)) return this.fail('noMemory');
         this.kept = chunk;
@@ -92,8 +93,8 @@
     if (this.done) return;
     this.done = true;
     const {blocks, chargedBytes, connection, kept} = this;
-    connection.onBodyEvicted = () => {};
-    connection.completeBody();
+    this.endEvictions();
+    connection.completeBody(chargedBytes);
     this.receiver.onBody(blocks ?? kept, () => {
       blocks?.release();
       connection.release(chargedBytes, 'admitted');
@@ -104,13 +105,19 @@
   drop(): void {
     if (this.done) return;
     this.done = true;
-    this.connection.onBodyEvicted = () => {};
+    this.endEvictions();
     this.connection.release(this.chargedBytes, 'receiving');
     this.blocks?.release();
     this.blocks = undefined;
     this.kept = empty;
   }
 
+  private endEvictions(): void {
+    // The next body of the connection may have begun before the end of this one is seen.
+    if (this.connection.onBodyEvicted !== this.evicted) return;
+    this.connection.onBodyEvicted = () => {};
+  }
+
   private onEvicted(): void {
     this.chargedBytes = 0;
     this.fail('noMemory');
--- a/src/process/memory-budget.ts
+++ b/src/process/memory-budget.ts
@@ -226,11 +226,12 @@
    * Keeps the bytes of a body that has arrived in full until they are released.
    *
    * @param nowMs - Time on the process's clock, in milliseconds.
+   * @param bytes - Size of the body, in bytes; all that is being received if absent.
    */
-  completeBody(nowMs: number): void {
-    const {bytes} = this.receiving;
-    this.receiving.change(-bytes, nowMs);
-    this.admittedBytes += bytes;
+  completeBody(nowMs: number, bytes = this.receiving.bytes): void {
+    const kept = Math.min(bytes, this.receiving.bytes);
+    this.receiving.change(-kept, nowMs);
+    this.admittedBytes += kept;
   }
 
   /** Releases everything; the account holds nothing afterwards. */
--- a/test/connection/http/bodies-in-one-read.test.ts
+++ b/test/connection/http/bodies-in-one-read.test.ts
@@ -87,3 +87,27 @@
     assert.match(caller.received, /size 1\./);
   },
 );
+
+// Guards against a body that stays in memory after its eviction, because the request ahead of it ended while it arrived.
+test(
+  'a body behind a request that arrives with its head is evicted',
+  hangGuard,
+  async t => {
+    const {clock, failed, heldBytes, send} = await start(t);
+    // The body begins in the same read as both requests.
+    await send(`${bothHeads}x`, Buffer.alloc(bodyBytes - 2));
+    while ((await heldBytes()) < bodyBytes - 2) await turn();
+    clock.advance(5000);
+    const other = await send(
+      head('/other', bodyBytes),
+      Buffer.alloc(bodyBytes),
+    );
+    while (!other.received.includes('.')) {
+      assert.ok(!failed.includes('/other noMemory'));
+      await turn();
+    }
+    assert.match(other.received, new RegExp(`size ${bodyBytes}\\.`));
+    assert.deepEqual(failed, ['/large noMemory']);
+    while ((await heldBytes()) > 0) await turn();
+  },
+);
