Answer requests whose head waits behind others for longer than its timeout

What callers saw: of 80 complete requests sent ahead on a connection, 74 were answered and the others got neither a response nor a refusal.

Cause: requests beyond a number wait unparsed. The parser may have seen a part of the next head by then, and reports after the header timeout that it takes too long, although the rest has arrived and waits in the host.

Change: the timeout is ignored while input waits. A head that does not go on afterwards ends with the idle timeout of the connection.

--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -321,6 +321,9 @@
       socket.destroy();
       return;
     }
+    // The rest of the head has arrived and waits for earlier requests; the idle timeout applies from here on.
+    const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isTimeout && connection.input.waiting > 0) return;
     // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
     if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
