--- a/src/connection/caller/caller-server.ts
+++ b/src/connection/caller/caller-server.ts
@@ -11,7 +11,7 @@
 import type {Metrics} from '../../process/metrics.js';
 import type {Settings} from '../../process/settings.js';
 import type {RefusalReason} from '../../request/refusals.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 import {acceptWaiting} from '../http/accept-waiting.js';
 import {longestIdle} from '../http/connection-limit.js';
 import {InputPacer} from '../http/input-pacer.js';
@@ -82,7 +82,7 @@
       }
       this.idleSinceMs.set(socket, parts.clock.nowMs());
       const input = new PacedInput(socket, pacer, {
-        onGivenUp: () => {
+        onRejected: () => {
           parts.logger.event('connectionRejected', {code: 'COSTLY_INPUT'});
           socket.destroy();
         },
--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -16,7 +16,7 @@
 import {PacedInput} from '../http/paced-input.js';
 import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {CallerConnection} from './caller-connection.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -211,7 +211,7 @@
     }
     const input = new PacedInput(socket, this.pacer, {
       onHeld: bytes => this.charge(connection, bytes),
-      onGivenUp: () => this.endInput(connection, connectionEnds.costlyInput),
+      onRejected: () => this.endInput(connection, connectionEnds.costlyInput),
     });
     const connection: CallerConnection = new CallerConnection(
       socket,
--- a/src/connection/gateway/target-probe.ts
+++ b/src/connection/gateway/target-probe.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** What a probe of a target's address found. */
 export const probeResults = {
--- a/src/connection/http/accept-waiting.ts
+++ b/src/connection/http/accept-waiting.ts
@@ -1,4 +1,4 @@
-import {inputRead} from './input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** Maximum number of connections that wait to be accepted; the default of Node.js. */
 const maxBacklog = 511;
--- a/src/connection/http/http-client.ts
+++ b/src/connection/http/http-client.ts
@@ -1,7 +1,7 @@
 import Pool from 'undici/lib/dispatcher/pool.js';
 import {ByteBuffer} from '../../process/byte-buffer.js';
 import type {Endpoint} from '../../process/gateway-settings.js';
-import {inputRead} from './input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** A short call whose response is buffered completely. */
 export interface HttpCall {
--- a/src/connection/http/input-pacer.ts
+++ b/src/connection/http/input-pacer.ts
@@ -10,8 +10,8 @@
    */
   parseSlice(): boolean;
 
-  /** Gives the input up, because others compete with it for the processor. */
-  giveUp(): void;
+  /** Rejects the input, because others compete with it for the processor. */
+  reject(): void;
 }
 
 /**
@@ -46,7 +46,7 @@
         this.waiting = [];
         restMs = this.parseEach(inputs, startMs);
       }
-      for (const input of excessInputs(this.waiting)) input.giveUp();
+      for (const input of excessInputs(this.waiting)) input.reject();
     } finally {
       this.isScheduled = this.waiting.length > 0;
       if (this.isScheduled) this.clock.after(restMs, () => this.run());
--- a/src/connection/http/internal-server.ts
+++ b/src/connection/http/internal-server.ts
@@ -62,7 +62,7 @@
       if (replaced === socket) return;
     }
     const input = new PacedInput(socket, pacer, {
-      onGivenUp: () => socket.destroy(),
+      onRejected: () => socket.destroy(),
     });
     lingerAtEnd(socket, input, clock);
     const idleSinceMs = clock.nowMs();
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -18,7 +18,7 @@
   /** Called with the change of the bytes that are held beside bodies, in bytes. */
   readonly onHeld?: (bytes: number) => void;
   /** Called once the input has stopped because parsing it took too long beside others. */
-  readonly onGivenUp?: () => void;
+  readonly onRejected?: () => void;
 }
 
 /**
@@ -80,10 +80,10 @@
     return this.bodyMs;
   }
 
-  giveUp(): void {
+  reject(): void {
     if (this.isStopped || this.socket.destroyed) return;
     this.stop();
-    this.receiver.onGivenUp?.();
+    this.receiver.onRejected?.();
   }
 
   /** Number of bytes passed to the parser. */
--- a/src/connection/peer/peer-calls.ts
+++ b/src/connection/peer/peer-calls.ts
@@ -10,7 +10,7 @@
 } from '@grpc/grpc-js';
 import type {Cancel, Clock} from '../../process/clock.js';
 import {FailureError} from '../../process/errors/catalogue.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 import {certifiesHost, type PeerCredentials} from './peer-credentials.js';
 import type {PeerServer} from './peer-server.js';
 import {loadProto} from './proto.js';
--- a/src/connection/platform/platform-http.ts
+++ b/src/connection/platform/platform-http.ts
@@ -1,6 +1,6 @@
 import {Pool} from 'undici';
 import {ByteBuffer} from '../../process/byte-buffer.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** Maximum size of a response from a platform service, in bytes. */
 const maxResponseBytes = 16 * 1024 * 1024;
--- a/src/connection/target/model-engine-client.ts
+++ b/src/connection/target/model-engine-client.ts
@@ -1,5 +1,5 @@
 import {FailureError} from '../../process/errors/catalogue.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 import {HttpTargetClient} from './http-target-client.js';
 import type {TargetResponse} from './target-client.js';
 
--- a/src/process/crashes/crash-watch.ts
+++ b/src/process/crashes/crash-watch.ts
@@ -1,4 +1,4 @@
-import {inputRead} from '../../connection/http/input-read.js';
+import {inputRead} from '../input-read.js';
 import {
   probeResults,
   type TargetProbe,
--- a/test/process/crashes/simulated-crashes.ts
+++ b/test/process/crashes/simulated-crashes.ts
@@ -139,7 +139,7 @@
     target.running.clear();
     if (this.isSilent) {
       this.clock.after(stallMs, () => {
-        for (const run of runs) this.giveUp(run);
+        for (const run of runs) this.reject(run);
       });
     } else {
       for (const run of runs) this.breakRun(run, entry, this.areReset);
@@ -266,7 +266,7 @@
   }
 
   /** Ends an attempt at a silent target, which may turn out to have crashed. */
-  private giveUp(run: Run): void {
+  private reject(run: Run): void {
     const {watch} = run.host.crashes;
     watch.ended(run.attempt, attemptEnds.broken);
     watch.check(run.attempt.entry, () => {}, false);
