--- a/src/connection/gateway/gateway-server.ts
+++ b/src/connection/gateway/gateway-server.ts
@@ -16,7 +16,7 @@
 import {PacedInput} from '../http/paced-input.js';
 import {limitRest, lingerAtEnd} from '../http/unread-input.js';
 import {CallerConnection} from './caller-connection.js';
-import {inputRead} from '../http/input-read.js';
+import {inputRead} from '../../process/input-read.js';
 
 /** Maximum size of headers that the parser accepts, in bytes; the configured limit is checked after parsing. */
 const parserMaxHeaderBytes = 64 * 1024;
@@ -211,7 +211,7 @@
     }
     const input = new PacedInput(socket, this.pacer, {
       onHeld: bytes => this.charge(connection, bytes),
-      onGivenUp: () => this.endInput(connection, connectionEnds.costlyInput),
+      onRejected: () => this.endInput(connection, connectionEnds.costlyInput),
     });
     const connection: CallerConnection = new CallerConnection(
       socket,
@@ -321,6 +321,9 @@
       socket.destroy();
       return;
     }
+    // The rest of the head has arrived and waits for earlier requests; the idle timeout applies from here on.
+    const isTimeout = err.code === 'ERR_HTTP_REQUEST_TIMEOUT';
+    if (isTimeout && connection.input.waiting > 0) return;
     // The parser reports the error again for all bytes that follow. They are read on, as this shows when the caller leaves.
     if (!socket.writable || connection.hasRejectedInput) return;
     const hasResponses = connection.rejectInput();
--- a/src/connection/http/paced-input.ts
+++ b/src/connection/http/paced-input.ts
@@ -18,7 +18,7 @@
   /** Called with the change of the bytes that are held beside bodies, in bytes. */
   readonly onHeld?: (bytes: number) => void;
   /** Called once the input has stopped because parsing it took too long beside others. */
-  readonly onGivenUp?: () => void;
+  readonly onRejected?: () => void;
 }
 
 /**
@@ -44,6 +44,8 @@
   private isDropped = false;
   /** Number of bytes parsed before the head that is being parsed; `undefined` within a body. */
   private headStart: number | undefined = 0;
+  /** Last request that was parsed. */
+  private lastRequest: IncomingMessage | undefined;
   private chargedUnits = 0;
   /** Bytes that may still be received, and what to do beyond them. */
   private remaining = {bytes: Infinity, onExceeded: () => {}};
@@ -78,10 +80,10 @@
     return this.bodyMs;
   }
 
-  giveUp(): void {
+  reject(): void {
     if (this.isStopped || this.socket.destroyed) return;
     this.stop();
-    this.receiver.onGivenUp?.();
+    this.receiver.onRejected?.();
   }
 
   /** Number of bytes passed to the parser. */
@@ -113,7 +115,11 @@
     this.bodyBytes = Math.max(0, length - this.lastSliceBytes) || 0;
     this.bodyMs = 0;
     this.headStart = undefined;
-    req.once('end', () => (this.headStart = this.parsedBytes));
+    this.lastRequest = req;
+    req.once('end', () => {
+      // The end of a request may be seen after the head of the next one, within its body.
+      if (this.lastRequest === req) this.headStart = this.parsedBytes;
+    });
     handle();
     this.handlingMs += clock.nowMs() - startMs;
   }
