--- a/review/lib-2/stage.mjs
+++ b/review/lib-2/stage.mjs
@@ -213,6 +213,7 @@
 
   constructor({id, service, zone, slots = 8, version = 'v1', onRequest}) {
     Object.assign(this, {id, service, zone, slots, version, onRequest});
+    this.open = 0;
     this.born = Date.now();
   }
 
