--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -13,9 +13,9 @@
   streamHeaders,
 } from '../lib-2/stage.mjs';
 
-const engineCount = 12;
+const engineCount = 16;
 /** Engines that are replaced, one at a time. */
-const replacedCount = 6;
+const replacedCount = 8;
 /** Events of a stream by its id: 2 to 6.5 s, as those of `history-digest`. */
 const eventsOf = id => 20 + ((Number(id.split('-')[1]) * 7) % 46);
 
@@ -135,7 +135,7 @@
       await sleep(Math.random() * 300);
     }
   }
-  const calls = Array.from({length: 48}, (_, i) => callAll(i % 3));
+  const calls = Array.from({length: 60}, (_, i) => callAll(i % 3));
   await sleep(2000);
   if (hasTrouble) {
     const first = stage.engines
